--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Targets for developers and CI. VENV may name an existing environment.
+VENV ?= .venv
+PACKAGES := core wire settings platform daemon operator report standins
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+export MYPYPATH := $(PYTHONPATH)
+export PYTHONHASHSEED := 0
+BIN := $(VENV)/bin
+
+
+.PHONY: install messages test check format lint types imports demo bench
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock
+	test -x $(BIN)/python || python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+format: install
+	$(BIN)/ruff check --quiet --fix packages tests
+	$(BIN)/ruff format --quiet packages tests
+
+lint: install
+	$(BIN)/ruff check --quiet packages tests
+	$(BIN)/ruff format --quiet --check packages tests
+	$(BIN)/flake8 packages tests
+
+types: install
+	$(BIN)/mypy $(foreach p,$(PACKAGES),-p cornelbeam_$(p))
+
+imports: install
+	$(BIN)/lint-imports --no-cache
+
+check: lint types imports
+
+messages:
+	thrift --gen py:slots -out build packages/wire/src/cornelbeam_wire/messages.thrift
+	cp build/messages/ttypes.py packages/wire/src/cornelbeam_wire/gen/messages.py
+
+test: install
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -0,0 +1,109 @@
+"""Error codes, run states and the one exception type of cornelbeam."""
+
+import enum
+from typing import Final, final
+
+
+@final
+class RunState(enum.IntEnum):
+    """What is known about the execution of a request."""
+
+    NOT_RUN = 1
+    RAN = 2
+    UNKNOWN = 3
+    RUNNING = 4
+
+
+@final
+class ErrorCode(enum.Enum):
+    """Why a request or a message was refused.
+
+    The value is the text that appears in the ``cornelbeam-code`` header, in
+    logs and in metrics.
+    """
+
+    MALFORMED_REQUEST = 'malformed_request'
+    HEAD_TOO_LARGE = 'head_too_large'
+    BODY_TOO_LARGE = 'body_too_large'
+    UNKNOWN_SERVICE = 'unknown_service'
+    CONTRADICTORY_SELECTORS = 'contradictory_selectors'
+    NO_ELIGIBLE_TARGET = 'no_eligible_target'
+    OVERLOADED = 'overloaded'
+    TARGET_LEAVING = 'target_leaving'
+    DOMAIN_OUT_OF_SERVICE = 'domain_out_of_service'
+    WRONG_INCARNATION = 'wrong_incarnation'
+    ATTEMPT_FORBIDDEN = 'attempt_forbidden'
+    ATTEMPT_REPEATED = 'attempt_repeated'
+    DEADLINE_PASSED = 'deadline_passed'
+    TOO_MANY_HOPS = 'too_many_hops'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    BACKEND_UNREACHABLE = 'backend_unreachable'
+    BACKEND_FAILED = 'backend_failed'
+    ANSWER_TRUNCATED = 'answer_truncated'
+    PEER_UNREACHABLE = 'peer_unreachable'
+    PROTOCOL_VIOLATION = 'protocol_violation'
+    STORE_UNAVAILABLE = 'store_unavailable'
+    STORE_CONFLICT = 'store_conflict'
+    SETTINGS_INVALID = 'settings_invalid'
+
+
+_HTTP_STATUSES: Final = {
+    ErrorCode.MALFORMED_REQUEST: 400,
+    ErrorCode.UNKNOWN_SERVICE: 404,
+    ErrorCode.CONTRADICTORY_SELECTORS: 409,
+    ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.HEAD_TOO_LARGE: 431,
+    ErrorCode.OUTCOME_UNKNOWN: 502,
+    ErrorCode.BACKEND_FAILED: 502,
+    ErrorCode.ANSWER_TRUNCATED: 502,
+    ErrorCode.PROTOCOL_VIOLATION: 502,
+    ErrorCode.DEADLINE_PASSED: 504,
+    ErrorCode.TOO_MANY_HOPS: 508,
+}
+_DEFAULT_HTTP_STATUS: Final = 503
+
+
+class CornelbeamError(Exception):
+    """A request, message or command that could not be carried out.
+
+    It carries the step at which it arose, for example ``admission``, the peer
+    concerned (a target name or an address, empty when there is none) and what
+    is known about the execution of the request. ``retry_after_ms`` is zero
+    when no useful waiting time is known.
+
+    >>> error = CornelbeamError(ErrorCode.OVERLOADED, 'admission', 'yard-1')
+    >>> error.http_status
+    503
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        step: str,
+        peer: str = '',
+        detail: str = '',
+        *,
+        run_state: RunState = RunState.NOT_RUN,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """Keep the parts; the text names code, step, peer and detail."""
+        self.code = code
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+        self.run_state = run_state
+        self.retry_after_ms = retry_after_ms
+        super().__init__(self._describe())
+
+    @property
+    def http_status(self) -> int:
+        """Status of the HTTP answer that reports this error."""
+        return _HTTP_STATUSES.get(self.code, _DEFAULT_HTTP_STATUS)
+
+    def _describe(self) -> str:
+        text = f'{self.code.value} at {self.step}'
+        if self.peer:
+            text = f'{text} with {self.peer}'
+        if self.detail:
+            text = f'{text}: {self.detail}'
+        return text
--- /dev/null
+++ b/packages/core/src/cornelbeam_core/requests.py
@@ -0,0 +1,43 @@
+"""What routing needs to know about a request."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final, final
+
+# RFC 9110, section 9.2.2.
+_IDEMPOTENT_METHODS: Final = frozenset(
+    ('GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE'),
+)
+
+
+@final
+class RepeatRule(enum.Enum):
+    """Whether a request may be sent a second time after an unclear outcome."""
+
+    NEVER = 'never'
+    ALLOWED = 'allowed'
+    BY_METHOD = 'by-method'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """The parts of a request head that selectors may look at.
+
+    Header names are lower case.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+
+
+def is_idempotent_method(method: str) -> bool:
+    """Tell whether HTTP defines the method as idempotent.
+
+    >>> is_idempotent_method('POST')
+    False
+    """
+    return method in _IDEMPOTENT_METHODS
--- /dev/null
+++ b/packages/core/tests/test_errors.py
@@ -0,0 +1,28 @@
+"""Errors and deadlines keep what a caller is told correct."""
+
+import pytest
+from cornelbeam_core.deadlines import check_deadline, check_hop_count
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+
+
+class TestErrors:
+    """Guards against a refusal that loses its code, step or peer."""
+
+    def test_text_names_code_step_and_peer(self):
+        error = CornelbeamError(ErrorCode.OVERLOADED, 'admission', 'yard-1')
+        assert str(error) == 'overloaded at admission with yard-1'
+        assert error.http_status == 503
+
+
+class TestDeadlines:
+    """Guards against handing over work that nobody waits for."""
+
+    def test_deadline_in_the_past_is_not_run(self):
+        with pytest.raises(CornelbeamError) as caught:
+            check_deadline(1, 1, 'admission')
+        assert caught.value.run_state is RunState.NOT_RUN
+
+    def test_thirteen_hops_pass_and_fourteen_do_not(self):
+        check_hop_count(13)
+        with pytest.raises(CornelbeamError):
+            check_hop_count(14)
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The cornelbeam daemon that runs beside a backend server."""
--- /dev/null
+++ b/packages/operator/src/cornelbeam_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators."""
--- /dev/null
+++ b/packages/report/src/cornelbeam_report/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn report."""
--- /dev/null
+++ b/packages/settings/src/cornelbeam_settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed and checked settings of the cornelbeam daemon."""
--- /dev/null
+++ b/packages/wire/src/cornelbeam_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between cornelbeam daemons and the connection that carries them."""
--- /dev/null
+++ b/packages/wire/src/cornelbeam_wire/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Generated thrift messages."""
--- /dev/null
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -0,0 +1,169 @@
+// Messages between cornelbeam daemons. `make messages` regenerates gen/.
+
+struct LoadReport {
+  1: required i32 in_flight
+  2: required i32 limit
+  3: required i32 queue_length
+  4: required i32 service_time_us
+  5: required bool is_leaving
+}
+
+struct Hello {
+  1: required string name
+  2: required string service_name
+  3: required string domain
+  4: required i64 incarnation
+  5: required i32 protocol_version
+  6: required binary nonce
+  7: required binary proof
+  8: required string address
+}
+
+// Header names and values alternate in `headers`.
+struct CallStart {
+  1: required binary attempt_id
+  2: required i64 target_incarnation
+  3: required string service_name
+  4: required binary method
+  5: required binary path
+  6: required list<binary> headers
+  7: required i32 remaining_ms
+  8: required bool is_repeatable
+  9: required string caller
+  10: required i32 hop_count
+  11: required binary body
+  12: required bool is_complete
+  13: required string request_id
+}
+
+struct BodyPart {
+  1: required binary content
+  2: required bool is_last
+}
+
+struct AnswerStart {
+  1: required i32 status
+  2: required list<binary> headers
+  3: required binary body
+  4: required bool is_complete
+  5: required LoadReport load
+}
+
+struct Refusal {
+  1: required string code
+  2: required i32 run_state
+  3: required i32 retry_after_ms
+  4: required string step
+  5: required string peer
+  6: optional LoadReport load
+  7: required string detail
+}
+
+struct Cancel {
+  1: required string reason
+}
+
+struct Credit {
+  1: required i32 size_bytes
+}
+
+struct OutcomeQuery {
+  1: required binary attempt_id
+  2: required i64 target_incarnation
+  3: required bool is_forbidding
+  4: required i32 remaining_ms
+}
+
+struct OutcomeReply {
+  1: required i32 run_state
+  2: required bool is_answer_kept
+}
+
+struct MemberUpdate {
+  1: required string name
+  2: required string service_name
+  3: required string domain
+  4: required string address
+  5: required i64 incarnation
+  6: required i32 state
+  7: required i32 refutation
+  8: required map<string, string> labels
+}
+
+struct Ping {
+  1: required list<MemberUpdate> updates
+  2: required i64 revision
+  3: required string service_name
+}
+
+struct Ack {
+  1: required list<MemberUpdate> updates
+  2: required i64 revision
+  3: required string name
+  4: required i64 incarnation
+}
+
+struct IndirectPing {
+  1: required string name
+  2: required string address
+}
+
+struct ViewRequest {
+  1: required string service_name
+  2: required string digest
+}
+
+struct ViewReply {
+  1: required string service_name
+  2: required bool is_unchanged
+  3: required list<MemberUpdate> members
+}
+
+struct ConfigObject {
+  1: required string kind
+  2: required string name
+  3: required i64 version
+  4: required i64 revision
+  5: required bool is_deleted
+  6: required binary spec
+}
+
+struct ConfigPush {
+  1: required list<ConfigObject> objects
+}
+
+struct ConfigPull {
+  1: required i64 since_revision
+}
+
+struct ProbeRequest {
+  1: required string caller
+}
+
+struct ProbeReply {
+  1: required bool is_healthy
+  2: required i32 age_ms
+  3: required LoadReport load
+}
+
+struct Frame {
+  1: required i32 stream_id
+  2: optional Hello hello
+  3: optional CallStart call_start
+  4: optional BodyPart body_part
+  5: optional AnswerStart answer_start
+  6: optional Refusal refusal
+  7: optional Cancel cancel
+  8: optional Credit credit
+  9: optional OutcomeQuery outcome_query
+  10: optional OutcomeReply outcome_reply
+  11: optional Ping ping
+  12: optional Ack ack
+  13: optional IndirectPing indirect_ping
+  14: optional ViewRequest view_request
+  15: optional ViewReply view_reply
+  16: optional ConfigPush config_push
+  17: optional ConfigPull config_pull
+  18: optional ProbeRequest probe_request
+  19: optional ProbeReply probe_reply
+}
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes and sessions across the libraries."""
