--- /dev/null
+++ b/packages/standins/src/cornelbeam_standins/asgi.py
@@ -0,0 +1,132 @@
+"""What the stand-in servers share: small ASGI helpers and the server."""
+
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, Final
+from urllib.parse import parse_qs
+
+import msgspec
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+Scope = dict[str, Any]
+Receive = Callable[[], Awaitable[dict[str, Any]]]
+Send = Callable[[dict[str, Any]], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+
+# Callers keep connections for as long as they like: the defaults of
+# hypercorn close a connection after 5 s of rest or 1,000 requests, which
+# would show up as failures of whatever is measured.
+_KEEP_ALIVE_S: Final = 86_400
+_KEEP_ALIVE_REQUEST_COUNT: Final = 1_000_000_000
+_BACKLOG: Final = 4_096
+_GRACE_S: Final = 1
+
+
+class DisconnectError(Exception):
+    """The peer closed the connection before its request was complete."""
+
+
+async def read_parts(receive: Receive) -> AsyncIterator[bytes]:
+    """Give the parts of a request body as they arrive.
+
+    Raises ``DisconnectError`` when the peer goes away before the end.
+    """
+    has_more = True
+    while has_more:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise DisconnectError
+        yield message.get('body', b'')
+        has_more = message.get('more_body', False)
+
+
+async def read_body(receive: Receive) -> bytes:
+    """Read a whole request body."""
+    parts = [part async for part in read_parts(receive)]
+    return b''.join(parts)
+
+
+def read_header(scope: Scope, name: bytes) -> str:
+    """Give the first header of a lower-case name, or an empty text."""
+    for header_name, header_text in scope['headers']:
+        if header_name == name:
+            return str(header_text.decode('latin-1'))
+    return ''
+
+
+def read_query(scope: Scope) -> dict[str, str]:
+    """Give the first value of each query parameter."""
+    parsed = parse_qs(scope['query_string'].decode('ascii'))
+    return {name: texts[0] for name, texts in parsed.items()}
+
+
+async def send_start(
+    send: Send,
+    status: int,
+    size_bytes: int,
+    content_type: bytes = b'application/json',
+) -> None:
+    """Send the head of an answer of a known size."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': [
+                (b'content-type', content_type),
+                (b'content-length', str(size_bytes).encode()),
+            ],
+        },
+    )
+
+
+async def send_body(send: Send, body: bytes, *, has_more: bool = False) -> None:
+    """Send a part of the body of an answer."""
+    await send(
+        {'type': 'http.response.body', 'body': body, 'more_body': has_more},
+    )
+
+
+async def send_json(send: Send, status: int, content: object) -> None:
+    """Send a whole answer as JSON."""
+    body = msgspec.json.encode(content)
+    await send_start(send, status, len(body))
+    await send_body(send, body)
+
+
+async def accept_lifespan(receive: Receive, send: Send) -> None:
+    """Take part in the start and stop messages of the server."""
+    await receive()
+    await send({'type': 'lifespan.startup.complete'})
+    await receive()
+    await send({'type': 'lifespan.shutdown.complete'})
+
+
+def bind_loopback(port: int) -> socket.socket:
+    """Bind a loopback socket; port 0 takes any free one."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind(('127.0.0.1', port))
+    return bound
+
+
+def announce(port: int) -> None:
+    """Print the line by which the starter learns the port."""
+    print(f'listening 127.0.0.1:{port}', flush=True)
+
+
+async def serve_application(application: Application, port: int) -> None:
+    """Serve on loopback until SIGTERM or SIGINT; print the port first."""
+    listener = bind_loopback(port)
+    bound_port = listener.getsockname()[1]
+    # Connections that arrive before hypercorn accepts wait in the backlog.
+    listener.listen(_BACKLOG)
+    config = Config()
+    config.bind = [f'fd://{listener.detach()}']
+    config.backlog = _BACKLOG
+    config.graceful_timeout = _GRACE_S
+    config.keep_alive_timeout = _KEEP_ALIVE_S
+    config.keep_alive_max_requests = _KEEP_ALIVE_REQUEST_COUNT
+    config.errorlog = None
+    announce(bound_port)
+    await serve(application, config)  # type: ignore[arg-type]
--- /dev/null
+++ b/packages/standins/src/cornelbeam_standins/processes.py
@@ -0,0 +1,144 @@
+"""Starts, waits for, pauses and ends the processes of a test by their id."""
+
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+from types import TracebackType
+from typing import IO, Final, Self, final
+
+# Generous, since a busy machine may need long to start an interpreter.
+_START_LIMIT_S: Final = 60
+_STOP_LIMIT_S: Final = 60
+_LISTENING: Final = 'listening '
+
+
+@final
+class ProcessError(Exception):
+    """A process didn't start or stop; the text ends with its output."""
+
+
+@final
+class ManagedProcess:
+    """One process; as a context manager it is killed at the end.
+
+    Its standard error goes to a temporary file that ``read_errors`` gives.
+    """
+
+    def __init__(self, name: str, arguments: list[str]) -> None:
+        """Start the process; ``name`` is for messages only."""
+        self.name = name
+        self.address = ''
+        # In append mode, since the process shares the file's position.
+        self._errors: IO[bytes] = tempfile.TemporaryFile('a+b')
+        self._process = subprocess.Popen(  # noqa: S603 own program
+            arguments,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            # Unbuffered, so that select sees each line that isn't read yet.
+            bufsize=0,
+            stderr=self._errors,
+        )
+
+    def __enter__(self) -> Self:
+        """Give the process itself."""
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Kill the process if it still runs."""
+        self.close()
+
+    @property
+    def pid(self) -> int:
+        """Identifier of the process."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process hasn't ended."""
+        return self._process.poll() is None
+
+    def wait_listening(self) -> str:
+        """Wait for the first line ``listening HOST:PORT``; give the address."""
+        line = self.read_line()
+        if not line.startswith(_LISTENING):
+            raise ProcessError(self._describe(f'printed {line!r}'))
+        self.address = line.removeprefix(_LISTENING).strip()
+        return self.address
+
+    def read_line(self) -> str:
+        """Read the next line of standard output."""
+        output = self._process.stdout
+        if output is None:
+            raise ProcessError(self._describe('has no output'))
+        ready, _, _ = select.select([output], [], [], _START_LIMIT_S)
+        if not ready:
+            raise ProcessError(self._describe('printed nothing'))
+        return output.readline().decode()
+
+    def pause(self) -> None:
+        """Send SIGSTOP."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Send SIGCONT."""
+        self._process.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """Send SIGKILL and wait for the end."""
+        self._process.kill()
+        self.wait()
+
+    def request_stop(self) -> None:
+        """Send SIGTERM and return at once."""
+        self._process.terminate()
+
+    def wait(self) -> int:
+        """Wait for the end and give the exit status."""
+        try:
+            return self._process.wait(_STOP_LIMIT_S)
+        except subprocess.TimeoutExpired as error:
+            raise ProcessError(self._describe('did not end')) from error
+
+    def read_errors(self) -> str:
+        """Give what the process wrote to standard error so far."""
+        self._errors.seek(0)
+        return self._errors.read().decode(errors='replace')
+
+    def close(self) -> None:
+        """Kill the process if it still runs and release its files."""
+        if self.is_running:
+            self.kill()
+        if self._process.stdout is not None:
+            self._process.stdout.close()
+        self._errors.close()
+
+    def _describe(self, event: str) -> str:
+        return f'{self.name} {event}; its errors: {self.read_errors()}'
+
+
+def start_module(name: str, module: str, *arguments: str) -> ManagedProcess:
+    """Start the ``main`` function of a module with this interpreter."""
+    code = f'import sys; from {module} import main; sys.exit(main())'
+    return ManagedProcess(name, [sys.executable, '-c', code, *arguments])
+
+
+def start_standin(*arguments: str) -> ManagedProcess:
+    """Start a stand-in and wait until it listens."""
+    process = start_module(
+        arguments[0],
+        'cornelbeam_standins.cli',
+        *arguments,
+    )
+    try:
+        process.wait_listening()
+    except ProcessError:
+        process.close()
+        raise
+    return process
