Add the stand-in backend servers and the measuring caller

Control stays reachable on a port of its own while connections are refused.

hypercorn costs about half a millisecond per call, so latency is measured with a minimal server and caller on httptools.

--- a/packages/standins/src/cornelbeam_standins/asgi.py
+++ b/packages/standins/src/cornelbeam_standins/asgi.py
@@ -12,6 +12,7 @@
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
+Listener = socket.socket
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
 # Callers keep connections for as long as they like: the defaults of
@@ -102,11 +103,13 @@
     await send({'type': 'lifespan.shutdown.complete'})
 
 
-def bind_loopback(port: int) -> socket.socket:
+def bind_loopback(port: int) -> Listener:
     """Bind a loopback socket; port 0 takes any free one."""
     bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     bound.bind(('127.0.0.1', port))
+    # Connections that come before the server accepts wait in the backlog.
+    bound.listen(_BACKLOG)
     return bound
 
 
@@ -115,12 +118,15 @@
     print(f'listening 127.0.0.1:{port}', flush=True)
 
 
-async def serve_application(application: Application, port: int) -> None:
-    """Serve on loopback until SIGTERM or SIGINT; print the port first."""
-    listener = bind_loopback(port)
-    bound_port = listener.getsockname()[1]
-    # Connections that arrive before hypercorn accepts wait in the backlog.
-    listener.listen(_BACKLOG)
+async def serve_listener(
+    application: Application,
+    listener: Listener,
+    wait_stop: Callable[[], Awaitable[None]] | None = None,
+) -> None:
+    """Serve on a bound socket until ``wait_stop`` returns, then close it.
+
+    Without ``wait_stop``, SIGTERM and SIGINT stop the server.
+    """
     config = Config()
     config.bind = [f'fd://{listener.detach()}']
     config.backlog = _BACKLOG
@@ -128,5 +134,15 @@
     config.keep_alive_timeout = _KEEP_ALIVE_S
     config.keep_alive_max_requests = _KEEP_ALIVE_REQUEST_COUNT
     config.errorlog = None
-    announce(bound_port)
-    await serve(application, config)  # type: ignore[arg-type]
+    await serve(
+        application,  # type: ignore[arg-type]
+        config,
+        shutdown_trigger=wait_stop,
+    )
+
+
+async def serve_application(application: Application, port: int) -> None:
+    """Serve on loopback until SIGTERM or SIGINT; print the port first."""
+    listener = bind_loopback(port)
+    announce(listener.getsockname()[1])
+    await serve_listener(application, listener)
--- a/packages/standins/src/cornelbeam_standins/cli.py
+++ b/packages/standins/src/cornelbeam_standins/cli.py
@@ -1,11 +1,16 @@
 """Command line of the stand-ins; one binary starts any of them."""
 
+import asyncio
 from functools import partial
 
 import anyio
 import defopt  # type: ignore[import-untyped]
+import msgspec
 
 from cornelbeam_standins.asgi import serve_application
+from cornelbeam_standins.backend_server import serve_backend
+from cornelbeam_standins.fast_backend import serve_fast
+from cornelbeam_standins.load_caller import LoadPlan, measure
 from cornelbeam_standins.object_api import ObjectApi
 
 
@@ -17,6 +22,74 @@
     anyio.run(partial(serve_application, ObjectApi(), port))
 
 
+def backend_server(
+    *,
+    port: int,
+    control_port: int = 0,
+    name: str = 'backend',
+) -> None:
+    """Serve a stand-in backend server on loopback.
+
+    :param port: Port to work on; 0 takes any free one.
+    :param control_port: Port that stays when the server refuses connections.
+    :param name: Name that appears in the answers.
+    """
+    anyio.run(serve_backend, name, port, control_port)
+
+
+def fast_backend(*, port: int, body_bytes: int = 64) -> None:
+    """Serve constant answers for measurements of latency.
+
+    :param port: Port to listen on; 0 takes any free one.
+    :param body_bytes: Size of each answer's body.
+    """
+    asyncio.run(serve_fast(port, body_bytes))
+
+
+def load(
+    *,
+    port: int,
+    host: str = '127.0.0.1',
+    service: str = 'bench',
+    path: str = '/item/1',
+    concurrency: tuple[int, ...] = (1, 16, 64),
+    calls: int = 20_000,
+    warm_up: int = 1_000,
+    pids: tuple[int, ...] = (),
+) -> None:
+    """Call in a closed loop and print one JSON line per concurrency.
+
+    :param port: Port to call.
+    :param host: IP address to call.
+    :param service: Host header.
+    :param path: Path of each call.
+    :param concurrency: Numbers of connections, each with one call at a time.
+    :param calls: Number of counted calls per concurrency.
+    :param warm_up: Number of calls before those.
+    :param pids: Processes whose processor time is divided by the calls.
+    """
+    for connections in concurrency:
+        plan = LoadPlan(
+            host=host,
+            port=port,
+            service=service,
+            path=path,
+            concurrency=connections,
+            call_count=calls,
+            warm_up_count=warm_up,
+            pids=pids,
+        )
+        outcome = asyncio.run(measure(plan))
+        print(msgspec.json.encode(outcome).decode(), flush=True)
+
+
 def main() -> None:
     """Run the command named by the arguments."""
-    defopt.run({'object-api': object_api})
+    defopt.run(
+        {
+            'object-api': object_api,
+            'backend-server': backend_server,
+            'fast-backend': fast_backend,
+            'load': load,
+        },
+    )
--- a/packages/standins/src/cornelbeam_standins/processes.py
+++ b/packages/standins/src/cornelbeam_standins/processes.py
@@ -64,13 +64,18 @@
         """Whether the process hasn't ended."""
         return self._process.poll() is None
 
-    def wait_listening(self) -> str:
-        """Wait for the first line ``listening HOST:PORT``; give the address."""
+    def wait_listening(self, *, is_main: bool = True) -> str:
+        """Wait for a line ``listening HOST:PORT`` and give the address.
+
+        The first one is the main address and kept as ``address``.
+        """
         line = self.read_line()
         if not line.startswith(_LISTENING):
             raise ProcessError(self._describe(f'printed {line!r}'))
-        self.address = line.removeprefix(_LISTENING).strip()
-        return self.address
+        address = line.removeprefix(_LISTENING).strip()
+        if is_main:
+            self.address = address
+        return address
 
     def read_line(self) -> str:
         """Read the next line of standard output."""
