--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -0,0 +1,93 @@
+"""A call inside the daemon and its answer, from either side."""
+
+from collections.abc import Callable
+from typing import final
+
+from cornelbeam_core.targets import LoadReport
+from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
+
+
+@final
+class Call:
+    """One attempt to serve a request at one target.
+
+    ``headers`` alternates names and values, without hop-by-hop and control
+    fields. ``deadline_s`` is in the time of the local event loop.
+    """
+
+    __slots__ = (
+        'attempt_id',
+        'body',
+        'caller',
+        'deadline_s',
+        'headers',
+        'hop_count',
+        'is_repeatable',
+        'method',
+        'path',
+        'request_id',
+        'service',
+        'target_incarnation',
+    )
+
+    def __init__(  # noqa: PLR0913
+        self,
+        *,
+        attempt_id: bytes,
+        target_incarnation: int,
+        service: str,
+        method: bytes,
+        path: bytes,
+        headers: list[bytes],
+        deadline_s: float,
+        is_repeatable: bool,
+        caller: str,
+        hop_count: int,
+        request_id: str,
+        body: RequestBody,
+    ) -> None:
+        """Keep the parts."""
+        self.attempt_id = attempt_id
+        self.target_incarnation = target_incarnation
+        self.service = service
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.deadline_s = deadline_s
+        self.is_repeatable = is_repeatable
+        self.caller = caller
+        self.hop_count = hop_count
+        self.request_id = request_id
+        self.body = body
+
+
+@final
+class Answer:
+    """Head of an answer and its streaming body.
+
+    Whoever takes an answer calls ``close`` once, also after a failure: it
+    frees the slot, or cancels the rest of the work.
+    """
+
+    __slots__ = ('_on_close', 'body', 'headers', 'load', 'status')
+
+    def __init__(
+        self,
+        status: int,
+        headers: list[bytes],
+        body: BodyBuffer,
+        load: LoadReport | None,
+        on_close: Callable[[], None],
+    ) -> None:
+        """Keep the parts."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.load = load
+        self._on_close: Callable[[], None] | None = on_close
+
+    def close(self) -> None:
+        """Free what the answer holds; later calls do nothing."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is not None:
+            on_close()
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/headers.py
@@ -0,0 +1,67 @@
+"""Header fields as a flat list: names and values alternate."""
+
+from collections.abc import Iterator
+from typing import Final
+
+# RFC 9110, section 7.6.1.
+_HOP_BY_HOP: Final = frozenset((
+    b'connection',
+    b'keep-alive',
+    b'proxy-authenticate',
+    b'proxy-authorization',
+    b'proxy-connection',
+    b'te',
+    b'trailer',
+    b'transfer-encoding',
+    b'upgrade',
+    b'expect',
+))
+CONTROL_PREFIX: Final = b'cornelbeam-'
+DEADLINE: Final = b'cornelbeam-deadline-ms'
+HOPS: Final = b'cornelbeam-hops'
+REQUEST_ID: Final = b'cornelbeam-request-id'
+
+
+def pairs(headers: list[bytes]) -> Iterator[tuple[bytes, bytes]]:
+    """Yield name and value of each field."""
+    fields = iter(headers)
+    return zip(fields, fields, strict=True)
+
+
+def find(headers: list[bytes], name: bytes) -> bytes | None:
+    """Give the first value of a field; names are lower case."""
+    for index in range(0, len(headers), 2):
+        if headers[index] == name:
+            return headers[index + 1]
+    return None
+
+
+def strip(headers: list[bytes]) -> list[bytes]:
+    """Drop hop-by-hop fields and the control fields of cornelbeam.
+
+    The fields that ``Connection`` names are hop-by-hop too. Callers must not
+    be able to forge control fields, and backend servers must not see them.
+    """
+    dropped = _HOP_BY_HOP
+    named = find(headers, b'connection')
+    if named is not None:
+        dropped = dropped.union(
+            token.strip().lower() for token in named.split(b',')
+        )
+    kept: list[bytes] = []
+    for index in range(0, len(headers), 2):
+        name = headers[index]
+        if name not in dropped and not name.startswith(CONTROL_PREFIX):
+            kept += (name, headers[index + 1])
+    return kept
+
+
+def render(first_line: bytes, headers: list[bytes]) -> bytes:
+    """Render a message head."""
+    lines = [first_line]
+    lines.extend(
+        b'%b: %b' % (headers[index], headers[index + 1])
+        for index in range(0, len(headers), 2)
+    )
+    lines.append(b'\r\n')
+    return b'\r\n'.join(lines)
--- a/packages/wire/src/cornelbeam_wire/__init__.py
+++ b/packages/wire/src/cornelbeam_wire/__init__.py
@@ -1,1 +1,31 @@
 """Messages between cornelbeam daemons and the connection that carries them."""
+
+from cornelbeam_wire.codec import (
+    MAX_FRAME_BYTES,
+    FrameDecoder,
+    decode_frame,
+    encode_frame,
+)
+from cornelbeam_wire.connection import (
+    MAX_BODY_PART_BYTES,
+    STREAM_CREDIT_BYTES,
+    PeerConnection,
+    Stream,
+    StreamReceiver,
+)
+from cornelbeam_wire.identity import Identity
+from cornelbeam_wire.pool import PeerPool
+
+__all__ = (
+    'MAX_BODY_PART_BYTES',
+    'MAX_FRAME_BYTES',
+    'STREAM_CREDIT_BYTES',
+    'FrameDecoder',
+    'Identity',
+    'PeerConnection',
+    'PeerPool',
+    'Stream',
+    'StreamReceiver',
+    'decode_frame',
+    'encode_frame',
+)
--- /dev/null
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -0,0 +1,253 @@
+"""One multiplexed connection between two daemons."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final, Protocol, final
+
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_wire.codec import FrameDecoder, encode_frame, violation
+from cornelbeam_wire.gen.messages import BodyPart, Credit, Frame, Hello
+from cornelbeam_wire.identity import Handshake, Identity
+
+STREAM_CREDIT_BYTES: Final = 256 * 1024
+MAX_BODY_PART_BYTES: Final = 64 * 1024
+_MAX_OPEN_STREAMS: Final = 4096
+
+
+class StreamReceiver(Protocol):
+    """Takes what arrives on one stream."""
+
+    def on_frame(self, frame: Frame) -> None:
+        """Take a frame other than a credit."""
+
+    def on_lost(self) -> None:
+        """Learn that the connection closed before the stream was."""
+
+
+@final
+class Stream:
+    """One exchange on a connection: a call, a query or a control message."""
+
+    __slots__ = (
+        '_credit_bytes',
+        '_credit_waiter',
+        'connection',
+        'is_open',
+        'receiver',
+        'stream_id',
+    )
+
+    def __init__(self, connection: 'PeerConnection', stream_id: int) -> None:
+        """Start with the full credit."""
+        self.connection = connection
+        self.stream_id = stream_id
+        self.receiver: StreamReceiver | None = None
+        self.is_open = True
+        self._credit_bytes = STREAM_CREDIT_BYTES
+        self._credit_waiter: asyncio.Future[None] | None = None
+
+    def send(self, **message: Any) -> None:
+        """Send one message, named as the field of ``Frame`` it fills."""
+        if self.is_open:
+            self.connection.write(Frame(stream_id=self.stream_id, **message))
+
+    async def send_body(self, content: bytes, *, is_last: bool) -> None:
+        """Send a part of a body; wait while the receiver grants no credit.
+
+        Raises ``peer_unreachable`` when the connection is lost meanwhile.
+        """
+        while self.is_open and content and self._credit_bytes <= 0:
+            self._credit_waiter = asyncio.get_running_loop().create_future()
+            await self._credit_waiter
+        if not self.is_open:
+            raise CornelbeamError(
+                ErrorCode.PEER_UNREACHABLE,
+                'body',
+                self.connection.peer_name,
+                run_state=RunState.UNKNOWN,
+            )
+        self._credit_bytes -= len(content)
+        self.send(body_part=BodyPart(content=content, is_last=is_last))
+
+    def spend(self, size_bytes: int) -> None:
+        """Count body bytes that were sent inside another message."""
+        self._credit_bytes -= size_bytes
+
+    def grant(self, size_bytes: int) -> None:
+        """Tell the sender that body bytes were consumed."""
+        self.send(credit=Credit(size_bytes=size_bytes))
+
+    def add_credit(self, size_bytes: int) -> None:
+        """Take credit that the receiver granted."""
+        self._credit_bytes += size_bytes
+        self._wake()
+
+    def close(self) -> None:
+        """Forget the stream; later frames for it are dropped."""
+        self.connection.forget(self)
+        self.mark_closed()
+
+    def mark_closed(self) -> None:
+        """Stop sending and wake whoever waits for credit."""
+        self.is_open = False
+        self._wake()
+
+    def _wake(self) -> None:
+        waiter, self._credit_waiter = self._credit_waiter, None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+
+Acceptor = Callable[[Stream, Frame], StreamReceiver | None]
+
+
+@final
+class PeerConnection(asyncio.Protocol):
+    """A connection to another daemon that carries many streams.
+
+    The side that opened the connection uses odd stream numbers. The acceptor
+    is called for the first frame of each stream that the peer opens and
+    gives the receiver of its later frames.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        acceptor: Acceptor,
+        on_closed: Callable[['PeerConnection'], None],
+        *,
+        is_opener: bool,
+    ) -> None:
+        """Prepare; the event loop calls ``connection_made``."""
+        self.ready: asyncio.Future[Hello] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.peer: Hello | None = None
+        self.is_closed = False
+        self.is_silent = False
+        self.last_received_s = 0.0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._acceptor = acceptor
+        self._on_closed = on_closed
+        self._handshake = Handshake(identity)
+        self._decoder = FrameDecoder()
+        self._streams: dict[int, Stream] = {}
+        self._next_id = 1 if is_opener else 2
+        self._transport: asyncio.Transport | None = None
+        self._time = asyncio.get_running_loop().time
+
+    @property
+    def peer_name(self) -> str:
+        """Name of the peer, empty before the handshake."""
+        return '' if self.peer is None else str(self.peer.name)
+
+    @property
+    def open_count(self) -> int:
+        """Number of open streams."""
+        return len(self._streams)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the first message of the handshake."""
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
+        self.last_received_s = self._time()
+        self.write(Frame(stream_id=0, hello=self._handshake.greet()))
+
+    def data_received(self, received: bytes) -> None:
+        """Cut the bytes into frames and pass them to their streams."""
+        self.last_received_s = self._time()
+        self.received_bytes += len(received)
+        try:
+            for frame in self._decoder.feed(received):
+                self._dispatch(frame)
+        except CornelbeamError as error:
+            if not self.ready.done():
+                self.ready.set_exception(error)
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell all streams that nothing more will arrive."""
+        self.is_closed = True
+        if not self.ready.done():
+            self.ready.set_exception(violation('closed during the handshake'))
+        # An unread exception of a connection nobody waits for is expected.
+        if not self.ready.cancelled():
+            self.ready.exception()
+        streams = list(self._streams.values())
+        self._streams.clear()
+        for stream in streams:
+            stream.mark_closed()
+            if stream.receiver is not None:
+                stream.receiver.on_lost()
+        self._on_closed(self)
+
+    def open_stream(self, receiver: StreamReceiver) -> Stream:
+        """Open a stream towards the peer.
+
+        Raises ``peer_unreachable`` when the connection is closed.
+        """
+        if self.is_closed or self.peer is None:
+            raise CornelbeamError(
+                ErrorCode.PEER_UNREACHABLE,
+                'peer connection',
+                self.peer_name,
+            )
+        stream = Stream(self, self._next_id)
+        self._next_id += 2
+        stream.receiver = receiver
+        self._streams[stream.stream_id] = stream
+        return stream
+
+    def forget(self, stream: Stream) -> None:
+        """Drop a stream; frames that still arrive for it are ignored."""
+        self._streams.pop(stream.stream_id, None)
+
+    def write(self, frame: Frame) -> None:
+        """Write one frame; nothing happens on a closed connection."""
+        if self._transport is None or self.is_closed:
+            return
+        encoded = encode_frame(frame)
+        self.sent_bytes += len(encoded)
+        self._transport.write(encoded)
+
+    def close(self) -> None:
+        """Close at once; nothing that still arrives is read."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _dispatch(self, frame: Frame) -> None:
+        if self.peer is None:
+            self._shake_hands(frame)
+            return
+        stream = self._streams.get(frame.stream_id)
+        if stream is None:
+            self._accept(frame)
+        elif frame.credit is not None:
+            stream.add_credit(frame.credit.size_bytes)
+        elif stream.receiver is not None:
+            stream.receiver.on_frame(frame)
+
+    def _shake_hands(self, frame: Frame) -> None:
+        if frame.hello is None:
+            raise violation('message before the handshake')
+        proof = self._handshake.receive(frame.hello)
+        if proof is not None:
+            self.write(Frame(stream_id=0, hello=proof))
+        self.peer = self._handshake.peer
+        if self.peer is not None and not self.ready.done():
+            self.ready.set_result(self.peer)
+
+    def _accept(self, frame: Frame) -> None:
+        # Late frames of a stream that is closed here have our own parity or
+        # carry no opening message; the acceptor ignores the latter.
+        if frame.stream_id % 2 == self._next_id % 2:
+            return
+        if len(self._streams) >= _MAX_OPEN_STREAMS:
+            raise violation('too many open streams')
+        stream = Stream(self, frame.stream_id)
+        receiver = self._acceptor(stream, frame)
+        if receiver is None or not stream.is_open:
+            return
+        stream.receiver = receiver
+        self._streams[stream.stream_id] = stream
--- /dev/null
+++ b/packages/wire/src/cornelbeam_wire/pool.py
@@ -0,0 +1,100 @@
+"""Connections to other daemons, one in use per address."""
+
+import asyncio
+from typing import Final, final
+
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_wire.connection import Acceptor, PeerConnection
+from cornelbeam_wire.identity import Identity
+
+CONNECT_TIMEOUT_S: Final = 1.0
+
+
+@final
+class PeerPool:
+    """Opens and keeps the connections that this daemon uses as a caller.
+
+    A connection that went silent is replaced: the old one stays open for
+    answers that may still arrive, and new streams use the new one.
+    """
+
+    __slots__ = ('_acceptor', '_connecting', '_connections', '_identity')
+
+    def __init__(self, identity: Identity, acceptor: Acceptor) -> None:
+        """Start without connections."""
+        self._identity = identity
+        self._acceptor = acceptor
+        self._connections: dict[str, PeerConnection] = {}
+        self._connecting: dict[str, asyncio.Task[PeerConnection]] = {}
+
+    def ready_connection(self, address: str) -> PeerConnection | None:
+        """Give the connection in use, or nothing when one must be opened."""
+        connection = self._connections.get(address)
+        if connection is None or connection.is_closed or connection.is_silent:
+            return None
+        return connection
+
+    async def connection(self, address: str) -> PeerConnection:
+        """Give the connection in use, opening one when there is none.
+
+        Raises ``peer_unreachable`` when none can be opened in time.
+        """
+        connection = self.ready_connection(address)
+        if connection is not None:
+            return connection
+        task = self._connecting.get(address)
+        if task is None:
+            task = asyncio.ensure_future(self._open(address))
+            self._connecting[address] = task
+            task.add_done_callback(lambda done: self._opened(address, done))
+        return await asyncio.shield(task)
+
+    def connections(self) -> list[PeerConnection]:
+        """List the connections in use."""
+        return list(self._connections.values())
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self.connections():
+            connection.close()
+
+    async def _open(self, address: str) -> PeerConnection:
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: PeerConnection(
+                        self._identity,
+                        self._acceptor,
+                        self._forget,
+                        is_opener=True,
+                    ),
+                    host,
+                    int(port),
+                )
+                await asyncio.shield(connection.ready)
+        except (OSError, CornelbeamError) as error:
+            raise CornelbeamError(
+                ErrorCode.PEER_UNREACHABLE,
+                'connect',
+                address,
+                str(error),
+            ) from error
+        self._connections[address] = connection
+        return connection
+
+    def _opened(
+        self,
+        address: str,
+        task: asyncio.Task[PeerConnection],
+    ) -> None:
+        self._connecting.pop(address, None)
+        if not task.cancelled():
+            # Marks the exception as read when no caller waits any more.
+            task.exception()
+
+    def _forget(self, connection: PeerConnection) -> None:
+        for address, known in tuple(self._connections.items()):
+            if known is connection:
+                self._connections.pop(address)
