--- /dev/null
+++ b/packages/core/src/cornelbeam_core/admission.py
@@ -0,0 +1,298 @@
+"""Adaptive concurrency limit beside a backend server."""
+
+import enum
+import statistics
+from collections import OrderedDict, deque
+from collections.abc import Hashable
+from dataclasses import dataclass
+from typing import Final, final
+
+from cornelbeam_core.outcomes import CallOutcome
+from cornelbeam_core.targets import LoadReport
+
+_MS_PER_S: Final = 1000
+_US_PER_S: Final = 1_000_000
+
+
+@final
+class Admission(enum.Enum):
+    """What becomes of a call that arrives at the backend side."""
+
+    RUN = 'run'
+    QUEUE = 'queue'
+    REFUSE = 'refuse'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Bounds of the limit and of the queue.
+
+    The limit stays between one and ``slot_count``. A service time counts as
+    slow above ``slow_factor`` times the baseline and as cold above
+    ``cold_factor`` times it; ``cold_streak_count`` cold ones in a row raise
+    the suspicion that the server went cold.
+    """
+
+    slot_count: int = 20
+    cold_slot_count: int = 2
+    queue_count: int = 20
+    queue_ms: int = 50
+    slow_factor: float = 2.5
+    cold_factor: float = 4
+    cold_streak_count: int = 4
+    decrease_ratio: float = 0.85
+    window_count: int = 16
+    baseline_gain: float = 0.02
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class QueueRelease:
+    """A ticket that leaves the queue, to run or because its time is over."""
+
+    ticket: Hashable
+    admission: Admission
+
+
+@dataclass(slots=True)
+class _Queued:
+    ticket: Hashable
+    expires_at_s: float
+
+
+@final
+class AdmissionLimit:
+    """Limit, short fair queue and recognition of a server gone cold.
+
+    The limit starts at what a cold server can handle, grows by one slot for
+    each limit's worth of answers given while the limit was reached, and falls
+    when the server sheds or slows down.
+    """
+
+    __slots__ = (
+        '_baseline_s',
+        '_cold_streak',
+        '_grow_count',
+        '_limit',
+        '_queue_length',
+        '_queues',
+        '_reached_at_s',
+        '_service_time_s',
+        '_settings',
+        '_suspected_at_s',
+        '_window',
+        'in_flight',
+    )
+
+    def __init__(self, settings: AdmissionSettings | None = None) -> None:
+        """Start cold and idle."""
+        self._settings = settings or AdmissionSettings()
+        self._limit = self._cold_limit()
+        self.in_flight = 0
+        self._queues: OrderedDict[str, deque[_Queued]] = OrderedDict()
+        self._queue_length = 0
+        self._service_time_s: float = 0
+        self._baseline_s: float = 0
+        self._grow_count = 0
+        self._cold_streak = 0
+        self._suspected_at_s: float | None = None
+        self._reached_at_s = float('-inf')
+        self._window: deque[float] = deque(
+            maxlen=self._settings.window_count,
+        )
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run at once; the cold limit under suspicion."""
+        if self._suspected_at_s is None:
+            return self._limit
+        return min(self._limit, self._cold_limit())
+
+    @property
+    def queue_length(self) -> int:
+        """Number of calls that wait."""
+        return self._queue_length
+
+    def try_admit(
+        self,
+        caller: str,
+        now_s: float,
+        deadline_s: float,
+        ticket: Hashable = None,
+    ) -> Admission:
+        """Let a call run, wait or be refused; a running one is counted.
+
+        ``ticket`` names a waiting call when it leaves the queue.
+        """
+        if self.in_flight < self.limit and not self._queue_length:
+            self._start(now_s)
+            return Admission.RUN
+        self._reached_at_s = now_s
+        settings = self._settings
+        if self._queue_length >= settings.queue_count or deadline_s <= now_s:
+            return Admission.REFUSE
+        expires_at_s = min(deadline_s, now_s + settings.queue_ms / _MS_PER_S)
+        self._queues.setdefault(caller, deque()).append(
+            _Queued(ticket, expires_at_s),
+        )
+        self._queue_length += 1
+        return Admission.QUEUE
+
+    def finish(
+        self,
+        now_s: float,
+        service_time_s: float,
+        outcome: CallOutcome,
+    ) -> None:
+        """Count the end of a running call and adapt the limit."""
+        self.in_flight -= 1
+        if outcome is CallOutcome.CANCELLED:
+            return
+        if outcome is CallOutcome.SHED:
+            self._note_shed()
+            return
+        if outcome is CallOutcome.FAILED:
+            return
+        self._note_service_time(now_s, service_time_s)
+
+    def next_queued(self, now_s: float) -> QueueRelease | None:
+        """Take the next call out of the queue, None if none may leave.
+
+        Calls whose time is over come first, with ``REFUSE``; the others get
+        ``RUN`` in turns between their callers and are counted.
+        """
+        expired = self._pop_expired(now_s)
+        if expired is not None:
+            return QueueRelease(expired.ticket, Admission.REFUSE)
+        if not self._queue_length or self.in_flight >= self.limit:
+            return None
+        caller, queue = self._queues.popitem(last=False)
+        queued = queue.popleft()
+        self._queue_length -= 1
+        if queue:
+            self._queues[caller] = queue
+        self._start(now_s)
+        return QueueRelease(queued.ticket, Admission.RUN)
+
+    def next_expiry_s(self) -> float | None:
+        """Give the time at which the first waiting call expires."""
+        return min(
+            (
+                queued.expires_at_s
+                for queue in self._queues.values()
+                for queued in queue
+            ),
+            default=None,
+        )
+
+    def remove_queued(self, ticket: Hashable) -> bool:
+        """Take a cancelled call out of the queue, False if it isn't there."""
+        for caller, queue in self._queues.items():
+            for queued in queue:
+                if queued.ticket == ticket:
+                    self._drop(caller, queued)
+                    return True
+        return False
+
+    def retry_after_ms(self) -> int:
+        """Estimate when a refused call might find room."""
+        waiting_count = self._queue_length + 1
+        wait_s = self._service_time_s * waiting_count / self.limit
+        return max(1, round(wait_s * _MS_PER_S))
+
+    def report(self, *, is_leaving: bool = False) -> LoadReport:
+        """Give the load report that goes with answers and refusals."""
+        return LoadReport(
+            in_flight=self.in_flight,
+            limit=self.limit,
+            queue_length=self._queue_length,
+            service_time_us=round(self._service_time_s * _US_PER_S),
+            is_leaving=is_leaving,
+        )
+
+    def _cold_limit(self) -> int:
+        return min(self._settings.cold_slot_count, self._settings.slot_count)
+
+    def _start(self, now_s: float) -> None:
+        self.in_flight += 1
+        if self.in_flight >= self.limit:
+            self._reached_at_s = now_s
+
+    def _pop_expired(self, now_s: float) -> _Queued | None:
+        for caller, queue in self._queues.items():
+            for queued in queue:
+                if queued.expires_at_s <= now_s:
+                    self._drop(caller, queued)
+                    return queued
+        return None
+
+    def _drop(self, caller: str, queued: _Queued) -> None:
+        queue = self._queues[caller]
+        queue.remove(queued)
+        self._queue_length -= 1
+        if not queue:
+            self._queues.pop(caller)
+
+    def _become_cold(self) -> None:
+        self._limit = self._cold_limit()
+        self._grow_count = 0
+        self._cold_streak = 0
+        self._suspected_at_s = None
+        self._window.clear()
+
+    def _decrease(self) -> None:
+        self._limit = max(1, int(self._limit * self._settings.decrease_ratio))
+        self._grow_count = 0
+
+    def _note_shed(self) -> None:
+        self._cold_streak += 1
+        if self._cold_streak >= self._settings.cold_streak_count:
+            self._become_cold()
+            return
+        self._decrease()
+
+    def _note_service_time(self, now_s: float, service_time_s: float) -> None:
+        if not self._service_time_s:
+            self._service_time_s = service_time_s
+        self._service_time_s += 0.1 * (service_time_s - self._service_time_s)
+        started_at_s = now_s - service_time_s
+        if self._is_cold_time(service_time_s):
+            self._note_cold_time(now_s, started_at_s)
+            return
+        self._cold_streak = 0
+        if self._suspected_at_s is not None:
+            if started_at_s < self._suspected_at_s:
+                return
+            self._suspected_at_s = None
+        self._window.append(service_time_s)
+        if started_at_s <= self._reached_at_s:
+            self._grow_count += 1
+        if self._grow_count >= self._limit:
+            self._adapt()
+
+    def _is_cold_time(self, service_time_s: float) -> bool:
+        if not self._baseline_s:
+            return False
+        return service_time_s > self._baseline_s * self._settings.cold_factor
+
+    def _note_cold_time(self, now_s: float, started_at_s: float) -> None:
+        if self._suspected_at_s is not None:
+            if started_at_s >= self._suspected_at_s:
+                self._become_cold()
+            return
+        self._cold_streak += 1
+        if self._cold_streak >= self._settings.cold_streak_count:
+            self._suspected_at_s = now_s
+
+    def _adapt(self) -> None:
+        self._grow_count = 0
+        median_s = statistics.median(self._window)
+        if not self._baseline_s or median_s < self._baseline_s:
+            self._baseline_s = median_s
+        if median_s > self._baseline_s * self._settings.slow_factor:
+            self._decrease()
+            return
+        gain = self._settings.baseline_gain
+        self._baseline_s += gain * (median_s - self._baseline_s)
+        self._limit = min(self._settings.slot_count, self._limit + 1)
--- /dev/null
+++ b/packages/core/src/cornelbeam_core/budget.py
@@ -0,0 +1,124 @@
+"""Budgets for probes, retries and hedges.
+
+The token bucket follows "API Rate Limiting with Token Buckets and Redis: What
+Actually Works": bursts up to a capacity and a steady refill. The shared store
+of that article is replaced by the one process that spends the tokens.
+"""
+
+from dataclasses import dataclass
+from typing import final
+
+
+@final
+class TokenBucket:
+    """Tokens that refill steadily up to a capacity; the bucket starts full.
+
+    A clock that steps back refills nothing and takes nothing away.
+
+    >>> bucket = TokenBucket(capacity=2, refill_per_s=1)
+    >>> [bucket.try_take(now_s=10) for _ in range(3)]
+    [True, True, False]
+    >>> bucket.try_take(now_s=11)
+    True
+    """
+
+    __slots__ = ('_capacity', '_refill_per_s', '_tokens', '_updated_at_s')
+
+    def __init__(self, capacity: float, refill_per_s: float) -> None:
+        """Start full; ``ValueError`` for a size or rate out of range."""
+        if capacity <= 0 or refill_per_s < 0:
+            raise ValueError('capacity must be positive, refill not negative')
+        self._capacity = float(capacity)
+        self._refill_per_s = float(refill_per_s)
+        self._tokens = self._capacity
+        self._updated_at_s = float('-inf')
+
+    def try_take(self, now_s: float, cost: float = 1) -> bool:
+        """Take ``cost`` tokens if there are as many."""
+        self._refill(now_s)
+        if self._tokens < cost:
+            return False
+        self._tokens -= cost
+        return True
+
+    def add(self, now_s: float, count: float) -> None:
+        """Put tokens in, up to the capacity."""
+        self._refill(now_s)
+        self._tokens = min(self._capacity, self._tokens + count)
+
+    def tokens(self, now_s: float) -> float:
+        """Give the number of tokens at a time."""
+        self._refill(now_s)
+        return self._tokens
+
+    def wait_s(self, now_s: float, cost: float = 1) -> float:
+        """Give the time until ``cost`` tokens are there, else infinity."""
+        missing = cost - self.tokens(now_s)
+        if missing <= 0:
+            return 0
+        if cost > self._capacity or not self._refill_per_s:
+            return float('inf')
+        return missing / self._refill_per_s
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = now_s - self._updated_at_s
+        if elapsed_s <= 0:
+            return
+        self._updated_at_s = now_s
+        if self._tokens < self._capacity:
+            self._tokens = min(
+                self._capacity,
+                self._tokens + elapsed_s * self._refill_per_s,
+            )
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RetryBudgetSettings:
+    """Share and least rate of retries and hedges of one daemon.
+
+    ``ratio`` tokens are earned by each answered call and ``min_per_s`` each
+    second; at most ``burst_count`` are kept.
+    """
+
+    ratio: float = 0.1
+    min_per_s: float = 5
+    burst_count: int = 50
+
+
+@final
+class RetryBudget:
+    """Retries and hedges as a share of the calls that are answered.
+
+    When most calls fail, little is earned: retries then add at most
+    ``min_per_s`` calls a second to the load that makes them fail.
+    """
+
+    __slots__ = ('_bucket', '_ratio')
+
+    def __init__(
+        self,
+        ratio: float = 0.1,
+        min_per_s: float = 5,
+        burst_count: int = 50,
+    ) -> None:
+        """Start with a full burst."""
+        self._ratio = ratio
+        self._bucket = TokenBucket(burst_count, min_per_s)
+
+    @classmethod
+    def from_settings(cls, settings: RetryBudgetSettings) -> 'RetryBudget':
+        """Build the budget that the settings describe."""
+        return cls(settings.ratio, settings.min_per_s, settings.burst_count)
+
+    def note_success(self, now_s: float) -> None:
+        """Earn a share of a token for an answered call."""
+        self._bucket.add(now_s, self._ratio)
+
+    def try_take(self, now_s: float, cost: float = 1) -> bool:
+        """Spend on one retry or hedge if the budget allows it."""
+        return self._bucket.try_take(now_s, cost)
+
+    def tokens(self, now_s: float) -> float:
+        """Give the retries that could be made at once."""
+        return self._bucket.tokens(now_s)
--- /dev/null
+++ b/packages/core/src/cornelbeam_core/ejection.py
@@ -0,0 +1,172 @@
+"""Ejection of targets that are much slower or fail more than their peers."""
+
+import math
+import statistics
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final, final
+
+from cornelbeam_core.outcomes import CallOutcome
+from cornelbeam_core.selection import TargetState
+
+_MS_PER_S: Final = 1000
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EjectionSettings:
+    """When and for how long a target is left out.
+
+    A target is ejected after ``failure_count`` failures in a row, or when its
+    smoothed latency is ``slow_factor`` times the median of its peers and at
+    least ``slow_ms`` above it. ``floor_ratio`` of the targets of a service,
+    rounded up, always stay in.
+    """
+
+    failure_count: int = 5
+    slow_factor: float = 3
+    slow_ms: int = 5
+    sample_count: int = 8
+    check_period_ms: int = 10
+    first_ejection_ms: int = 500
+    max_ejection_ms: int = 30_000
+    forgive_ms: int = 30_000
+    floor_ratio: float = 0.5
+    domain_ratio: float = 0.7
+
+
+@dataclass(slots=True)
+class _Record:
+    state: TargetState
+    failure_count: int = 0
+    sample_count: int = 0
+    ejection_count: int = 0
+    check_at_s: float = 0
+
+
+@final
+class OutlierEjector:
+    """Ejects stragglers and failing targets for a growing time.
+
+    One ejector serves all services that a daemon calls: targets are compared
+    with their peers of the same service, while the slowness of a failure
+    domain shows across services.
+    """
+
+    __slots__ = ('_records', '_settings')
+
+    def __init__(self, settings: EjectionSettings | None = None) -> None:
+        """Start with no targets known."""
+        self._settings = settings or EjectionSettings()
+        self._records: dict[str, _Record] = {}
+
+    def retain(self, states: Iterable[TargetState]) -> None:
+        """Track exactly these targets; history of kept ones stays."""
+        kept: dict[str, _Record] = {}
+        for state in states:
+            name = state.target.name
+            record = self._records.get(name)
+            if record is None or record.state is not state:
+                record = _Record(state)
+            kept[name] = record
+        self._records = kept
+
+    def note_result(
+        self,
+        state: TargetState,
+        outcome: CallOutcome,
+        now_s: float,
+    ) -> bool:
+        """Count a result and tell whether the target was ejected for it.
+
+        The latency of the call must be in ``state`` already. A cancelled
+        call and a shed one say nothing about the health of the target.
+        """
+        record = self._find(state)
+        if outcome in {CallOutcome.CANCELLED, CallOutcome.SHED}:
+            return False
+        if state.ejected_until_s > now_s:
+            return False
+        record.sample_count += 1
+        if outcome is CallOutcome.ANSWERED:
+            record.failure_count = 0
+            return self._check_slow(record, now_s)
+        record.failure_count += 1
+        if record.failure_count < self._settings.failure_count:
+            return False
+        return self._eject(record, now_s)
+
+    def _find(self, state: TargetState) -> _Record:
+        record = self._records.get(state.target.name)
+        if record is None or record.state is not state:
+            record = _Record(state)
+            self._records[state.target.name] = record
+        return record
+
+    def _check_slow(self, record: _Record, now_s: float) -> bool:
+        settings = self._settings
+        if record.sample_count < settings.sample_count:
+            return False
+        if now_s < record.check_at_s:
+            return False
+        record.check_at_s = now_s + settings.check_period_ms / _MS_PER_S
+        if not self._is_slow(record.state):
+            return False
+        if self._is_domain_slow(record.state):
+            return False
+        return self._eject(record, now_s)
+
+    def _peers(self, state: TargetState) -> list[TargetState]:
+        service = state.target.service
+        return [
+            record.state
+            for record in self._records.values()
+            if record.state.target.service == service
+        ]
+
+    def _is_slow(self, state: TargetState) -> bool:
+        latencies = [
+            peer.latency_ewma_s
+            for peer in self._peers(state)
+            if peer is not state and peer.latency_ewma_s
+        ]
+        if not latencies:
+            return False
+        usual_s = statistics.median(latencies)
+        settings = self._settings
+        return state.latency_ewma_s > max(
+            usual_s * settings.slow_factor,
+            usual_s + settings.slow_ms / _MS_PER_S,
+        )
+
+    def _is_domain_slow(self, state: TargetState) -> bool:
+        domain = state.target.domain
+        members = [
+            record.state
+            for record in self._records.values()
+            if record.state.target.domain == domain
+            and record.state.latency_ewma_s
+        ]
+        if len(members) < 2:
+            return False
+        slow_count = sum(self._is_slow(member) for member in members)
+        return slow_count >= len(members) * self._settings.domain_ratio
+
+    def _eject(self, record: _Record, now_s: float) -> bool:
+        settings = self._settings
+        peers = self._peers(record.state)
+        healthy_count = sum(peer.is_available(now_s) for peer in peers)
+        if healthy_count <= math.ceil(len(peers) * settings.floor_ratio):
+            return False
+        idle_s = now_s - record.state.ejected_until_s
+        if idle_s * _MS_PER_S > settings.forgive_ms:
+            record.ejection_count = 0
+        ejection_ms = min(
+            settings.max_ejection_ms,
+            settings.first_ejection_ms * 2**record.ejection_count,
+        )
+        record.ejection_count += 1
+        record.failure_count = 0
+        record.sample_count = 0
+        record.state.ejected_until_s = now_s + ejection_ms / _MS_PER_S
+        return True
--- /dev/null
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -0,0 +1,221 @@
+"""Choice of the target of a call.
+
+Each caller side decides alone, from its own calls in flight, from the load
+reports that come with answers and from the latency that it sees.
+"""
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Final, TypeAlias, final
+
+from cornelbeam_core.targets import LoadReport, Target
+
+# A report loses half of its weight in this time; load shifts within
+# milliseconds, so an old report says little.
+REPORT_HALF_LIFE_S: Final = 0.05
+# Latency seen long ago is forgotten, so that an avoided target is tried again.
+LATENCY_HALF_LIFE_S: Final = 2.0
+LATENCY_GAIN: Final = 0.2
+LATENCY_FLOOR_S: Final = 0.0005
+# One way between failure domains takes about 1 ms, two ways for each call.
+REMOTE_DOMAIN_COST_S: Final = 0.002
+SUBSET_SIZE: Final = 3
+_SAMPLE_TRIES: Final = 4
+
+
+@final
+@dataclass(slots=True)
+class TargetState:
+    """What one caller side knows about a target.
+
+    ``affinity`` ranks the targets for this caller in the ``subset`` policy
+    (see ``compute_affinity``). ``answered_at_s`` is the time of the last
+    answer, or of the first call in flight if that is later.
+    """
+
+    target: Target
+    in_flight: int = 0
+    report: LoadReport | None = None
+    report_at_s: float = 0
+    latency_ewma_s: float = 0
+    ejected_until_s: float = 0
+    is_reachable: bool = True
+    is_same_domain: bool = False
+    affinity: int = 0
+    answered_at_s: float = 0
+
+    def note_start(self, now_s: float) -> None:
+        """Count a call that is sent."""
+        if not self.in_flight:
+            self.answered_at_s = now_s
+        self.in_flight += 1
+
+    def note_end(self, now_s: float, latency_s: float | None) -> None:
+        """Count the end of a call; None if its latency says nothing."""
+        self.in_flight -= 1
+        self.answered_at_s = now_s
+        if latency_s is None:
+            return
+        if not self.latency_ewma_s:
+            self.latency_ewma_s = latency_s
+            return
+        self.latency_ewma_s += LATENCY_GAIN * (latency_s - self.latency_ewma_s)
+
+    def note_report(self, report: LoadReport, now_s: float) -> None:
+        """Keep the newest load report."""
+        self.report = report
+        self.report_at_s = now_s
+
+    def is_available(self, now_s: float) -> bool:
+        """Tell whether new work may be sent to the target."""
+        if not self.is_reachable or self.ejected_until_s > now_s:
+            return False
+        return self.report is None or not self.report.is_leaving
+
+
+Policy: TypeAlias = Callable[
+    [Sequence[TargetState], float, random.Random],
+    TargetState,
+]
+POLICIES: Final[dict[str, Policy]] = {}
+
+
+def policy(name: str) -> Callable[[Policy], Policy]:
+    """Register a policy; it is given available candidates, at least two."""
+
+    def register(function: Policy) -> Policy:  # noqa: WPS430
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+def choose_target(
+    policy_name: str,
+    candidates: Sequence[TargetState],
+    now_s: float,
+    rng: random.Random,
+) -> TargetState | None:
+    """Choose a target among the eligible ones, None if all are unusable.
+
+    Ejected targets are used only when no other reachable target is left.
+    ``KeyError`` for a policy that is not registered.
+    """
+    choose = POLICIES[policy_name]
+    available = [state for state in candidates if state.is_available(now_s)]
+    if not available:
+        available = [state for state in candidates if _is_last_resort(state)]
+    if not available:
+        return None
+    if len(available) == 1:
+        return available[0]
+    return choose(available, now_s, rng)
+
+
+def compute_affinity(caller_name: str, target_name: str) -> int:
+    """Rank a target for a caller, the same in every run (rendezvous hash).
+
+    Source: Thaler and Ravishankar, "Using Name-Based Mappings to Increase
+    Hit Rates", 1998; the hash is a seeded generator of the library.
+    """
+    return random.Random(f'{caller_name}/{target_name}').getrandbits(32)
+
+
+def estimate_cost(state: TargetState, now_s: float) -> float:
+    """Estimate the time in seconds that one more call would take."""
+    latency_s = max(LATENCY_FLOOR_S, state.latency_ewma_s)
+    cost_s = latency_s * (1 + state.in_flight)
+    if state.is_same_domain:
+        return cost_s
+    return cost_s + REMOTE_DOMAIN_COST_S
+
+
+@policy('power_of_two')
+def choose_power_of_two(
+    candidates: Sequence[TargetState],
+    now_s: float,
+    rng: random.Random,
+) -> TargetState:
+    """Take the cheaper of two random targets.
+
+    Source: Mitzenmacher, "The Power of Two Choices in Randomized Load
+    Balancing", 2001. Callers that decide alone don't all pick the same one.
+    """
+    count = len(candidates)
+    first_index = int(rng.random() * count)
+    second_index = int(rng.random() * (count - 1))
+    if second_index >= first_index:
+        second_index += 1
+    first = candidates[first_index]
+    second = candidates[second_index]
+    if estimate_cost(second, now_s) < estimate_cost(first, now_s):
+        return second
+    return first
+
+
+@policy('least_outstanding')
+def choose_least_outstanding(
+    candidates: Sequence[TargetState],
+    now_s: float,
+    rng: random.Random,
+) -> TargetState:
+    """Take the target with the fewest own calls in flight, ties at random."""
+    return min(
+        candidates,
+        key=lambda state: (
+            state.in_flight,
+            not state.is_same_domain,
+            rng.random(),
+        ),
+    )
+
+
+@policy('weighted_reports')
+def choose_weighted_reports(
+    candidates: Sequence[TargetState],
+    now_s: float,
+    rng: random.Random,
+) -> TargetState:
+    """Choose at random, weighted by the free slots in load reports.
+
+    The older a report is, the nearer its weight moves to that of a target
+    that is half used.
+    """
+    weights = [_compute_weight(state, now_s) for state in candidates]
+    return rng.choices(candidates, weights)[0]
+
+
+@policy('subset')
+def choose_subset(
+    candidates: Sequence[TargetState],
+    now_s: float,
+    rng: random.Random,
+) -> TargetState:
+    """Use power of two among the few targets with the highest affinity."""
+    if len(candidates) <= SUBSET_SIZE:
+        return choose_power_of_two(candidates, now_s, rng)
+    subset = heapq.nlargest(
+        SUBSET_SIZE,
+        candidates,
+        key=lambda state: state.affinity,
+    )
+    return choose_power_of_two(subset, now_s, rng)
+
+
+def _is_last_resort(state: TargetState) -> bool:
+    if not state.is_reachable:
+        return False
+    return state.report is None or not state.report.is_leaving
+
+
+def _compute_weight(state: TargetState, now_s: float) -> float:
+    report = state.report
+    if report is None:
+        return 1
+    freshness = 2 ** ((state.report_at_s - now_s) / REPORT_HALF_LIFE_S)
+    used = report.in_flight + report.queue_length
+    free_share = max(0.05, 1 - used / max(1, report.limit))
+    free_share = freshness * free_share + (1 - freshness) / 2
+    return max(1, report.limit) * free_share
