--- /dev/null
+++ b/packages/core/src/cornelbeam_core/attempts.py
@@ -0,0 +1,275 @@
+"""Ledger of the attempts that reached one backend server.
+
+The ledger answers two questions about an attempt: may it be handed to the
+backend server, and what is known about its execution. It is what makes
+at-most-once execution and the answer "not run" true (invariants I5 and I6).
+"""
+
+import enum
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Final, final
+
+from cornelbeam_core.errors import RunState
+
+# An answer of this size still fits into one frame beside its headers.
+MAX_ANSWER_BYTES: Final = 65_536
+# All kept answers together take at most a quarter of the 32 MB of a daemon.
+MAX_KEPT_BYTES: Final = 8_388_608
+
+
+@final
+class RecordResult(enum.Enum):
+    """What the backend side does with an attempt that has arrived.
+
+    Only ``HAND_OVER`` permits handing the request to the backend server.
+    """
+
+    HAND_OVER = 'hand_over'
+    REPEAT = 'repeat'
+    FORBIDDEN = 'forbidden'
+    WRONG_INCARNATION = 'wrong_incarnation'
+    PAST_DEADLINE = 'past_deadline'
+    FULL = 'full'
+
+    @property
+    def run_state(self) -> RunState:
+        """Run state that a refusal for this reason may report.
+
+        A repeated frame proves nothing about the first one, which may be
+        running. All other refusals concern an attempt that this process has
+        not handed over and will not hand over. An attempt is sent over one
+        connection, hence to one process only.
+        """
+        if self in _UNCLEAR_RESULTS:
+            return RunState.UNKNOWN
+        return RunState.NOT_RUN
+
+
+_UNCLEAR_RESULTS: Final = frozenset(
+    (RecordResult.HAND_OVER, RecordResult.REPEAT),
+)
+
+
+@final
+@dataclass(slots=True)
+class AttemptEntry:
+    """What the ledger knows about one attempt.
+
+    ``run_state`` is ``RUNNING`` from before the hand-over until the end,
+    then ``RAN``, ``UNKNOWN`` or ``NOT_RUN``; a tombstone is ``NOT_RUN`` from
+    the start. ``keep_until_s`` is the earliest time at which the entry may be
+    dropped; an entry that is running is never dropped.
+    """
+
+    run_state: RunState
+    keep_until_s: float
+    answer: bytes | None = None
+
+
+@final
+class AttemptLedger:
+    """Attempts of one run of a daemon, by attempt id.
+
+    ``incarnation`` is the run of this daemon, ``capacity`` the largest number
+    of entries and ``keep_s`` the time in seconds for which an entry outlives
+    the deadline of its attempt.
+
+    >>> ledger = AttemptLedger(incarnation=7, capacity=10, keep_s=30)
+    >>> ledger.record(b'a', 7, now_s=0, deadline_s=5)
+    <RecordResult.HAND_OVER: 'hand_over'>
+    >>> ledger.record(b'a', 7, now_s=0, deadline_s=5)
+    <RecordResult.REPEAT: 'repeat'>
+    >>> ledger.finish(b'a', b'200', now_s=1)
+    >>> ledger.query(b'a', 7, now_s=1)
+    <RunState.RAN: 2>
+    """
+
+    __slots__ = (
+        '_capacity',
+        '_entries',
+        '_expiries',
+        '_incarnation',
+        '_keep_s',
+        '_kept_bytes',
+    )
+
+    def __init__(self, incarnation: int, capacity: int, keep_s: float) -> None:
+        """Start without entries."""
+        self._incarnation = incarnation
+        self._capacity = capacity
+        self._keep_s = keep_s
+        self._entries: dict[bytes, AttemptEntry] = {}
+        self._expiries: list[tuple[float, bytes]] = []
+        self._kept_bytes = 0
+
+    def __len__(self) -> int:
+        """Count the entries, tombstones included."""
+        return len(self._entries)
+
+    @property
+    def incarnation(self) -> int:
+        """Run of the daemon to which this ledger belongs."""
+        return self._incarnation
+
+    @property
+    def kept_bytes(self) -> int:
+        """Size of all kept answers in bytes."""
+        return self._kept_bytes
+
+    def record(
+        self,
+        attempt_id: bytes,
+        incarnation: int,
+        now_s: float,
+        deadline_s: float,
+    ) -> RecordResult:
+        """Record an attempt before it is handed to the backend server.
+
+        ``deadline_s`` is the attempt's deadline on the clock of ``now_s``.
+        The entry exists when ``HAND_OVER`` is returned, and only then may the
+        request be handed over.
+        """
+        if incarnation != self._incarnation:
+            return RecordResult.WRONG_INCARNATION
+        known = self._entries.get(attempt_id)
+        if known is not None:
+            if known.run_state is RunState.NOT_RUN:
+                return RecordResult.FORBIDDEN
+            return RecordResult.REPEAT
+        if deadline_s <= now_s:
+            return RecordResult.PAST_DEADLINE
+        if not self._has_room(now_s):
+            return RecordResult.FULL
+        self._add(attempt_id, RunState.RUNNING, now_s, deadline_s)
+        return RecordResult.HAND_OVER
+
+    def finish(
+        self,
+        attempt_id: bytes,
+        answer_summary: bytes | None,
+        now_s: float,
+        run_state: RunState = RunState.RAN,
+    ) -> None:
+        """Note the end of an attempt that was handed over.
+
+        ``answer_summary`` is the encoded answer while it is undelivered, else
+        None. An answer above ``MAX_ANSWER_BYTES``, or beyond
+        ``MAX_KEPT_BYTES`` in all, is not kept. ``run_state`` is ``NOT_RUN``
+        only if no byte of the request reached the backend server (it left the
+        queue unserved, or no connection could be opened), and ``UNKNOWN`` if
+        the backend server's connection broke.
+        """
+        entry = self._entries.get(attempt_id)
+        if entry is None or entry.run_state is not RunState.RUNNING:
+            return
+        entry.run_state = run_state
+        entry.keep_until_s = max(entry.keep_until_s, now_s + self._keep_s)
+        heapq.heappush(self._expiries, (entry.keep_until_s, attempt_id))
+        if answer_summary is not None:
+            self._keep_answer(entry, answer_summary)
+
+    def forbid(
+        self,
+        attempt_id: bytes,
+        incarnation: int,
+        now_s: float,
+        deadline_s: float,
+    ) -> RunState:
+        """Refuse an attempt that has not arrived, and tell its run state.
+
+        ``NOT_RUN`` is a promise for the future, too. It rests on the
+        tombstone recorded here and on the caller of this method: it closes
+        the older connections of the asking peer before it answers, as a frame
+        in a silent connection may outlast the tombstone.
+        """
+        if incarnation != self._incarnation:
+            return RunState.UNKNOWN
+        known = self._entries.get(attempt_id)
+        if known is not None:
+            return known.run_state
+        if not self._has_room(now_s):
+            return RunState.UNKNOWN
+        self._add(attempt_id, RunState.NOT_RUN, now_s, deadline_s)
+        heapq.heappush(
+            self._expiries,
+            (self._entries[attempt_id].keep_until_s, attempt_id),
+        )
+        return RunState.NOT_RUN
+
+    def query(
+        self,
+        attempt_id: bytes,
+        incarnation: int,
+        now_s: float,
+    ) -> RunState:
+        """Tell what is known about an attempt without changing anything.
+
+        An attempt without an entry is ``UNKNOWN``: it may be on its way, and
+        its entry may have expired.
+        """
+        if incarnation != self._incarnation:
+            return RunState.UNKNOWN
+        known = self._entries.get(attempt_id)
+        return RunState.UNKNOWN if known is None else known.run_state
+
+    def kept_answer(self, attempt_id: bytes) -> bytes | None:
+        """Give the answer that could not be delivered, if it was kept."""
+        entry = self._entries.get(attempt_id)
+        return None if entry is None else entry.answer
+
+    def discard_answer(self, attempt_id: bytes) -> None:
+        """Free the answer of an attempt after it has been delivered."""
+        entry = self._entries.get(attempt_id)
+        if entry is not None:
+            self._free_answer(entry)
+
+    def expire(self, now_s: float) -> int:
+        """Drop the entries whose time is over; tell how many were dropped."""
+        dropped_count = 0
+        while self._expiries and self._expiries[0][0] < now_s:
+            expiry_s, attempt_id = heapq.heappop(self._expiries)
+            entry = self._entries.get(attempt_id)
+            if entry is None or entry.keep_until_s != expiry_s:
+                continue
+            self._free_answer(entry)
+            self._entries.pop(attempt_id)
+            dropped_count += 1
+        return dropped_count
+
+    def running(self) -> Iterator[bytes]:
+        """Give the ids of the attempts that have not ended."""
+        return (
+            attempt_id
+            for attempt_id, entry in self._entries.items()
+            if entry.run_state is RunState.RUNNING
+        )
+
+    def _has_room(self, now_s: float) -> bool:
+        if len(self._entries) >= self._capacity:
+            self.expire(now_s)
+        return len(self._entries) < self._capacity
+
+    def _add(
+        self,
+        attempt_id: bytes,
+        run_state: RunState,
+        now_s: float,
+        deadline_s: float,
+    ) -> None:
+        keep_until_s = max(now_s, deadline_s) + self._keep_s
+        self._entries[attempt_id] = AttemptEntry(run_state, keep_until_s)
+
+    def _keep_answer(self, entry: AttemptEntry, answer: bytes) -> None:
+        if len(answer) > MAX_ANSWER_BYTES:
+            return
+        if self._kept_bytes + len(answer) > MAX_KEPT_BYTES:
+            return
+        entry.answer = answer
+        self._kept_bytes += len(answer)
+
+    def _free_answer(self, entry: AttemptEntry) -> None:
+        if entry.answer is not None:
+            self._kept_bytes -= len(entry.answer)
+            entry.answer = None
