Add typed and checked settings of the daemon

Purpose: a daemon must refuse settings it would misread and say where the fault is.

Another parser was ruled out. Keys, units, defaults, ranges and meanings stand only in model.py; the documentation table is derived from it.

--- /dev/null
+++ b/packages/settings/src/cornelbeam_settings/documentation.py
@@ -0,0 +1,119 @@
+"""Documentation of all settings keys, read from the model."""
+
+import types
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import (
+    Annotated,
+    Any,
+    Literal,
+    final,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
+
+import msgspec
+
+from cornelbeam_settings.model import DaemonSettings
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeyDocument:
+    """One key: section, name, type, unit, default, range and meaning."""
+
+    section: str
+    key: str
+    type_name: str
+    unit: str
+    default: str
+    range: str
+    description: str
+
+
+def describe_keys() -> Iterator[KeyDocument]:
+    """Give all keys in the order of the model."""
+    sections = get_type_hints(DaemonSettings)
+    for section, model in sections.items():
+        yield from _describe_section(section, model)
+
+
+def documentation_table() -> str:
+    """Give the keys as a Markdown table, ending in a line break."""
+    rows = [
+        '| key | type | unit | default | range | meaning |',
+        '|---|---|---|---|---|---|',
+    ]
+    rows.extend(
+        f'| `{entry.section}.{entry.key}` | {entry.type_name}'
+        f' | {entry.unit} | {entry.default} | {entry.range}'
+        f' | {entry.description} |'
+        for entry in describe_keys()
+    )
+    return '\n'.join((*rows, ''))
+
+
+def split_annotation(annotation: Any) -> tuple[Any, msgspec.Meta]:
+    """Separate a field's type from its description."""
+    if get_origin(annotation) is not Annotated:
+        return annotation, msgspec.Meta()
+    plain, meta = get_args(annotation)
+    return plain, meta
+
+
+def describe_range(plain: Any, meta: msgspec.Meta) -> str:
+    """Give the allowed values as text, empty when any will do."""
+    if get_origin(plain) is Literal:
+        return ', '.join(map(str, get_args(plain)))
+    if meta.ge is not None:
+        return f'{meta.ge:g} to {meta.le:.10g}'
+    stated = (meta.extra or {}).get('range', meta.pattern or '')
+    return f'{stated}'.replace('|', r'\|')
+
+
+def describe_unit(meta: msgspec.Meta) -> str:
+    """Give the unit, empty when the field has none."""
+    return str((meta.extra or {}).get('unit', ''))
+
+
+def _describe_section(
+    section: str,
+    model: type[msgspec.Struct],
+) -> Iterator[KeyDocument]:
+    hints = get_type_hints(model, include_extras=True)
+    for field in msgspec.structs.fields(model):
+        plain, meta = split_annotation(hints[field.name])
+        yield KeyDocument(
+            section=section,
+            key=field.name,
+            type_name=_type_name(plain),
+            unit=describe_unit(meta),
+            default=_default(field),
+            range=describe_range(plain, meta),
+            description=meta.description or '',
+        )
+
+
+def _type_name(plain: Any) -> str:
+    if get_origin(plain) is Literal:
+        return 'text'
+    names = {
+        str: 'text',
+        int: 'integer',
+        float: 'number',
+        bool: 'true or false',
+        list[str]: 'list of texts',
+        dict[str, str]: 'map of texts',
+    }
+    return names.get(plain, str(plain))
+
+
+def _default(field: msgspec.structs.FieldInfo) -> str:
+    if field.required:
+        return 'required'
+    value = field.default
+    if isinstance(field.default_factory, types.FunctionType | type):
+        value = field.default_factory()
+    encoded = msgspec.json.encode(value).decode()
+    return f'`{encoded}`'
