--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -14,6 +14,10 @@
 )
 
 CONNECT_TIMEOUT_S: Final = 1.0
+# A backend server may close an idle connection at any time. A request that
+# must not repeat is sent only over one that was used within this time, as a
+# close that crosses with it would leave its outcome unknown.
+FRESH_S: Final = 1.0
 _MIN_FINAL_STATUS: Final = 200
 _BODILESS: Final = frozenset((204, 304))
 
@@ -49,7 +53,7 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self.is_reusable = False
         self.is_closed = False
-        self.has_received = False
+        self.idle_since_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -58,7 +62,6 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse a part of the answer."""
-        self.has_received = True
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as error:
@@ -155,7 +158,6 @@
         self._head = self._loop.create_future()
         self._is_head_request = is_head_request
         self.is_reusable = False
-        self.has_received = False
         assert self._transport is not None  # noqa: S101
         if is_chunked and first_part:
             first_part = _chunk(first_part)
@@ -239,14 +241,22 @@
         self._idle: list[BackendConnection] = []
         self._in_use: set[BackendConnection] = set()
 
-    async def acquire(self) -> BackendConnection:
+    async def acquire(self, *, is_fresh: bool = False) -> BackendConnection:
         """Give an idle connection or open one.
 
+        ``is_fresh`` passes over connections that were idle for long.
+
         Raises ``backend_unreachable``: nothing was sent, so the request was
         not run.
         """
+        now_s = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
+            if is_fresh and now_s - connection.idle_since_s > FRESH_S:
+                # The others are older: connections are reused last in, first
+                # out.
+                self._idle.append(connection)
+                break
             if not connection.is_closed:
                 self._in_use.add(connection)
                 return connection
@@ -268,6 +278,7 @@
         """Take a connection back; one with an unfinished answer is closed."""
         self._in_use.discard(connection)
         if connection.is_reusable and not connection.is_closed:
+            connection.idle_since_s = asyncio.get_running_loop().time()
             self._idle.append(connection)
         else:
             connection.close()
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -1,18 +1,361 @@
 """Backend side: the only way to the backend server beside the daemon."""
 
 import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final, final
 
-from cornelbeam_core.admission import (
-    Admission,
-    AdmissionLimit,
-    AdmissionSettings,
-    Outcome,
-)
+from cornelbeam_core.admission import Admission, AdmissionLimit
 from cornelbeam_core.attempts import AttemptLedger, RecordResult
-from cornelbeam_core.deadlines import check_deadline, remaining_ms
+from cornelbeam_core.deadlines import (
+    check_deadline,
+    check_hop_count,
+    remaining_ms,
+)
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.outcomes import CallOutcome
+from cornelbeam_core.requests import is_idempotent_method
 from cornelbeam_core.targets import LoadReport
 from cornelbeam_daemon import headers as fields
-from cornelbeam_daemon.backend_client import BackendAnswer, BackendClient
+from cornelbeam_daemon.backend_client import (
+    BackendAnswer,
+    BackendClient,
+    BackendConnection,
+)
 from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.metrics import BACKEND_SIDE, Metrics, answer_code
+
+_BODY_METHODS: Final = frozenset((b'POST', b'PUT', b'PATCH'))
+_RECORD_ERRORS: Final = {
+    RecordResult.REPEAT: ErrorCode.ATTEMPT_REPEATED,
+    RecordResult.FORBIDDEN: ErrorCode.ATTEMPT_FORBIDDEN,
+    RecordResult.WRONG_INCARNATION: ErrorCode.WRONG_INCARNATION,
+    RecordResult.PAST_DEADLINE: ErrorCode.DEADLINE_PASSED,
+    RecordResult.FULL: ErrorCode.OVERLOADED,
+}
+
+
+@final
+class BackendSide:
+    """Admits, records and hands over calls to one backend server."""
+
+    __slots__ = (
+        '_admission',
+        '_client',
+        '_expiry_timer',
+        '_in_service',
+        '_loop',
+        '_metrics',
+        'idle',
+        'is_leaving',
+        'ledger',
+        'name',
+        'work_count',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        admission: AdmissionLimit,
+        ledger: AttemptLedger,
+        client: BackendClient,
+        metrics: Metrics,
+        in_service: Callable[[], bool],
+    ) -> None:
+        """Serve under ``name``; ``in_service`` tells the domain's state."""
+        self.name = name
+        self.ledger = ledger
+        self.is_leaving = False
+        self.work_count = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self._admission = admission
+        self._client = client
+        self._metrics = metrics
+        self._in_service = in_service
+        self._loop = asyncio.get_running_loop()
+        self._expiry_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def load(self) -> LoadReport:
+        """Load report that goes with answers and refusals."""
+        return self._admission.report(is_leaving=self.is_leaving)
+
+    def has_room(self) -> bool:
+        """Tell whether a call would run at once."""
+        admission = self._admission
+        return (
+            admission.in_flight < admission.limit
+            and not admission.queue_length
+            and not self.is_leaving
+            and self._in_service()
+        )
+
+    async def serve(self, call: Call) -> Answer:
+        """Serve a call by the backend server.
+
+        Raises ``CornelbeamError``: with run state ``NOT_RUN`` when no byte of
+        the request reached the backend server, else ``UNKNOWN``.
+        """
+        self._begin()
+        started_s = self._loop.time()
+        try:
+            answer = await self._serve(call, started_s)
+        except CornelbeamError as error:
+            error.peer = error.peer or self.name
+            self._metrics.count_refusal(BACKEND_SIDE, error.code.value)
+            self._end()
+            raise
+        except BaseException:
+            self._end()
+            raise
+        return answer
+
+    async def _serve(self, call: Call, started_s: float) -> Answer:
+        self._check(call, started_s)
+        self._record(call, started_s)
+        try:
+            await self._admit(call, started_s)
+        except BaseException:
+            self._note_run_state(call, RunState.NOT_RUN)
+            raise
+        connection = await self._connect(call)
+        handed_over_s = self._loop.time()
+        try:
+            async with asyncio.timeout_at(call.deadline_s):
+                head = await self._hand_over(call, connection)
+        except TimeoutError as error:
+            self._break_off(call, connection, CallOutcome.TIMED_OUT)
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'backend answer',
+                self.name,
+                run_state=RunState.UNKNOWN,
+            ) from error
+        except CornelbeamError:
+            self._break_off(call, connection, CallOutcome.FAILED)
+            raise
+        except BaseException:
+            self._break_off(call, connection, CallOutcome.CANCELLED)
+            raise
+        service_time_s = self._loop.time() - handed_over_s
+
+        def close() -> None:  # noqa: WPS430
+            self._close_answer(call, connection, head, service_time_s)
+            self._metrics.count_backend_answer(
+                call.service,
+                call.is_repeatable,
+                answer_code(head.status),
+                self._loop.time() - started_s,
+            )
+
+        return Answer(
+            head.status,
+            fields.strip(head.headers),
+            head.body,
+            self.load,
+            close,
+        )
+
+    def _check(self, call: Call, now_s: float) -> None:
+        check_hop_count(call.hop_count)
+        check_deadline(call.deadline_s, now_s, 'admission')
+        if call.target_incarnation != self.ledger.incarnation:
+            raise self._refusal(ErrorCode.WRONG_INCARNATION)
+        if self.is_leaving:
+            raise self._refusal(ErrorCode.TARGET_LEAVING)
+        if not self._in_service():
+            raise self._refusal(ErrorCode.DOMAIN_OUT_OF_SERVICE)
+
+    def _record(self, call: Call, now_s: float) -> None:
+        if not is_recorded(call):
+            return
+        recorded = self.ledger.record(
+            call.attempt_id,
+            call.target_incarnation,
+            now_s,
+            call.deadline_s,
+        )
+        if recorded is not RecordResult.HAND_OVER:
+            raise CornelbeamError(
+                _RECORD_ERRORS[recorded],
+                'attempt ledger',
+                self.name,
+                run_state=recorded.run_state,
+            )
+
+    async def _admit(self, call: Call, now_s: float) -> None:
+        ticket: asyncio.Future[Admission] = self._loop.create_future()
+        admission = self._admission.try_admit(
+            call.caller,
+            now_s,
+            call.deadline_s,
+            ticket,
+        )
+        if admission is Admission.QUEUE:
+            self._set_expiry_timer()
+            admission = await self._wait_in_queue(ticket)
+        if admission is Admission.REFUSE:
+            raise CornelbeamError(
+                ErrorCode.OVERLOADED,
+                'admission',
+                self.name,
+                retry_after_ms=self._admission.retry_after_ms(),
+            )
+
+    async def _wait_in_queue(
+        self,
+        ticket: 'asyncio.Future[Admission]',
+    ) -> Admission:
+        try:
+            return await ticket
+        except asyncio.CancelledError:
+            if ticket.cancelled():
+                self._admission.remove_queued(ticket)
+            elif ticket.result() is Admission.RUN:
+                self._finish(0, CallOutcome.CANCELLED)
+            raise
+
+    async def _connect(self, call: Call) -> BackendConnection:
+        try:
+            return await self._client.acquire(
+                is_fresh=not call.is_repeatable,
+            )
+        except BaseException:
+            self._note_run_state(call, RunState.NOT_RUN)
+            self._finish(0, CallOutcome.FAILED)
+            raise
+
+    async def _hand_over(
+        self,
+        call: Call,
+        connection: BackendConnection,
+    ) -> BackendAnswer:
+        reader = call.body.reader()
+        first_part, is_whole = reader.take_first()
+        headers = call.headers
+        is_chunked = False
+        if fields.find(headers, b'content-length') is None:
+            is_chunked = not is_whole
+            if is_whole and (first_part or call.method in _BODY_METHODS):
+                length = str(len(first_part)).encode()
+                headers = [*headers, b'content-length', length]
+            elif is_chunked:
+                headers = [*headers, b'transfer-encoding', b'chunked']
+        left_ms = remaining_ms(call.deadline_s, self._loop.time())
+        head = fields.render(
+            b'%b %b HTTP/1.1' % (call.method, call.path),
+            [
+                *headers,
+                fields.DEADLINE,
+                str(left_ms).encode(),
+                fields.HOPS,
+                str(call.hop_count).encode(),
+                fields.REQUEST_ID,
+                call.request_id.encode(),
+            ],
+        )
+        return await connection.exchange(
+            head,
+            reader,
+            first_part,
+            is_complete=is_whole,
+            is_chunked=is_chunked,
+            is_head_request=call.method == b'HEAD',
+        )
+
+    def _break_off(
+        self,
+        call: Call,
+        connection: BackendConnection,
+        outcome: CallOutcome,
+    ) -> None:
+        connection.close()
+        self._client.release(connection)
+        self._note_run_state(call, RunState.UNKNOWN)
+        self._finish(0, outcome)
+
+    def _close_answer(
+        self,
+        call: Call,
+        connection: BackendConnection,
+        head: BackendAnswer,
+        service_time_s: float,
+    ) -> None:
+        is_whole = head.body.is_complete
+        if not is_whole:
+            connection.close()
+        self._client.release(connection)
+        self._note_run_state(
+            call,
+            RunState.RAN if is_whole else RunState.UNKNOWN,
+        )
+        self._finish(service_time_s, _judge(head, is_whole))
+        self._end()
+
+    def _note_run_state(self, call: Call, run_state: RunState) -> None:
+        if is_recorded(call):
+            self.ledger.finish(
+                call.attempt_id,
+                None,
+                self._loop.time(),
+                run_state,
+            )
+
+    def _finish(self, service_time_s: float, outcome: CallOutcome) -> None:
+        self._admission.finish(self._loop.time(), service_time_s, outcome)
+        self._release_queued()
+
+    def _release_queued(self) -> None:
+        now_s = self._loop.time()
+        release = self._admission.next_queued(now_s)
+        while release is not None:
+            ticket = release.ticket
+            if isinstance(ticket, asyncio.Future) and not ticket.done():
+                ticket.set_result(release.admission)
+            elif release.admission is Admission.RUN:
+                self._admission.finish(now_s, 0, CallOutcome.CANCELLED)
+            release = self._admission.next_queued(now_s)
+        if self._admission.queue_length:
+            self._set_expiry_timer()
+
+    def _set_expiry_timer(self) -> None:
+        expires_at_s = self._admission.next_expiry_s()
+        if expires_at_s is None or self._expiry_timer is not None:
+            return
+        self._expiry_timer = self._loop.call_at(expires_at_s, self._expire)
+
+    def _expire(self) -> None:
+        self._expiry_timer = None
+        self._release_queued()
+
+    def _begin(self) -> None:
+        self.work_count += 1
+        self.idle.clear()
+
+    def _end(self) -> None:
+        self.work_count -= 1
+        if not self.work_count:
+            self.idle.set()
+
+    def _refusal(self, code: ErrorCode) -> CornelbeamError:
+        return CornelbeamError(code, 'admission', self.name)
+
+
+def is_recorded(call: Call) -> bool:
+    """Tell whether the ledger records the attempt.
+
+    Only the outcome of a call that must not, or should not, run twice is ever
+    asked for; reads skip the ledger.
+    """
+    return not (
+        call.is_repeatable and is_idempotent_method(call.method.decode())
+    )
+
+
+def _judge(head: BackendAnswer, is_whole: bool) -> CallOutcome:
+    if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return CallOutcome.SHED
+    if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return CallOutcome.FAILED
+    return CallOutcome.ANSWERED if is_whole else CallOutcome.CANCELLED
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -156,10 +156,14 @@
 
     def data_received(self, received: bytes) -> None:
         """Cut the bytes into frames and pass them to their streams."""
+        if self.is_closed:
+            return
         self.last_received_s = self._time()
         self.received_bytes += len(received)
         try:
             for frame in self._decoder.feed(received):
+                if self.is_closed:
+                    return
                 self._dispatch(frame)
         except CornelbeamError as error:
             if not self.ready.done():
@@ -168,19 +172,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell all streams that nothing more will arrive."""
-        self.is_closed = True
-        if not self.ready.done():
-            self.ready.set_exception(violation('closed during the handshake'))
-        # An unread exception of a connection nobody waits for is expected.
-        if not self.ready.cancelled():
-            self.ready.exception()
-        streams = list(self._streams.values())
-        self._streams.clear()
-        for stream in streams:
-            stream.mark_closed()
-            if stream.receiver is not None:
-                stream.receiver.on_lost()
-        self._on_closed(self)
+        self._shut()
 
     def open_stream(self, receiver: StreamReceiver) -> Stream:
         """Open a stream towards the peer.
@@ -212,9 +204,13 @@
         self._transport.write(encoded)
 
     def close(self) -> None:
-        """Close at once; nothing that still arrives is read."""
+        """Close at once; nothing that still arrives is read.
+
+        The streams learn of it before this method returns.
+        """
         if self._transport is not None:
             self._transport.abort()
+        self._shut()
 
     def _dispatch(self, frame: Frame) -> None:
         if self.peer is None:
@@ -251,3 +247,20 @@
             return
         stream.receiver = receiver
         self._streams[stream.stream_id] = stream
+
+    def _shut(self) -> None:
+        if self.is_closed:
+            return
+        self.is_closed = True
+        if not self.ready.done():
+            self.ready.set_exception(violation('closed during the handshake'))
+        # An unread exception of a connection nobody waits for is expected.
+        if not self.ready.cancelled():
+            self.ready.exception()
+        streams = list(self._streams.values())
+        self._streams.clear()
+        for stream in streams:
+            stream.mark_closed()
+            if stream.receiver is not None:
+                stream.receiver.on_lost()
+        self._on_closed(self)
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -1844,6 +1844,7 @@
      - service_name
      - is_unchanged
      - members
+     - digest
 
     """
 
@@ -1851,13 +1852,15 @@
         'service_name',
         'is_unchanged',
         'members',
+        'digest',
     )
 
 
-    def __init__(self, service_name=None, is_unchanged=None, members=None,):
+    def __init__(self, service_name=None, is_unchanged=None, members=None, digest=None,):
         self.service_name = service_name
         self.is_unchanged = is_unchanged
         self.members = members
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1889,6 +1892,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1914,6 +1922,10 @@
                 iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 4)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1924,6 +1936,8 @@
             raise TProtocolException(message='Required field is_unchanged is unset!')
         if self.members is None:
             raise TProtocolException(message='Required field members is unset!')
+        if self.digest is None:
+            raise TProtocolException(message='Required field digest is unset!')
         return
 
     def __repr__(self):
@@ -2089,16 +2103,25 @@
     """
     Attributes:
      - objects
+     - since_revision
+     - up_to_revision
+     - has_more
 
     """
 
     __slots__ = (
         'objects',
+        'since_revision',
+        'up_to_revision',
+        'has_more',
     )
 
 
-    def __init__(self, objects=None,):
+    def __init__(self, objects=None, since_revision=None, up_to_revision=None, has_more=None,):
         self.objects = objects
+        self.since_revision = since_revision
+        self.up_to_revision = up_to_revision
+        self.has_more = has_more
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2120,6 +2143,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.since_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.up_to_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.has_more = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2137,12 +2175,30 @@
                 iter50.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.since_revision is not None:
+            oprot.writeFieldBegin('since_revision', TType.I64, 2)
+            oprot.writeI64(self.since_revision)
+            oprot.writeFieldEnd()
+        if self.up_to_revision is not None:
+            oprot.writeFieldBegin('up_to_revision', TType.I64, 3)
+            oprot.writeI64(self.up_to_revision)
+            oprot.writeFieldEnd()
+        if self.has_more is not None:
+            oprot.writeFieldBegin('has_more', TType.BOOL, 4)
+            oprot.writeBool(self.has_more)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.objects is None:
             raise TProtocolException(message='Required field objects is unset!')
+        if self.since_revision is None:
+            raise TProtocolException(message='Required field since_revision is unset!')
+        if self.up_to_revision is None:
+            raise TProtocolException(message='Required field up_to_revision is unset!')
+        if self.has_more is None:
+            raise TProtocolException(message='Required field has_more is unset!')
         return
 
     def __repr__(self):
@@ -2838,6 +2894,7 @@
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'is_unchanged', None, None, ),  # 2
     (3, TType.LIST, 'members', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 3
+    (4, TType.STRING, 'digest', 'UTF8', None, ),  # 4
 )
 all_structs.append(ConfigObject)
 ConfigObject.thrift_spec = (
@@ -2853,6 +2910,9 @@
 ConfigPush.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'objects', (TType.STRUCT, [ConfigObject, None], False), None, ),  # 1
+    (2, TType.I64, 'since_revision', None, None, ),  # 2
+    (3, TType.I64, 'up_to_revision', None, None, ),  # 3
+    (4, TType.BOOL, 'has_more', None, None, ),  # 4
 )
 all_structs.append(ConfigPull)
 ConfigPull.thrift_spec = (
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -117,6 +117,7 @@
   1: required string service_name
   2: required bool is_unchanged
   3: required list<MemberUpdate> members
+  4: required string digest
 }
 
 struct ConfigObject {
@@ -128,8 +129,13 @@
   6: required binary spec
 }
 
+// Every object whose last write lies above since_revision and not above
+// up_to_revision is among the objects.
 struct ConfigPush {
   1: required list<ConfigObject> objects
+  2: required i64 since_revision
+  3: required i64 up_to_revision
+  4: required bool has_more
 }
 
 struct ConfigPull {
--- a/packages/wire/src/cornelbeam_wire/pool.py
+++ b/packages/wire/src/cornelbeam_wire/pool.py
@@ -61,20 +61,22 @@
     async def _open(self, address: str) -> PeerConnection:
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
+        connection = PeerConnection(
+            self._identity,
+            self._acceptor,
+            self._forget,
+            is_opener=True,
+        )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: PeerConnection(
-                        self._identity,
-                        self._acceptor,
-                        self._forget,
-                        is_opener=True,
-                    ),
+                await loop.create_connection(
+                    lambda: connection,
                     host,
                     int(port),
                 )
                 await asyncio.shield(connection.ready)
         except (OSError, CornelbeamError) as error:
+            connection.close()
             raise CornelbeamError(
                 ErrorCode.PEER_UNREACHABLE,
                 'connect',
