--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -111,7 +111,7 @@
 
     base_url: Annotated[
         str,
-        text('URL of the Object API.', pattern='^https?://[^ ]+$'),
+        text('URL of the Object API.', pattern=r'^https?://[^\s]+\Z'),
     ]
     timeout_ms: Annotated[
         int,
--- a/packages/settings/src/cornelbeam_settings/units.py
+++ b/packages/settings/src/cornelbeam_settings/units.py
@@ -4,9 +4,9 @@
 
 from msgspec import Meta
 
-_NAME: Final = '^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?$'
+_NAME: Final = r'^[A-Za-z0-9]([A-Za-z0-9._-]{0,61}[A-Za-z0-9])?\Z'
 # A service is a label of a Host header (RFC 1123, section 2.1).
-_SERVICE: Final = '^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$'
+_SERVICE: Final = r'^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?\Z'
 
 
 def text(
@@ -68,7 +68,7 @@
     """Describe the path of a URL."""
     return Meta(
         description=description,
-        pattern='^/[^ ?#]*$',
+        pattern=r'^/[^\s?#]*\Z',
         extra={'range': 'begins with "/"'},
     )
 
