--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/admin.py
@@ -0,0 +1,208 @@
+"""Admin endpoint: health, metrics, status, explanations and draining."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import parse_qs
+
+import msgspec
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.requests import RequestFacts
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+if TYPE_CHECKING:
+    from cornelbeam_daemon.daemon import Daemon
+
+Query = dict[str, str]
+Document = dict[str, Any]
+Endpoint = Callable[['Daemon', Query], Document]
+
+#: Endpoints by method and path.
+ENDPOINTS: Final[dict[tuple[str, str], Endpoint]] = {}
+
+
+def endpoint(method: str, path: str) -> Callable[[Endpoint], Endpoint]:
+    """Register a function that gives a JSON document."""
+
+    def register(function: Endpoint) -> Endpoint:  # noqa: WPS430 - decorator
+        ENDPOINTS[method, path] = function
+        return function
+
+    return register
+
+
+@endpoint('GET', '/healthz')
+def show_health(daemon: 'Daemon', query: Query) -> Document:
+    """Tell that the loop runs."""
+    return {'is_leaving': daemon.backend_side.is_leaving}
+
+
+@endpoint('GET', '/status')
+def show_status(daemon: 'Daemon', query: Query) -> Document:
+    """Show what this daemon is and does now."""
+    load = daemon.backend_side.load
+    return {
+        'name': daemon.own.name,
+        'service': daemon.own.service,
+        'domain': daemon.own.domain,
+        'address': daemon.own.address,
+        'incarnation': daemon.own.incarnation,
+        'is_leaving': load.is_leaving,
+        'is_domain_in_service': daemon.table.is_own_domain_in_service,
+        'is_relay': daemon.fleet.is_relay(),
+        'revision': daemon.config.state.revision,
+        'members': dict(daemon.fleet.member_counts()),
+        'limit': load.limit,
+        'in_flight': load.in_flight,
+        'queue_length': load.queue_length,
+        'caller_in_flight': daemon.caller_side.in_flight,
+    }
+
+
+@endpoint('GET', '/config')
+def show_config(daemon: 'Daemon', query: Query) -> Document:
+    """Show the version of each object in force."""
+    state = daemon.config.state
+    return {
+        'revision': state.revision,
+        'digest': state.digest,
+        'objects': [
+            {'kind': held.kind, 'name': held.name, 'version': held.version}
+            for held in state.objects()
+        ],
+    }
+
+
+@endpoint('GET', '/fleet')
+def show_fleet(daemon: 'Daemon', query: Query) -> Document:
+    """Show the revision in force at each member known to this daemon."""
+    own = {daemon.own.name: daemon.config.state.revision}
+    known = {
+        held.target.name: {
+            'state': held.state.name.lower(),
+            'service': held.target.service,
+            'domain': held.target.domain,
+            'address': held.target.address,
+        }
+        for held in daemon.fleet.membership.view()
+    }
+    revisions = {**daemon.fleet.revisions, **own}
+    return {
+        'members': [
+            {'name': name, 'revision': revisions.get(name, 0), **fields}
+            for name, fields in sorted(known.items())
+        ],
+    }
+
+
+@endpoint('GET', '/explain')
+def explain(daemon: 'Daemon', query: Query) -> Document:
+    """Show which selectors match a request and which targets may get it."""
+    facts = RequestFacts(
+        query.get('service', ''),
+        query.get('method', 'GET'),
+        query.get('path', '/'),
+        {},
+    )
+    try:
+        route = daemon.table.route(facts)
+    except CornelbeamError as error:
+        return {'code': error.code.value, 'detail': error.detail}
+    now_s = asyncio.get_running_loop().time()
+    eligible: list[str] = []
+    left_out: dict[str, str] = {}
+    in_service = {
+        state.target.name: state for state in daemon.table.states(facts.service)
+    }
+    for target in daemon.table.all_targets(facts.service):
+        state = in_service.get(target.name)
+        if state is None:
+            left_out[target.name] = f'{target.domain} is out of service'
+        elif not route.is_eligible(state.target.labels):
+            left_out[target.name] = 'labels do not match'
+        elif state.is_available(now_s):
+            eligible.append(target.name)
+        else:
+            left_out[target.name] = 'ejected, leaving or unreachable'
+    return {
+        'selectors': list(route.selector_names),
+        'target_labels': {
+            label: sorted(allowed)
+            for label, allowed in route.target_labels.items()
+        },
+        'is_repeatable': route.is_repeatable,
+        'timeout_ms': route.timeout_ms,
+        'eligible': eligible,
+        'left_out': left_out,
+    }
+
+
+@endpoint('POST', '/drain')
+def drain(daemon: 'Daemon', query: Query) -> Document:
+    """Begin a planned stop."""
+    daemon.stop()
+    return {'is_leaving': True}
+
+
+async def serve_admin(daemon: 'Daemon') -> None:
+    """Serve the admin endpoint until cancelled."""
+    config = Config()
+    config.bind = [f'fd://{daemon.sockets["admin"].fileno()}']
+    config.include_server_header = False
+    config.loglevel = 'ERROR'
+    config.graceful_timeout = 1
+    await serve(_make_app(daemon), config, shutdown_trigger=_never)  # type: ignore[arg-type]
+
+
+async def _never() -> None:
+    await asyncio.Event().wait()
+
+
+def _make_app(daemon: 'Daemon') -> Callable[..., Awaitable[None]]:
+    async def app(scope: Any, receive: Any, send: Any) -> None:  # noqa: WPS430
+        if scope['type'] != 'http':
+            return
+        status, content_type, content = _answer(daemon, scope)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': [(b'content-type', content_type.encode())],
+            },
+        )
+        await send({'type': 'http.response.body', 'body': content})
+
+    return app
+
+
+def _answer(daemon: 'Daemon', scope: Any) -> tuple[int, str, bytes]:
+    if scope['path'] == '/metrics':
+        _refresh_gauges(daemon)
+        return (
+            200,
+            CONTENT_TYPE_LATEST,
+            generate_latest(
+                daemon.metrics.registry,
+            ),
+        )
+    found = ENDPOINTS.get((scope['method'], scope['path']))
+    if found is None:
+        return 404, 'application/json', b'{"error": "no such endpoint"}'
+    parsed = parse_qs(scope['query_string'].decode())
+    query = {name: values[-1] for name, values in parsed.items()}
+    return 200, 'application/json', msgspec.json.encode(found(daemon, query))
+
+
+def _refresh_gauges(daemon: 'Daemon') -> None:
+    load = daemon.backend_side.load
+    metrics = daemon.metrics
+    metrics.set_in_flight(daemon.caller_side.in_flight, load.in_flight)
+    metrics.set_limit(load.limit)
+    metrics.set_queue_length(load.queue_length)
+    metrics.set_members(daemon.fleet.member_counts())
+    counts: dict[str, int] = {}
+    for held in daemon.config.state.objects():
+        counts[held.kind] = counts.get(held.kind, 0) + 1
+    metrics.set_config(daemon.config.state.revision, counts)
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -0,0 +1,384 @@
+"""One daemon: its parts, its listeners and its planned stop."""
+
+import asyncio
+import random
+import socket
+import time
+import uuid
+from pathlib import Path
+from typing import Final, final
+
+import anyio
+from anyio.abc import TaskGroup
+from cornelbeam_core.admission import AdmissionLimit, AdmissionSettings
+from cornelbeam_core.attempts import AttemptLedger
+from cornelbeam_core.directory import ServiceDirectory
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.introducers import WriteIntroducers
+from cornelbeam_core.membership import Membership, MembershipSettings
+from cornelbeam_core.targets import Target
+from cornelbeam_platform.client import ObjectApiClient
+from cornelbeam_settings import DaemonSettings, ListenerSettings
+from cornelbeam_wire import (
+    Identity,
+    PeerConnection,
+    PeerPool,
+    Stream,
+    StreamReceiver,
+)
+from cornelbeam_wire.codec import violation
+from cornelbeam_wire.gen import messages
+from prometheus_client import CollectorRegistry
+
+from cornelbeam_daemon.backend_client import BackendClient
+from cornelbeam_daemon.backend_side import BackendSide
+from cornelbeam_daemon.caller_side import CallerSide
+from cornelbeam_daemon.config_part import ConfigPart
+from cornelbeam_daemon.exchange import Messenger
+from cornelbeam_daemon.fleet_part import INTRODUCERS_KIND, FleetPart
+from cornelbeam_daemon.http_server import HttpServerConnection
+from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.metrics import Metrics
+from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_daemon.peer_server import PeerServer
+from cornelbeam_daemon.routing_table import RoutingTable
+from cornelbeam_daemon.silence import SilenceWatch
+
+_log = get_log('admin')
+_relay_log = get_log('relay')
+LISTEN_BACKLOG: Final = 1024
+# Attempts in the ledger at 200 calls/s that must not repeat, 60 s each.
+LEDGER_CAPACITY: Final = 12_000
+LEDGER_KEEP_S: Final = 30.0
+LEDGER_EXPIRE_PERIOD_S: Final = 1.0
+RELAY_CHECK_PERIOD_S: Final = 0.5
+# Idle connections of callers stay open this long after a stop was asked for,
+# so that a request that crosses with the stop is still answered.
+LINGER_S: Final = 1.0
+STOP_POLL_S: Final = 0.05
+
+
+@final
+class Daemon:
+    """All parts of one daemon; ``run`` serves until ``stop`` is asked for."""
+
+    def __init__(self, settings: DaemonSettings, secret: bytes) -> None:
+        """Bind the listeners and connect the parts.
+
+        Raises ``OSError`` when an address cannot be bound.
+        """
+        self.settings = settings
+        self.sockets = {
+            'caller': _bind(settings.caller_listener),
+            'peer': _bind(settings.peer_listener),
+            'admin': _bind(settings.admin_listener),
+        }
+        own = _own_target(settings, self.address('peer'))
+        self.own = own
+        self.metrics = Metrics(CollectorRegistry())
+        self.table = RoutingTable(own.name, own.domain)
+        self._rng = random.Random()
+        self._stop = asyncio.Event()
+        self._accepted: set[PeerConnection] = set()
+        self._callers: set[HttpServerConnection] = set()
+        self._identity = Identity(
+            own.name,
+            own.service,
+            own.domain,
+            own.incarnation,
+            own.address,
+            secret,
+        )
+        self._pool = PeerPool(self._identity, _refuse_streams)
+        self._messenger = Messenger(self._pool, self.metrics)
+        self.admission = AdmissionLimit(_admission_settings(settings))
+        self.backend_side = BackendSide(
+            own.name,
+            self.admission,
+            AttemptLedger(own.incarnation, LEDGER_CAPACITY, LEDGER_KEEP_S),
+            BackendClient(
+                settings.backend_server.host,
+                settings.backend_server.port,
+                settings.backend_server.connection_count,
+            ),
+            self.metrics,
+            lambda: self.table.is_own_domain_in_service,
+        )
+        self._peer_server = PeerServer(self.backend_side, self._accepted)
+        self.caller_side = CallerSide(
+            own.name,
+            self.table,
+            PeerClient(self._pool),
+            self.backend_side,
+            settings.limits,
+            settings.policy.selection,
+            self.metrics,
+        )
+        self.config = ConfigPart(
+            self._messenger,
+            lambda: self.fleet.peers(),
+            self._apply_configuration,
+            self._rng,
+        )
+        self.fleet = FleetPart(
+            _membership(settings, own),
+            ServiceDirectory(
+                _called_services(settings),
+                settings.fleet.view_period_ms,
+            ),
+            self.config.state,
+            self._messenger,
+            settings.fleet.introducers,
+            settings.fleet.view_period_ms,
+            self._rng,
+        )
+        self.fleet.on_revision = self.config.on_peer_revision
+        self._silence = SilenceWatch(
+            self._pool,
+            settings.limits.silence_ms,
+            self.config.state,
+            own.service,
+        )
+
+    def address(self, listener: str) -> str:
+        """Give the bound ``ip:port`` of a listener."""
+        host, port = self.sockets[listener].getsockname()[:2]
+        return f'{host}:{port}'
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until a stop is asked for and all work is done."""
+        from cornelbeam_daemon.admin import serve_admin  # noqa: PLC0415
+
+        loop = asyncio.get_running_loop()
+        caller_server = await loop.create_server(
+            lambda: HttpServerConnection(
+                self.caller_side.handle,
+                self.settings.limits.head_bytes,
+                self._callers,
+            ),
+            sock=self.sockets['caller'],
+            backlog=LISTEN_BACKLOG,
+        )
+        peer_server = await loop.create_server(
+            self._accept_peer,
+            sock=self.sockets['peer'],
+            backlog=LISTEN_BACKLOG,
+        )
+        async with (
+            ObjectApiClient(
+                self.settings.object_api.base_url,
+                self.settings.object_api.timeout_ms,
+            ) as client,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(self.fleet.run)
+            group.start_soon(self._follow_changes)
+            group.start_soon(self._expire_attempts)
+            group.start_soon(self._silence.run)
+            group.start_soon(self._relay_when_chosen, client, group)
+            group.start_soon(self._write_introducers, client)
+            group.start_soon(serve_admin, self)
+            self._apply_members()
+            _log.info('serving', target=self.own.name)
+            await self._stop.wait()
+            await self._drain(caller_server)
+            peer_server.close()
+            group.cancel_scope.cancel()
+        self._pool.close()
+        for connection in tuple(self._accepted):
+            connection.close()
+        _log.info('stopped', target=self.own.name)
+
+    async def _drain(self, caller_server: asyncio.Server) -> None:
+        """Refuse new work, finish what is in flight, then go."""
+        _log.info('leaving', in_flight=self.backend_side.work_count)
+        self.backend_side.is_leaving = True
+        self.fleet.membership.leave()
+        self.fleet.announce()
+        caller_server.close()
+        with anyio.move_on_after(self.settings.limits.drain_ms / 1000):
+            await anyio.sleep(LINGER_S)
+            for connection in tuple(self._callers):
+                connection.close_when_idle()
+            while self._callers or self.backend_side.work_count:
+                await anyio.sleep(STOP_POLL_S)
+        self.fleet.membership.stop()
+        self.fleet.announce()
+        await anyio.sleep(STOP_POLL_S)
+
+    def _accept_peer(self) -> PeerConnection:
+        connection = PeerConnection(
+            self._identity,
+            self._accept_stream,
+            self._accepted.discard,
+            is_opener=False,
+        )
+        self._accepted.add(connection)
+        return connection
+
+    def _accept_stream(  # noqa: C901
+        self,
+        stream: Stream,
+        frame: messages.Frame,
+    ) -> StreamReceiver | None:
+        if frame.call_start is not None:
+            return self._peer_server.start_call(stream, frame.call_start)
+        if frame.outcome_query is not None:
+            return self._peer_server.answer_query(stream, frame.outcome_query)
+        try:
+            self._accept_control(stream, frame)
+        except ValueError as error:
+            raise violation(str(error)) from error
+        return None
+
+    def _accept_control(self, stream: Stream, frame: messages.Frame) -> None:
+        peer = stream.connection.peer
+        assert peer is not None  # noqa: S101
+        if frame.ping is not None:
+            self.fleet.answer_ping(stream, frame.ping)
+        elif frame.indirect_ping is not None:
+            self.fleet.answer_indirect_ping(stream, frame.indirect_ping)
+        elif frame.view_request is not None:
+            self.fleet.answer_view_request(stream, frame.view_request)
+        elif frame.config_pull is not None:
+            self.config.answer_pull(stream, frame.config_pull)
+        elif frame.config_push is not None:
+            self.config.on_push(frame.config_push, peer.address)
+
+    def _apply_configuration(self) -> None:
+        self.table.set_configuration(self.config.state.objects())
+
+    def _apply_members(self) -> None:
+        is_changed = False
+        for service in self.fleet.services():
+            targets = self.fleet.targets(service)
+            if self.table.set_targets(service, targets):
+                is_changed = True
+        if is_changed:
+            self.caller_side.forget_absent()
+
+    async def _follow_changes(self) -> None:
+        while True:
+            await self.fleet.is_changed.wait()
+            self.fleet.is_changed.clear()
+            if self.fleet.replaced_by > self.own.incarnation:
+                _log.error('a later run of this target exists')
+                self.stop()
+            self._apply_members()
+
+    async def _expire_attempts(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await anyio.sleep(LEDGER_EXPIRE_PERIOD_S)
+            self.backend_side.ledger.expire(loop.time())
+
+    async def _relay_when_chosen(
+        self,
+        client: ObjectApiClient,
+        group: TaskGroup,
+    ) -> None:
+        scope: anyio.CancelScope | None = None
+        while True:
+            is_relay = self.fleet.is_relay()
+            if is_relay and scope is None:
+                scope = anyio.CancelScope()
+                group.start_soon(self._relay, client, scope)
+            elif not is_relay and scope is not None:
+                scope.cancel()
+                scope = None
+            await anyio.sleep(RELAY_CHECK_PERIOD_S)
+
+    async def _relay(
+        self,
+        client: ObjectApiClient,
+        scope: anyio.CancelScope,
+    ) -> None:
+        with scope:
+            await self.config.relay(client)
+
+    async def _write_introducers(self, client: ObjectApiClient) -> None:
+        while True:
+            await anyio.sleep(RELAY_CHECK_PERIOD_S)
+            while self.fleet.wanted_writes:
+                await _write(client, self.fleet.wanted_writes.pop())
+
+
+async def _write(client: ObjectApiClient, action: WriteIntroducers) -> None:
+    try:
+        await client.put(
+            INTRODUCERS_KIND,
+            action.domain,
+            {'addresses': list(action.addresses)},
+            action.expected_version,
+            uuid.uuid4().hex,
+        )
+    except CornelbeamError as error:
+        # A lost race or a store outage: the next tick decides again.
+        _relay_log.info('introducers not written', why=str(error))
+    else:
+        _relay_log.info('introducers written', domain=action.domain)
+
+
+def read_secret(path: str) -> bytes:
+    """Read the fleet's secret; raises ``OSError`` when it cannot be read."""
+    return Path(path).read_bytes().strip()
+
+
+def _refuse_streams(
+    stream: Stream,
+    frame: messages.Frame,
+) -> StreamReceiver | None:
+    """Ignore streams that a peer opens on a connection of this daemon."""
+    return None
+
+
+def _bind(listener: ListenerSettings) -> socket.socket:
+    return socket.create_server(
+        (listener.host, listener.port),
+        backlog=LISTEN_BACKLOG,
+    )
+
+
+def _own_target(settings: DaemonSettings, address: str) -> Target:
+    instance = settings.instance
+    return Target(
+        instance.name,
+        instance.service,
+        instance.domain,
+        address,
+        # Later runs of the same target have higher incarnations.
+        time.time_ns(),
+        {**instance.labels, 'region': instance.region},
+    )
+
+
+def _admission_settings(settings: DaemonSettings) -> AdmissionSettings:
+    return AdmissionSettings(
+        slot_count=settings.backend_server.slot_count,
+        cold_slot_count=settings.backend_server.cold_slot_count,
+        queue_count=settings.limits.queue_count,
+        queue_ms=settings.limits.queue_ms,
+    )
+
+
+def _membership(settings: DaemonSettings, own: Target) -> Membership:
+    fleet = settings.fleet
+    return Membership(
+        own,
+        MembershipSettings(
+            ping_period_ms=fleet.ping_period_ms,
+            suspicion_ms=fleet.suspicion_ms,
+        ),
+    )
+
+
+def _called_services(settings: DaemonSettings) -> list[str]:
+    return [
+        service
+        for service in settings.fleet.called_services
+        if service != settings.instance.service
+    ]
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -0,0 +1,115 @@
+"""Control messages between daemons: one request and at most one reply."""
+
+import asyncio
+from typing import Any, Final, final
+
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_wire import PeerConnection, PeerPool, Stream
+from cornelbeam_wire.gen.messages import Frame
+
+from cornelbeam_daemon.metrics import Metrics
+
+REPLY_TIMEOUT_S: Final = 0.9
+# Approximate size of a frame around its message.
+_FRAME_BYTES: Final = 12
+
+
+@final
+class Exchange:
+    """Waits for the reply to one control message."""
+
+    __slots__ = ('reply',)
+
+    def __init__(self) -> None:
+        """Wait for a frame."""
+        self.reply: asyncio.Future[Frame] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def on_frame(self, frame: Frame) -> None:
+        """Take the reply."""
+        if not self.reply.done():
+            self.reply.set_result(frame)
+
+    def on_lost(self) -> None:
+        """Fail: no reply can arrive."""
+        if not self.reply.done():
+            self.reply.set_exception(_unreachable('', 'connection lost'))
+            self.reply.exception()
+
+
+@final
+class Messenger:
+    """Sends control messages to daemons by address."""
+
+    __slots__ = ('_metrics', '_pool')
+
+    def __init__(self, pool: PeerPool, metrics: Metrics) -> None:
+        """Use the connections of ``pool``."""
+        self._pool = pool
+        self._metrics = metrics
+
+    async def ask(self, address: str, **message: Any) -> Frame:
+        """Send a message and wait for the reply.
+
+        Raises ``peer_unreachable`` after ``REPLY_TIMEOUT_S``. A connection
+        that brought no reply is closed: the next message uses a new one, so a
+        silent connection is not taken for a dead peer twice.
+        """
+        connection = await self._pool.connection(address)
+        exchange = Exchange()
+        stream = connection.open_stream(exchange)
+        sent_bytes = connection.sent_bytes
+        received_bytes = connection.received_bytes
+        stream.send(**message)
+        (name,) = message
+        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
+        try:
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                frame = await exchange.reply
+        except TimeoutError as error:
+            self._close_silent(connection)
+            raise _unreachable(address, 'no reply') from error
+        finally:
+            stream.close()
+        self._metrics.count_received(
+            name,
+            max(_FRAME_BYTES, connection.received_bytes - received_bytes),
+        )
+        return frame
+
+    async def tell(self, address: str, **message: Any) -> None:
+        """Send a message that has no reply; a lost one is repaired later."""
+        try:
+            connection = await self._pool.connection(address)
+            stream = connection.open_stream(Exchange())
+        except CornelbeamError:
+            return
+        sent_bytes = connection.sent_bytes
+        stream.send(**message)
+        (name,) = message
+        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
+        stream.close()
+
+    def reply(self, stream: Stream, **message: Any) -> None:
+        """Send the reply to a message and close its stream."""
+        connection = stream.connection
+        sent_bytes = connection.sent_bytes
+        stream.send(**message)
+        (name,) = message
+        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
+        stream.close()
+
+    def _close_silent(self, connection: PeerConnection) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - connection.last_received_s >= REPLY_TIMEOUT_S:
+            connection.close()
+
+
+def _unreachable(address: str, detail: str) -> CornelbeamError:
+    return CornelbeamError(
+        ErrorCode.PEER_UNREACHABLE,
+        'control message',
+        address,
+        detail,
+    )
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -0,0 +1,481 @@
+"""The other daemons: membership of the own service, views, introducers."""
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from typing import Final, final
+
+import anyio
+import msgspec
+from cornelbeam_core.configuration import ConfigurationState
+from cornelbeam_core.directory import (
+    ContactTable,
+    RequestView,
+    ServiceDirectory,
+    ViewAnswer,
+    answer_member,
+    answer_view,
+    choose_contacts,
+)
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.introducers import (
+    CheckIntroducer,
+    IntroducerKeeper,
+    WriteIntroducers,
+)
+from cornelbeam_core.members import MemberState, MemberUpdate
+from cornelbeam_core.membership import (
+    MemberChanged,
+    Membership,
+    MembershipAction,
+    SelfReplaced,
+    SendIndirectPing,
+    SendPing,
+)
+from cornelbeam_core.relays import choose_relays
+from cornelbeam_core.targets import Target
+from cornelbeam_wire import Stream
+from cornelbeam_wire.gen import messages
+
+from cornelbeam_daemon.convert import (
+    member_to_wire,
+    members_from_wire,
+    view_from_wire,
+    view_to_wire,
+)
+from cornelbeam_daemon.exchange import Messenger
+from cornelbeam_daemon.logs import get_log
+
+_log = get_log('member')
+TICK_S: Final = 0.1
+CONTACT_PERIOD_S: Final = 10.0
+# A contact is dropped after three announcements in a row are missing.
+CONTACT_KEEP_S: Final = 35.0
+INTRODUCERS_KIND: Final = 'introducers'
+
+
+@final
+class FleetPart:
+    """Runs membership, views and introducers over the messenger."""
+
+    __slots__ = (
+        '_config',
+        '_keeper',
+        '_loop',
+        '_messenger',
+        '_next_contact_s',
+        '_next_own_view_s',
+        '_rng',
+        '_seeds',
+        '_tasks',
+        '_view_period_s',
+        'contacts',
+        'directory',
+        'is_changed',
+        'membership',
+        'on_revision',
+        'replaced_by',
+        'revisions',
+        'wanted_writes',
+    )
+
+    def __init__(
+        self,
+        membership: Membership,
+        directory: ServiceDirectory,
+        config: ConfigurationState,
+        messenger: Messenger,
+        seeds: Iterable[str],
+        view_period_ms: int,
+        rng: random.Random,
+    ) -> None:
+        """Start alone; ``seeds`` are introducers from the settings."""
+        own = membership.own.target
+        self.membership = membership
+        self.directory = directory
+        self.contacts = ContactTable(CONTACT_KEEP_S)
+        self.is_changed = asyncio.Event()
+        self.replaced_by = 0
+        self.revisions: dict[str, int] = {}
+        self.wanted_writes: list[WriteIntroducers] = []
+        self.on_revision = _ignore_revision
+        self._config = config
+        self._keeper = IntroducerKeeper(own.domain, own.address)
+        self._messenger = messenger
+        self._seeds = tuple(seeds)
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._next_contact_s = 0.0
+        self._next_own_view_s = 0.0
+        self._view_period_s = view_period_ms / 1000
+
+    @property
+    def own(self) -> Target:
+        """This daemon's target."""
+        return self.membership.own.target
+
+    def member_counts(self) -> Counter[str]:
+        """Count the members of the own service by state."""
+        return Counter(
+            held.state.name.lower() for held in self.membership.view()
+        )
+
+    def targets(self, service: str) -> list[Target]:
+        """Give the targets of a service that accept new work."""
+        if service != self.own.service:
+            return list(self.directory.targets(service))
+        return [
+            held.target
+            for held in self.membership.view()
+            if held.state is not MemberState.LEAVING
+        ]
+
+    def services(self) -> Iterator[str]:
+        """Give the own service and those with a view."""
+        yield self.own.service
+        for service in self.directory.services:
+            if service != self.own.service:
+                yield service
+
+    def peers(self) -> list[str]:
+        """Give the addresses to which configuration is pushed."""
+        known = {held.target.address for held in self.membership.members()}
+        for service in self.directory.services:
+            known.update(
+                held.target.address for held in self.directory.members(service)
+            )
+        known.update(self.introducers())
+        known.discard(self.own.address)
+        return sorted(known)
+
+    def introducers(self) -> list[str]:
+        """Give all known introducers, own failure domain first."""
+        own_first, _ = self._own_introducers()
+        known = [*own_first]
+        for held in self._config.objects(INTRODUCERS_KIND):
+            known += _addresses(held.spec)
+        known += self._seeds
+        return [
+            address
+            for address in dict.fromkeys(known)
+            if address != self.own.address
+        ]
+
+    def is_relay(self) -> bool:
+        """Tell whether this daemon watches the store for its domain."""
+        addresses, _ = self._own_introducers()
+        live = self._keeper.live(addresses)
+        if not live:
+            # Nobody is named yet: whoever starts first has to look.
+            return True
+        return self.own.address in choose_relays(live, self.own.domain)
+
+    async def run(self) -> None:
+        """Tick until cancelled."""
+        while True:
+            now_s = self._loop.time()
+            self._tick(now_s)
+            await anyio.sleep(TICK_S)
+
+    def announce(self) -> None:
+        """Tell all members at once what this daemon says about itself."""
+        for held in tuple(self.membership.members()):
+            target = held.target
+            updates = self.membership.take_updates(target.name)
+            self._spawn(
+                SendPing(target.name, target.address, updates),
+            )
+
+    def answer_ping(self, stream: Stream, ping: messages.Ping) -> None:
+        """Answer a ping with an ack."""
+        peer = stream.connection.peer
+        assert peer is not None  # noqa: S101
+        updates = members_from_wire(ping.updates)
+        now_s = self._loop.time()
+        if ping.service_name == self.own.service:
+            self._take(self.membership.on_updates(updates, now_s))
+            answer = self.membership.take_updates(peer.name)
+        else:
+            for update in updates:
+                self.contacts.note(update, now_s)
+            answer = (self.membership.own,)
+        self._note_revision(peer.name, peer.address, ping.revision)
+        self._messenger.reply(stream, ack=self._ack(answer))
+
+    def answer_indirect_ping(
+        self,
+        stream: Stream,
+        request: messages.IndirectPing,
+    ) -> None:
+        """Ping a member for another daemon and pass its ack back."""
+        self._start(self._ping_for(stream, request))
+
+    def answer_view_request(
+        self,
+        stream: Stream,
+        request: messages.ViewRequest,
+    ) -> None:
+        """Answer a request for the members of a service."""
+        peer = stream.connection.peer
+        assert peer is not None  # noqa: S101
+        service = request.service_name
+        if service != self.own.service:
+            answer = self.contacts.answer(service, self._loop.time())
+        elif peer.service_name == service:
+            answer = answer_member(
+                service,
+                request.digest,
+                self.membership.view(),
+                self._rng,
+            )
+        else:
+            answer = answer_view(
+                service,
+                request.digest,
+                self.membership.view(),
+                peer.name,
+            )
+        self._messenger.reply(stream, view_reply=view_to_wire(answer))
+
+    def note_lost(self, name: str) -> None:
+        """Ping a member soon whose connection broke."""
+        self.membership.request_ping(name)
+
+    def _tick(self, now_s: float) -> None:
+        self._take(self.membership.tick(now_s, self._rng))
+        introducers = self.introducers()
+        for request in self.directory.tick(introducers, now_s, self._rng):
+            self._start(self._refresh_view(request))
+        if now_s >= self._next_own_view_s:
+            self._next_own_view_s = now_s + self._draw(self._view_period_s)
+            self._start(self._refresh_own(introducers))
+        if now_s >= self._next_contact_s:
+            self._next_contact_s = now_s + self._draw(CONTACT_PERIOD_S)
+            self.contacts.expire(now_s)
+            for address in choose_contacts(self.own.service, introducers):
+                self._start(self._announce_to(address))
+        addresses, version = self._own_introducers()
+        for action in self._keeper.tick(
+            addresses,
+            version,
+            now_s,
+            self._rng,
+        ):
+            if isinstance(action, CheckIntroducer):
+                self._start(self._check_introducer(action.address))
+            else:
+                self.wanted_writes.append(action)
+
+    def _own_introducers(self) -> tuple[list[str], int]:
+        held = self._config.find(INTRODUCERS_KIND, self.own.domain)
+        if held is None:
+            return [], 0
+        return _addresses(held.spec), held.version
+
+    def _draw(self, period_s: float) -> float:
+        return period_s * self._rng.uniform(0.75, 1.25)
+
+    def _take(self, actions: Iterable[MembershipAction]) -> None:
+        for action in actions:
+            match action:
+                case MemberChanged():
+                    self._note_change(action)
+                case SelfReplaced():
+                    self.replaced_by = action.incarnation
+                    self.is_changed.set()
+                case _:
+                    self._spawn(action)
+
+    def _spawn(self, action: SendPing | SendIndirectPing) -> None:
+        if isinstance(action, SendPing):
+            self._start(self._ping(action))
+        else:
+            self._start(self._ping_via(action))
+
+    def _start(self, work: 'asyncio.Coroutine[None]') -> None:  # type: ignore[name-defined]
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _note_change(self, action: MemberChanged) -> None:
+        update = action.update
+        self.is_changed.set()
+        _log.info(
+            'member changed',
+            name=update.target.name,
+            state=update.state.name.lower(),
+            incarnation=update.target.incarnation,
+        )
+        if not update.is_present:
+            self.revisions.pop(update.target.name, None)
+
+    def _ack(self, updates: Iterable[MemberUpdate]) -> messages.Ack:
+        return messages.Ack(
+            updates=[member_to_wire(update) for update in updates],
+            revision=self._config.revision,
+            name=self.own.name,
+            incarnation=self.own.incarnation,
+        )
+
+    def _ping_message(
+        self,
+        updates: Iterable[MemberUpdate],
+    ) -> messages.Ping:
+        return messages.Ping(
+            updates=[member_to_wire(update) for update in updates],
+            revision=self._config.revision,
+            service_name=self.own.service,
+        )
+
+    async def _ping(self, action: SendPing) -> None:
+        try:
+            frame = await self._messenger.ask(
+                action.address,
+                ping=self._ping_message(action.updates),
+            )
+        except CornelbeamError:
+            # The tick judges the missing ack.
+            return
+        self._take_ack(frame, action.address)
+
+    async def _ping_via(self, action: SendIndirectPing) -> None:
+        try:
+            frame = await self._messenger.ask(
+                action.via_address,
+                indirect_ping=messages.IndirectPing(
+                    name=action.name,
+                    address=action.address,
+                ),
+            )
+        except CornelbeamError:
+            return
+        self._take_ack(frame, action.address)
+
+    async def _ping_for(
+        self,
+        stream: Stream,
+        request: messages.IndirectPing,
+    ) -> None:
+        try:
+            frame = await self._messenger.ask(
+                request.address,
+                ping=self._ping_message(()),
+            )
+        except CornelbeamError:
+            stream.close()
+            return
+        self._messenger.reply(stream, ack=frame.ack)
+
+    async def _announce_to(self, address: str) -> None:
+        try:
+            frame = await self._messenger.ask(
+                address,
+                ping=self._ping_message((self.membership.own,)),
+            )
+        except CornelbeamError:
+            return
+        self._take_ack(frame, address)
+
+    async def _check_introducer(self, address: str) -> None:
+        is_reachable = True
+        try:
+            frame = await self._messenger.ask(
+                address,
+                ping=self._ping_message((self.membership.own,)),
+            )
+        except CornelbeamError:
+            is_reachable = False
+        else:
+            self._take_ack(frame, address)
+        self._keeper.note_check(
+            address,
+            self._loop.time(),
+            is_reachable=is_reachable,
+        )
+
+    def _take_ack(self, frame: messages.Frame, address: str) -> None:
+        ack = frame.ack
+        if ack is None:
+            return
+        self._take(
+            self.membership.on_ack(
+                ack.name,
+                ack.incarnation,
+                members_from_wire(ack.updates),
+                self._loop.time(),
+            ),
+        )
+        self._note_revision(ack.name, address, ack.revision)
+
+    def _note_revision(self, name: str, address: str, revision: int) -> None:
+        self.revisions[name] = revision
+        self.on_revision(address, revision)
+
+    async def _refresh_view(self, request: RequestView) -> None:
+        answer = await self._ask_view(
+            request.service,
+            request.address,
+            request.digest,
+        )
+        if answer is None:
+            self.directory.on_failure(request.service, self._loop.time())
+        elif self.directory.on_answer(answer):
+            self.is_changed.set()
+
+    async def _refresh_own(self, introducers: list[str]) -> None:
+        service = self.own.service
+        members = [held.target.address for held in self.membership.members()]
+        contacts = choose_contacts(service, introducers)
+        # Asking a contact now and then joins two halves of a service that
+        # lost each other.
+        is_contact_due = not members or self._rng.random() < 0.25
+        if contacts and is_contact_due:
+            members = list(contacts)
+        if not members:
+            return
+        address = self._rng.choice(members)
+        answer = await self._ask_view(
+            service,
+            address,
+            self.membership.digest,
+        )
+        if answer is not None:
+            self._take(
+                self.membership.on_updates(
+                    answer.members,
+                    self._loop.time(),
+                ),
+            )
+
+    async def _ask_view(
+        self,
+        service: str,
+        address: str,
+        digest: str,
+    ) -> ViewAnswer | None:
+        try:
+            frame = await self._messenger.ask(
+                address,
+                view_request=messages.ViewRequest(
+                    service_name=service,
+                    digest=digest,
+                ),
+            )
+        except CornelbeamError:
+            return None
+        if frame.view_reply is None:
+            return None
+        return view_from_wire(frame.view_reply)
+
+
+def _addresses(spec: bytes) -> list[str]:
+    try:
+        return list(msgspec.json.decode(spec)['addresses'])
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return []
+
+
+def _ignore_revision(address: str, revision: int) -> None:
+    """Stand in until the configuration part is connected."""
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -0,0 +1,255 @@
+"""Calls and outcome queries to other daemons."""
+
+import asyncio
+from typing import Final, final
+
+from cornelbeam_core.deadlines import remaining_ms
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.targets import LoadReport, Target
+from cornelbeam_wire import (
+    MAX_BODY_PART_BYTES,
+    PeerConnection,
+    PeerPool,
+    Stream,
+)
+from cornelbeam_wire.gen import messages
+
+from cornelbeam_daemon.bodies import BodyBuffer, BodyReader
+from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.convert import load_from_wire, refusal_from_wire
+
+# Time between two tries to ask a daemon that cannot be reached.
+ASK_PERIOD_S: Final = 0.25
+# A daemon that refuses connections this often in a row is gone.
+ASK_LIMIT: Final = 3
+
+
+@final
+class RemoteCall:
+    """Receives the answer to a call or to an outcome query."""
+
+    __slots__ = ('_answer_body', '_sender', 'head', 'load', 'reply', 'stream')
+
+    def __init__(self) -> None:
+        """Wait for the head of the answer."""
+        loop = asyncio.get_running_loop()
+        self.head: asyncio.Future[Answer] = loop.create_future()
+        self.reply: asyncio.Future[messages.OutcomeReply] = loop.create_future()
+        self.load: LoadReport | None = None
+        self.stream: Stream | None = None
+        self._answer_body: BodyBuffer | None = None
+        self._sender: asyncio.Task[None] | None = None
+
+    def on_frame(self, frame: messages.Frame) -> None:
+        """Take a part of the answer."""
+        if frame.answer_start is not None:
+            self._start_answer(frame.answer_start)
+        elif frame.body_part is not None and self._answer_body is not None:
+            self._answer_body.feed(frame.body_part.content)
+            if frame.body_part.is_last:
+                self._answer_body.finish()
+        elif frame.refusal is not None:
+            if frame.refusal.load is not None:
+                self.load = load_from_wire(frame.refusal.load)
+            self.fail(refusal_from_wire(frame.refusal))
+        elif frame.outcome_reply is not None and not self.reply.done():
+            self.reply.set_result(frame.outcome_reply)
+
+    def on_lost(self) -> None:
+        """End with an unknown run state."""
+        peer = '' if self.stream is None else self.stream.connection.peer_name
+        self.fail(
+            CornelbeamError(
+                ErrorCode.PEER_UNREACHABLE,
+                'peer connection',
+                peer,
+                'the connection was lost or silent',
+                run_state=RunState.UNKNOWN,
+            ),
+        )
+
+    def fail(self, error: CornelbeamError) -> None:
+        """Give an error to whoever waits."""
+        if self._answer_body is not None:
+            self._answer_body.fail(
+                CornelbeamError(
+                    ErrorCode.ANSWER_TRUNCATED,
+                    error.step,
+                    error.peer,
+                    error.detail,
+                    run_state=RunState.UNKNOWN,
+                ),
+            )
+        for waiting in (self.head, self.reply):
+            if not waiting.done():
+                waiting.set_exception(error)
+                # Marks the exception as read: only one of them is awaited.
+                waiting.exception()
+
+    def send_rest(self, reader: BodyReader) -> None:
+        """Send the rest of the request body beside the wait for an answer."""
+        self._sender = asyncio.ensure_future(self._send_rest(reader))
+
+    def close(self) -> None:
+        """Free the stream; a call that is not answered is cancelled."""
+        if self._sender is not None:
+            self._sender.cancel()
+        if self.stream is None:
+            return
+        body = self._answer_body
+        if body is None or not body.is_complete:
+            self.stream.send(cancel=messages.Cancel(reason='not wanted'))
+        self.stream.close()
+
+    async def _send_rest(self, reader: BodyReader) -> None:
+        stream = self.stream
+        assert stream is not None  # noqa: S101
+        try:
+            part = await reader.read()
+            while part:
+                for start in range(0, len(part), MAX_BODY_PART_BYTES):
+                    piece = part[start : start + MAX_BODY_PART_BYTES]
+                    await stream.send_body(piece, is_last=False)
+                part = await reader.read()
+            await stream.send_body(b'', is_last=True)
+        except CornelbeamError as error:
+            self.fail(error)
+
+    def _start_answer(self, start: messages.AnswerStart) -> None:
+        stream = self.stream
+        if stream is None or self.head.done():
+            return
+        body = BodyBuffer(None if start.is_complete else stream.grant)
+        body.feed(start.body)
+        if start.is_complete:
+            body.finish()
+        self._answer_body = body
+        self.load = load_from_wire(start.load)
+        self.head.set_result(
+            Answer(start.status, start.headers, body, self.load, self.close),
+        )
+
+
+@final
+class PeerClient:
+    """Sends calls to the daemons of other targets."""
+
+    __slots__ = ('_pool',)
+
+    def __init__(self, pool: PeerPool) -> None:
+        """Use the connections of ``pool``."""
+        self._pool = pool
+
+    async def call(self, target: Target, call: Call) -> Answer:
+        """Send a call and wait for the head of its answer.
+
+        Raises ``CornelbeamError``: ``NOT_RUN`` when no connection could be
+        opened or the peer refused, ``UNKNOWN`` when the connection was lost.
+        """
+        connection = await self._connect(target)
+        remote = RemoteCall()
+        remote.stream = connection.open_stream(remote)
+        reader = call.body.reader()
+        first_part, is_whole = reader.take_first()
+        if len(first_part) > MAX_BODY_PART_BYTES:
+            first_part, is_whole = b'', False
+            reader = call.body.reader()
+        remote.stream.spend(len(first_part))
+        remote.stream.send(
+            call_start=messages.CallStart(
+                attempt_id=call.attempt_id,
+                target_incarnation=call.target_incarnation,
+                service_name=call.service,
+                method=call.method,
+                path=call.path,
+                headers=call.headers,
+                remaining_ms=remaining_ms(
+                    call.deadline_s,
+                    asyncio.get_running_loop().time(),
+                ),
+                is_repeatable=call.is_repeatable,
+                caller=call.caller,
+                hop_count=call.hop_count,
+                body=first_part,
+                is_complete=is_whole,
+                request_id=call.request_id,
+            ),
+        )
+        if not is_whole:
+            remote.send_rest(reader)
+        try:
+            return await remote.head
+        except BaseException:
+            remote.close()
+            raise
+
+    async def ask_outcome(
+        self,
+        target: Target,
+        call: Call,
+    ) -> tuple[RunState, Answer | None]:
+        """Ask what became of a call, and forbid it if it has not arrived.
+
+        Gives the answer too when the peer still has it or works on it. The
+        run state is ``UNKNOWN`` when the target was replaced or cannot be
+        asked before the deadline.
+        """
+        refused_count = 0
+        while refused_count < ASK_LIMIT:
+            try:
+                return await self._ask_once(target, call)
+            except CornelbeamError as error:
+                if error.code is ErrorCode.WRONG_INCARNATION:
+                    # The process that may have run it is gone.
+                    return RunState.UNKNOWN, None
+                if error.code is not ErrorCode.PEER_UNREACHABLE:
+                    return error.run_state, None
+                if 'refused' in error.detail.lower():
+                    refused_count += 1
+            await asyncio.sleep(ASK_PERIOD_S)
+        return RunState.UNKNOWN, None
+
+    async def _connect(self, target: Target) -> PeerConnection:
+        connection = self._pool.ready_connection(target.address)
+        if connection is None:
+            connection = await self._pool.connection(target.address)
+        peer = connection.peer
+        if peer is None or peer.incarnation != target.incarnation:
+            raise CornelbeamError(
+                ErrorCode.WRONG_INCARNATION,
+                'peer connection',
+                target.name,
+            )
+        return connection
+
+    async def _ask_once(
+        self,
+        target: Target,
+        call: Call,
+    ) -> tuple[RunState, Answer | None]:
+        connection = await self._connect(target)
+        remote = RemoteCall()
+        remote.stream = connection.open_stream(remote)
+        remote.stream.send(
+            outcome_query=messages.OutcomeQuery(
+                attempt_id=call.attempt_id,
+                target_incarnation=call.target_incarnation,
+                is_forbidding=True,
+                remaining_ms=remaining_ms(
+                    call.deadline_s,
+                    asyncio.get_running_loop().time(),
+                ),
+            ),
+        )
+        is_handed_on = False
+        try:
+            reply = await remote.reply
+            if not reply.is_answer_kept:
+                return RunState(reply.run_state), None
+            answer = await remote.head
+            is_handed_on = True
+        finally:
+            if not is_handed_on:
+                # No cancellation: the outcome may be asked for again.
+                remote.stream.close()
+        return RunState.RAN, answer
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -0,0 +1,299 @@
+"""Serves the calls and outcome queries of other daemons."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_wire import (
+    MAX_BODY_PART_BYTES,
+    PeerConnection,
+    Stream,
+    decode_frame,
+    encode_frame,
+)
+from cornelbeam_wire.codec import LENGTH_BYTES
+from cornelbeam_wire.gen import messages
+
+from cornelbeam_daemon.backend_side import BackendSide, is_recorded
+from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
+from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.convert import load_to_wire, refusal_to_wire
+from cornelbeam_daemon.logs import get_log
+
+_log = get_log('backend')
+_MS_PER_S: Final = 1000
+# A larger answer streams and cannot be sent again.
+_KEPT_ANSWER_BYTES: Final = 60 * 1024
+
+
+@final
+class ServedCall:
+    """A call of another daemon in work here.
+
+    Its stream may be replaced while the backend server works: an outcome
+    query over a new connection attaches the call to the query's stream.
+    """
+
+    __slots__ = (
+        '_attached',
+        '_backend_side',
+        '_body',
+        '_call',
+        '_on_end',
+        'stream',
+        'task',
+    )
+
+    def __init__(
+        self,
+        backend_side: BackendSide,
+        stream: Stream,
+        start: messages.CallStart,
+        on_end: Callable[[bytes], None],
+    ) -> None:
+        """Take the first message of a call; ``run`` serves it."""
+        loop = asyncio.get_running_loop()
+        self._backend_side = backend_side
+        self._on_end = on_end
+        self._body = BodyBuffer(self._grant)
+        self._body.feed(start.body)
+        if start.is_complete:
+            self._body.finish()
+        self._call = Call(
+            attempt_id=start.attempt_id,
+            target_incarnation=start.target_incarnation,
+            service=start.service_name,
+            method=start.method,
+            path=start.path,
+            headers=start.headers,
+            deadline_s=loop.time() + start.remaining_ms / _MS_PER_S,
+            is_repeatable=start.is_repeatable,
+            caller=start.caller,
+            hop_count=start.hop_count,
+            request_id=start.request_id,
+            body=RequestBody(self._body),
+        )
+        self.stream: Stream | None = stream
+        self._attached = asyncio.Event()
+        self._attached.set()
+        self.task = loop.create_task(self._run())
+
+    def on_frame(self, frame: messages.Frame) -> None:
+        """Take a part of the body or a cancellation."""
+        if frame.body_part is not None:
+            self._body.feed(frame.body_part.content)
+            if frame.body_part.is_last:
+                self._body.finish()
+        elif frame.cancel is not None:
+            self.task.cancel()
+
+    def on_lost(self) -> None:
+        """Go on without a stream if the outcome may be asked for."""
+        self.stream = None
+        self._attached.clear()
+        if not self._body.is_complete:
+            self._body.fail(
+                CornelbeamError(
+                    ErrorCode.PEER_UNREACHABLE,
+                    'request body',
+                    run_state=RunState.UNKNOWN,
+                ),
+            )
+        if not is_recorded(self._call):
+            self.task.cancel()
+
+    def attach(self, stream: Stream) -> None:
+        """Send what follows over another stream."""
+        self.stream = stream
+        stream.receiver = self
+        self._attached.set()
+
+    async def _run(self) -> None:
+        answer: Answer | None = None
+        try:
+            answer = await self._backend_side.serve(self._call)
+            await self._send_answer(answer)
+        except CornelbeamError as error:
+            await self._send_refusal(error, is_started=answer is not None)
+        finally:
+            if answer is not None:
+                answer.close()
+            if self.stream is not None:
+                self.stream.close()
+            self._on_end(self._call.attempt_id)
+
+    async def _send_answer(self, answer: Answer) -> None:
+        content = answer.body.take_ready()
+        start = messages.AnswerStart(
+            status=answer.status,
+            headers=answer.headers,
+            body=content,
+            is_complete=answer.body.is_ended,
+            load=load_to_wire(self._backend_side.load),
+        )
+        if len(content) > MAX_BODY_PART_BYTES:
+            start.body = b''
+            start.is_complete = False
+        elif start.is_complete:
+            self._keep(start)
+        stream = await self._wait_for_stream()
+        stream.send(answer_start=start)
+        if start.is_complete:
+            return
+        stream.spend(len(start.body))
+        if not start.body:
+            await _send_parts(stream, content, is_last=answer.body.is_ended)
+        while not answer.body.is_ended:
+            content = await answer.body.read()
+            await _send_parts(stream, content, is_last=answer.body.is_ended)
+
+    def _keep(self, start: messages.AnswerStart) -> None:
+        if len(start.body) > _KEPT_ANSWER_BYTES or not is_recorded(self._call):
+            return
+        frame = messages.Frame(stream_id=0, answer_start=start)
+        self._backend_side.ledger.finish(
+            self._call.attempt_id,
+            encode_frame(frame)[LENGTH_BYTES:],
+            asyncio.get_running_loop().time(),
+        )
+
+    async def _send_refusal(
+        self,
+        error: CornelbeamError,
+        *,
+        is_started: bool,
+    ) -> None:
+        if self.stream is None and error.run_state is RunState.NOT_RUN:
+            # The ledger has the entry that answers a later query.
+            return
+        if is_started and self.stream is None:
+            return
+        stream = await self._wait_for_stream()
+        stream.send(refusal=refusal_to_wire(error, self._backend_side.load))
+        _log.debug(
+            'call refused',
+            request=self._call.request_id,
+            code=error.code.value,
+            step=error.step,
+        )
+
+    async def _wait_for_stream(self) -> Stream:
+        if self.stream is not None:
+            return self.stream
+        try:
+            async with asyncio.timeout_at(self._call.deadline_s):
+                await self._attached.wait()
+        except TimeoutError as error:
+            raise CornelbeamError(
+                ErrorCode.PEER_UNREACHABLE,
+                'answer',
+                run_state=RunState.RAN,
+            ) from error
+        assert self.stream is not None  # noqa: S101
+        return self.stream
+
+    def _grant(self, size_bytes: int) -> None:
+        if self.stream is not None:
+            self.stream.grant(size_bytes)
+
+
+@final
+class PeerServer:
+    """Calls in work for other daemons, and queries for their outcome."""
+
+    __slots__ = ('_backend_side', '_connections', '_served')
+
+    def __init__(
+        self,
+        backend_side: BackendSide,
+        connections: set[PeerConnection],
+    ) -> None:
+        """Serve by ``backend_side``; ``connections`` are the accepted ones."""
+        self._backend_side = backend_side
+        self._connections = connections
+        self._served: dict[bytes, ServedCall] = {}
+
+    def start_call(
+        self,
+        stream: Stream,
+        start: messages.CallStart,
+    ) -> ServedCall:
+        """Begin to serve a call."""
+        served = ServedCall(
+            self._backend_side,
+            stream,
+            start,
+            lambda attempt_id: self._forget(attempt_id, served),
+        )
+        # A repeated attempt must not take the place of the one in work.
+        self._served.setdefault(start.attempt_id, served)
+        return served
+
+    def answer_query(
+        self,
+        stream: Stream,
+        query: messages.OutcomeQuery,
+    ) -> ServedCall | None:
+        """Answer an outcome query; a call in work continues on its stream."""
+        ledger = self._backend_side.ledger
+        now_s = asyncio.get_running_loop().time()
+        if query.is_forbidding:
+            self._close_older(stream.connection)
+            run_state = ledger.forbid(
+                query.attempt_id,
+                query.target_incarnation,
+                now_s,
+                now_s + query.remaining_ms / _MS_PER_S,
+            )
+        else:
+            run_state = ledger.query(
+                query.attempt_id,
+                query.target_incarnation,
+                now_s,
+            )
+        served = self._served.get(query.attempt_id)
+        kept = ledger.kept_answer(query.attempt_id)
+        is_in_work = run_state is RunState.RUNNING and served is not None
+        stream.send(
+            outcome_reply=messages.OutcomeReply(
+                run_state=int(run_state),
+                is_answer_kept=is_in_work or kept is not None,
+            ),
+        )
+        if is_in_work and served is not None:
+            served.attach(stream)
+            return served
+        if kept is not None:
+            stream.send(answer_start=decode_frame(kept).answer_start)
+        stream.close()
+        return None
+
+    def _close_older(self, newest: PeerConnection) -> None:
+        # A frame may still sit in the buffers of a silent connection; after
+        # the reply nothing sent over it may arrive any more.
+        for connection in tuple(self._connections):
+            if connection is newest or connection.peer is None:
+                continue
+            if connection.peer_name == newest.peer_name:
+                connection.close()
+
+    def _forget(self, attempt_id: bytes, served: ServedCall) -> None:
+        if self._served.get(attempt_id) is served:
+            self._served.pop(attempt_id)
+
+
+async def _send_parts(
+    stream: Stream,
+    content: bytes,
+    *,
+    is_last: bool,
+) -> None:
+    for start in range(0, len(content), MAX_BODY_PART_BYTES):
+        end = start + MAX_BODY_PART_BYTES
+        await stream.send_body(
+            content[start:end],
+            is_last=is_last and end >= len(content),
+        )
+    if is_last and not content:
+        await stream.send_body(b'', is_last=True)
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/silence.py
@@ -0,0 +1,89 @@
+"""Notices connections that went silent while calls wait on them."""
+
+import asyncio
+from typing import Final, final
+
+import anyio
+from cornelbeam_core.configuration import ConfigurationState
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_wire import PeerConnection, PeerPool
+from cornelbeam_wire.gen import messages
+
+from cornelbeam_daemon.exchange import Exchange
+from cornelbeam_daemon.logs import get_log
+
+_log = get_log('caller')
+_CHECKS_PER_SILENCE: Final = 4
+
+
+@final
+class SilenceWatch:
+    """Pings quiet connections that have waiting calls, and closes silent ones.
+
+    A backend server may be slow for good reasons, so silence alone proves
+    nothing: the peer's daemon answers a ping at once. After half of
+    ``silence_ms`` without a byte a ping is sent; when ``silence_ms`` have
+    passed, the connection is closed and its calls ask for their outcome over
+    a new one.
+    """
+
+    __slots__ = ('_config', '_period_s', '_pinged', '_pool', '_service')
+
+    def __init__(
+        self,
+        pool: PeerPool,
+        silence_ms: int,
+        config: ConfigurationState,
+        service: str,
+    ) -> None:
+        """Watch the connections of ``pool``."""
+        self._pool = pool
+        self._period_s = silence_ms / 1000
+        self._config = config
+        self._service = service
+        self._pinged: dict[PeerConnection, Exchange] = {}
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        loop = asyncio.get_running_loop()
+        checked_s = loop.time()
+        while True:
+            await anyio.sleep(self._period_s / _CHECKS_PER_SILENCE)
+            now_s = loop.time()
+            # After a pause of this process, answers may still be unread.
+            if now_s - checked_s < self._period_s:
+                self.check(now_s)
+            checked_s = now_s
+
+    def check(self, now_s: float) -> None:
+        """Judge each connection once."""
+        for connection in self._pool.connections():
+            self._check_one(connection, now_s)
+        for connection in tuple(self._pinged):
+            if connection.is_closed or self._pinged[connection].reply.done():
+                self._pinged.pop(connection)
+
+    def _check_one(self, connection: PeerConnection, now_s: float) -> None:
+        quiet_s = now_s - connection.last_received_s
+        if not connection.open_count or quiet_s < self._period_s / 2:
+            return
+        if connection not in self._pinged:
+            self._ping(connection)
+        elif quiet_s >= self._period_s:
+            _log.warning('connection is silent', peer=connection.peer_name)
+            connection.close()
+
+    def _ping(self, connection: PeerConnection) -> None:
+        exchange = Exchange()
+        try:
+            stream = connection.open_stream(exchange)
+        except CornelbeamError:
+            return
+        self._pinged[connection] = exchange
+        stream.send(
+            ping=messages.Ping(
+                updates=[],
+                revision=self._config.revision,
+                service_name=self._service,
+            ),
+        )
