--- a/packages/daemon/src/cornelbeam_daemon/admin.py
+++ b/packages/daemon/src/cornelbeam_daemon/admin.py
@@ -8,6 +8,8 @@
 import msgspec
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.requests import RequestFacts
+from cornelbeam_core.selection import TargetState
+from cornelbeam_core.selectors import Route
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -18,12 +20,14 @@
 Query = dict[str, str]
 Document = dict[str, Any]
 Endpoint = Callable[['Daemon', Query], Document]
+Place = tuple[str, str]
+Register = Callable[[Endpoint], Endpoint]
 
 #: Endpoints by method and path.
-ENDPOINTS: Final[dict[tuple[str, str], Endpoint]] = {}
+ENDPOINTS: Final[dict[Place, Endpoint]] = {}
 
 
-def endpoint(method: str, path: str) -> Callable[[Endpoint], Endpoint]:
+def endpoint(method: str, path: str) -> Register:
     """Register a function that gives a JSON document."""
 
     def register(function: Endpoint) -> Endpoint:  # noqa: WPS430 - decorator
@@ -118,14 +122,11 @@
     }
     for target in daemon.table.all_targets(facts.service):
         state = in_service.get(target.name)
-        if state is None:
-            left_out[target.name] = f'{target.domain} is out of service'
-        elif not route.is_eligible(state.target.labels):
-            left_out[target.name] = 'labels do not match'
-        elif state.is_available(now_s):
-            eligible.append(target.name)
+        reason = _find_reason(route, state, now_s)
+        if reason:
+            left_out[target.name] = reason
         else:
-            left_out[target.name] = 'ejected, leaving or unreachable'
+            eligible.append(target.name)
     return {
         'selectors': list(route.selector_names),
         'target_labels': {
@@ -139,6 +140,20 @@
     }
 
 
+def _find_reason(
+    route: Route,
+    state: TargetState | None,
+    now_s: float,
+) -> str:
+    """Tell why a target may not get a request; empty when it may."""
+    if state is None:
+        return 'the failure domain is out of service'
+    if route.is_eligible(state.target.labels):
+        is_available = state.is_available(now_s)
+        return '' if is_available else 'ejected, leaving or unreachable'
+    return 'the labels do not match'
+
+
 @endpoint('POST', '/drain')
 def drain(daemon: 'Daemon', query: Query) -> Document:
     """Begin a planned stop."""
@@ -153,7 +168,8 @@
     config.include_server_header = False
     config.loglevel = 'ERROR'
     config.graceful_timeout = 1
-    await serve(_make_app(daemon), config, shutdown_trigger=_never)  # type: ignore[arg-type]
+    app: Any = _make_app(daemon)
+    await serve(app, config, shutdown_trigger=_never)
 
 
 async def _never() -> None:
--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -19,6 +19,7 @@
 # close that crosses with it would leave its outcome unknown.
 FRESH_S: Final = 1.0
 _MIN_FINAL_STATUS: Final = 200
+_CLOSED: Final = 'the backend server closed the connection'
 _BODILESS: Final = frozenset((204, 304))
 
 
@@ -53,7 +54,7 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self.is_reusable = False
         self.is_closed = False
-        self.idle_since_s = 0.0
+        self.idle_since_s: float = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -73,20 +74,13 @@
         self.is_closed = True
         self.is_reusable = False
         self.resume_writing()
-        body = self._body
-        if body is not None and self._is_length_by_close():
+        if self._body is None:
+            self._fail(ErrorCode.BACKEND_FAILED, _CLOSED)
+        elif self._is_length_by_close():
             # RFC 9112, section 6.3: without a length the body ends here.
-            body.finish()
-        elif body is not None:
-            self._fail(
-                ErrorCode.ANSWER_TRUNCATED,
-                'the backend server closed the connection',
-            )
+            self._body.finish()
         else:
-            self._fail(
-                ErrorCode.BACKEND_FAILED,
-                'the backend server closed the connection',
-            )
+            self._fail(ErrorCode.ANSWER_TRUNCATED, _CLOSED)
 
     def pause_writing(self) -> None:
         """Make ``send_body`` wait."""
@@ -95,7 +89,8 @@
     def resume_writing(self) -> None:
         """Let ``send_body`` go on."""
         self._is_write_paused = False
-        waiter, self._drain_waiter = self._drain_waiter, None
+        waiter = self._drain_waiter
+        self._drain_waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -92,7 +92,8 @@
         return self.take_ready()
 
     def _wake(self) -> None:
-        waiter, self._waiter = self._waiter, None
+        waiter = self._waiter
+        self._waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -292,14 +292,22 @@
             outcome = CallOutcome.SHED if is_refusal else CallOutcome.FAILED
             raise
         finally:
-            now_s = self._loop.time()
-            state.note_end(now_s, latency_s)
-            self._ejector.note_result(state, outcome, now_s)
+            self._note_end(state, outcome, latency_s)
         if answer.load is not None:
             state.note_report(answer.load, started_s + latency_s)
         self._budget.note_success(started_s)
         return answer
 
+    def _note_end(
+        self,
+        state: TargetState,
+        outcome: CallOutcome,
+        latency_s: float | None,
+    ) -> None:
+        now_s = self._loop.time()
+        state.note_end(now_s, latency_s)
+        self._ejector.note_result(state, outcome, now_s)
+
     async def _send(self, state: TargetState, call: Call) -> Answer:
         if state.target.name == self._name:
             return await self._backend_side.serve(call)
--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -89,6 +89,7 @@
 
     def close(self) -> None:
         """Free what the answer holds; later calls do nothing."""
-        on_close, self._on_close = self._on_close, None
+        on_close = self._on_close
+        self._on_close = None
         if on_close is not None:
             on_close()
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -220,7 +220,7 @@
         self._accepted.add(connection)
         return connection
 
-    def _accept_stream(  # noqa: C901
+    def _accept_stream(
         self,
         stream: Stream,
         frame: messages.Frame,
@@ -244,19 +244,28 @@
             self.fleet.answer_indirect_ping(stream, frame.indirect_ping)
         elif frame.view_request is not None:
             self.fleet.answer_view_request(stream, frame.view_request)
-        elif frame.config_pull is not None:
+        else:
+            self._accept_config(stream, frame, peer.address)
+
+    def _accept_config(
+        self,
+        stream: Stream,
+        frame: messages.Frame,
+        sender: str,
+    ) -> None:
+        if frame.config_pull is not None:
             self.config.answer_pull(stream, frame.config_pull)
         elif frame.config_push is not None:
-            self.config.on_push(frame.config_push, peer.address)
+            self.config.on_push(frame.config_push, sender)
 
     def _apply_configuration(self) -> None:
-        self.table.set_configuration(self.config.state.objects())
+        self.table.replace_configuration(self.config.state.objects())
 
     def _apply_members(self) -> None:
         is_changed = False
         for service in self.fleet.services():
             targets = self.fleet.targets(service)
-            if self.table.set_targets(service, targets):
+            if self.table.replace_targets(service, targets):
                 is_changed = True
         if is_changed:
             self.caller_side.forget_absent()
@@ -328,12 +337,8 @@
     return Path(path).read_bytes().strip()
 
 
-def _refuse_streams(
-    stream: Stream,
-    frame: messages.Frame,
-) -> StreamReceiver | None:
+def _refuse_streams(stream: Stream, frame: messages.Frame) -> None:
     """Ignore streams that a peer opens on a connection of this daemon."""
-    return None
 
 
 def _bind(listener: ListenerSettings) -> socket.socket:
--- a/packages/daemon/src/cornelbeam_daemon/exchange.py
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -62,7 +62,7 @@
         sent_bytes = connection.sent_bytes
         received_bytes = connection.received_bytes
         stream.send(**message)
-        (name,) = message
+        name = _name_of(message)
         self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
@@ -87,7 +87,7 @@
             return
         sent_bytes = connection.sent_bytes
         stream.send(**message)
-        (name,) = message
+        name = _name_of(message)
         self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         stream.close()
 
@@ -96,7 +96,7 @@
         connection = stream.connection
         sent_bytes = connection.sent_bytes
         stream.send(**message)
-        (name,) = message
+        name = _name_of(message)
         self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         stream.close()
 
@@ -106,6 +106,10 @@
             connection.close()
 
 
+def _name_of(message: dict[str, Any]) -> str:
+    return next(iter(message))
+
+
 def _unreachable(address: str, detail: str) -> CornelbeamError:
     return CornelbeamError(
         ErrorCode.PEER_UNREACHABLE,
--- a/packages/daemon/src/cornelbeam_daemon/fleet_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Coroutine, Iterable, Iterator
 from typing import Final, final
 
 import anyio
@@ -52,6 +52,8 @@
 CONTACT_PERIOD_S: Final = 10.0
 # A contact is dropped after three announcements in a row are missing.
 CONTACT_KEEP_S: Final = 35.0
+# Share of the refreshes of the own service that ask a contact.
+CONTACT_SHARE: Final = 0.25
 INTRODUCERS_KIND: Final = 'introducers'
 
 
@@ -107,8 +109,8 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._next_contact_s = 0.0
-        self._next_own_view_s = 0.0
+        self._next_contact_s: float = 0
+        self._next_own_view_s: float = 0
         self._view_period_s = view_period_ms / 1000
 
     @property
@@ -153,10 +155,13 @@
     def introducers(self) -> list[str]:
         """Give all known introducers, own failure domain first."""
         own_first, _ = self._own_introducers()
-        known = [*own_first]
-        for held in self._config.objects(INTRODUCERS_KIND):
-            known += _addresses(held.spec)
-        known += self._seeds
+        known = list(own_first)
+        known.extend(
+            address
+            for held in self._config.objects(INTRODUCERS_KIND)
+            for address in _addresses(held.spec)
+        )
+        known.extend(self._seeds)
         return [
             address
             for address in dict.fromkeys(known)
@@ -200,6 +205,8 @@
         else:
             for update in updates:
                 self.contacts.note(update, now_s)
+                if self.directory.on_update(update):
+                    self.is_changed.set()
             answer = (self.membership.own,)
         self._note_revision(peer.name, peer.address, ping.revision)
         self._messenger.reply(stream, ack=self._ack(answer))
@@ -221,7 +228,7 @@
         peer = stream.connection.peer
         assert peer is not None  # noqa: S101
         service = request.service_name
-        if service != self.own.service:
+        if service != self.own.service:  # noqa: WPS504 - three cases
             answer = self.contacts.answer(service, self._loop.time())
         elif peer.service_name == service:
             answer = answer_member(
@@ -294,7 +301,7 @@
         else:
             self._start(self._ping_via(action))
 
-    def _start(self, work: 'asyncio.Coroutine[None]') -> None:  # type: ignore[name-defined]
+    def _start(self, work: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -430,7 +437,7 @@
         contacts = choose_contacts(service, introducers)
         # Asking a contact now and then joins two halves of a service that
         # lost each other.
-        is_contact_due = not members or self._rng.random() < 0.25
+        is_contact_due = not members or self._rng.random() < CONTACT_SHARE
         if contacts and is_contact_due:
             members = list(contacts)
         if not members:
--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -93,7 +93,7 @@
             self._remaining_bytes = 0
             self._connection.write(self._head(status, headers, length))
             return
-        if length is not None:
+        if length:
             self._remaining_bytes = int(length)
         elif self._request.version == '1.1':
             self._is_chunked = True
@@ -225,7 +225,8 @@
     def resume_writing(self) -> None:
         """Let ``drain`` go on."""
         self._is_write_paused = False
-        waiter, self._drain_waiter = self._drain_waiter, None
+        waiter = self._drain_waiter
+        self._drain_waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
@@ -321,14 +322,19 @@
         if self.is_closing or self._transport is None:
             return
         # The rest of an unread body would be taken for the next request.
-        if not request.is_keep_alive or not request.body.is_complete:
+        is_reusable = request.is_keep_alive and request.body.is_complete
+        if is_reusable:
+            self._go_on()
+        else:
             self._transport.close()
-        elif self._waiting:
+
+    def _go_on(self) -> None:
+        if self._waiting:
             self._start_next()
-        elif self._error is not None:
-            self._send_error(self._error)
-        else:
+        elif self._error is None:
             self._resume_reading()
+        else:
+            self._send_error(self._error)
 
     def _refuse(self, error: CornelbeamError) -> None:
         self._error = error
--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -117,11 +117,14 @@
         except CornelbeamError as error:
             await self._send_refusal(error, is_started=answer is not None)
         finally:
-            if answer is not None:
-                answer.close()
-            if self.stream is not None:
-                self.stream.close()
-            self._on_end(self._call.attempt_id)
+            self._end(answer)
+
+    def _end(self, answer: Answer | None) -> None:
+        if answer is not None:
+            answer.close()
+        if self.stream is not None:
+            self.stream.close()
+        self._on_end(self._call.attempt_id)
 
     async def _send_answer(self, answer: Answer) -> None:
         content = answer.body.take_ready()
--- a/packages/daemon/src/cornelbeam_daemon/routing_table.py
+++ b/packages/daemon/src/cornelbeam_daemon/routing_table.py
@@ -94,7 +94,7 @@
             'service': target.service,
         }
 
-    def set_configuration(self, objects: Iterable[ConfigObject]) -> None:
+    def replace_configuration(self, objects: Iterable[ConfigObject]) -> None:
         """Rebuild the index after a change of the configuration.
 
         An object that cannot be parsed is left out: a newer operators'
@@ -112,17 +112,14 @@
                     self._labels[held.name] = spec.labels
                 case ServiceSpec() as spec:
                     self._timeouts_ms[held.name] = spec.timeout_ms or 0
-                case FailureDomainSpec() as spec:
-                    if not spec.is_in_service:
-                        domains_out.add(held.name)
-                case _:
-                    continue
+                case FailureDomainSpec(is_in_service=False):
+                    domains_out.add(held.name)
         self._index = SelectorIndex.compile(selectors)
         self._domains_out = frozenset(domains_out)
         for service, targets in tuple(self._targets.items()):
             self._rebuild(service, targets)
 
-    def set_targets(self, service: str, targets: Iterable[Target]) -> bool:
+    def replace_targets(self, service: str, targets: Iterable[Target]) -> bool:
         """Replace the targets of a service; tell whether that changed."""
         fresh = tuple(sorted(targets, key=_target_name))
         if fresh == self._targets.get(service):
--- a/packages/wire/src/cornelbeam_wire/codec.py
+++ b/packages/wire/src/cornelbeam_wire/codec.py
@@ -18,10 +18,10 @@
 def encode_frame(frame: Frame) -> bytes:
     """Encode a frame with its length.
 
-    >>> encode_frame(Frame(stream_id=1))[:4]
-    b'\\x00\\x00\\x00\\x08'
+    >>> len(encode_frame(Frame(stream_id=1)))
+    12
     """
-    payload = fastbinary.encode_binary(frame, _TYPE_ARGUMENTS)
+    payload: bytes = fastbinary.encode_binary(frame, _TYPE_ARGUMENTS)
     return len(payload).to_bytes(LENGTH_BYTES, 'big') + payload
 
 
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -94,7 +94,8 @@
         self._wake()
 
     def _wake(self) -> None:
-        waiter, self._credit_waiter = self._credit_waiter, None
+        waiter = self._credit_waiter
+        self._credit_waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
@@ -126,7 +127,7 @@
         self.peer: Hello | None = None
         self.is_closed = False
         self.is_silent = False
-        self.last_received_s = 0.0
+        self.last_received_s: float = 0
         self.sent_bytes = 0
         self.received_bytes = 0
         self._acceptor = acceptor
