--- a/packages/standins/src/cornelbeam_standins/cli.py
+++ b/packages/standins/src/cornelbeam_standins/cli.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 import anyio
-import defopt  # type: ignore[import-untyped]
+import defopt
 import msgspec
 
 from cornelbeam_standins.asgi import serve_application
