--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -63,6 +63,11 @@
             return
         self.latency_ewma_s += LATENCY_GAIN * (latency_s - self.latency_ewma_s)
 
+    def note_abandoned(self, now_s: float, elapsed_s: float) -> None:
+        """Count a call that is no longer waited for, as at least so slow."""
+        is_slow = elapsed_s > self.latency_ewma_s
+        self.note_end(now_s, elapsed_s if is_slow else None)
+
     def note_report(self, report: LoadReport, now_s: float) -> None:
         """Keep the newest load report."""
         self.report = report
