Eject no target of a slow failure domain

Cause: the protection asked whether the other targets of the domain were already above the ejection threshold. One target crosses it first and was ejected before the others had enough samples. A stall of 200 ms also ejected targets that were already well again.

Now slowness must last 100 ms, and the domain is compared with peers in other domains at a lower factor.

--- a/packages/core/src/cornelbeam_core/ejection.py
+++ b/packages/core/src/cornelbeam_core/ejection.py
@@ -18,9 +18,14 @@
     """When and for how long a target is left out.
 
     A target is ejected after ``failure_count`` failures in a row, or when its
-    smoothed latency is ``slow_factor`` times the median of its peers and at
-    least ``slow_ms`` above it. ``floor_ratio`` of the targets of a service,
-    rounded up, always stay in.
+    smoothed latency stays ``slow_factor`` times the median of its peers, and
+    at least ``slow_ms`` above it, for ``confirm_ms``. ``floor_ratio`` of the
+    targets of a service, rounded up, always stay in.
+
+    A failure domain is slow when ``domain_ratio`` of its targets, at least
+    two, are ``domain_slow_factor`` times as slow as their peers in other
+    failure domains. That factor is lower because one target of a slow domain
+    crosses ``slow_factor`` before the others have enough samples.
     """
 
     failure_count: int = 5
@@ -28,11 +33,13 @@
     slow_ms: int = 5
     sample_count: int = 8
     check_period_ms: int = 10
+    confirm_ms: int = 100
     first_ejection_ms: int = 500
     max_ejection_ms: int = 30_000
     forgive_ms: int = 30_000
     floor_ratio: float = 0.5
     domain_ratio: float = 0.7
+    domain_slow_factor: float = 1.5
 
 
 @dataclass(slots=True)
@@ -42,6 +49,7 @@
     sample_count: int = 0
     ejection_count: int = 0
     check_at_s: float = 0
+    slow_since_s: float | None = None
 
 
 @final
@@ -111,6 +119,11 @@
             return False
         record.check_at_s = now_s + settings.check_period_ms / _MS_PER_S
         if not self._is_slow(record.state):
+            record.slow_since_s = None
+            return False
+        if record.slow_since_s is None:
+            record.slow_since_s = now_s
+        if (now_s - record.slow_since_s) * _MS_PER_S < settings.confirm_ms:
             return False
         if self._is_domain_slow(record.state):
             return False
@@ -141,16 +154,27 @@
 
     def _is_domain_slow(self, state: TargetState) -> bool:
         domain = state.target.domain
-        members = [
-            record.state
+        verdicts = [
+            self._is_slower_than_other_domains(record.state)
             for record in self._records.values()
             if record.state.target.domain == domain
             and record.state.latency_ewma_s
         ]
-        if len(members) < 2:
+        if len(verdicts) < 2:
+            return False
+        return sum(verdicts) >= len(verdicts) * self._settings.domain_ratio
+
+    def _is_slower_than_other_domains(self, state: TargetState) -> bool:
+        latencies = [
+            peer.latency_ewma_s
+            for peer in self._peers(state)
+            if peer.target.domain != state.target.domain and peer.latency_ewma_s
+        ]
+        if not latencies:
             return False
-        slow_count = sum(self._is_slow(member) for member in members)
-        return slow_count >= len(members) * self._settings.domain_ratio
+        usual_s = statistics.median(latencies)
+        factor = self._settings.domain_slow_factor
+        return state.latency_ewma_s > usual_s * factor
 
     def _eject(self, record: _Record, now_s: float) -> bool:
         settings = self._settings
@@ -168,5 +192,6 @@
         record.ejection_count += 1
         record.failure_count = 0
         record.sample_count = 0
+        record.slow_since_s = None
         record.state.ejected_until_s = now_s + ejection_ms / _MS_PER_S
         return True
