--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -22,9 +22,7 @@
 # One way between failure domains takes about 1 ms, two ways for each call.
 REMOTE_DOMAIN_COST_S: Final = 0.002
 SUBSET_SIZE: Final = 3
-# Concurrent requests assumed for a target that has sent no report yet: it may
-# be cold.
-UNKNOWN_LIMIT: Final = 2
+_SAMPLE_TRIES: Final = 4
 
 
 @final
@@ -34,8 +32,7 @@
 
     ``affinity`` ranks the targets for this caller in the ``subset`` policy
     (see ``compute_affinity``). ``answered_at_s`` is the time of the last
-    answer, or of the first call in flight if that is later, and
-    ``others_in_flight`` the calls of other callers in the last report.
+    answer, or of the first call in flight if that is later.
     """
 
     target: Target
@@ -48,7 +45,6 @@
     is_same_domain: bool = False
     affinity: int = 0
     answered_at_s: float = 0
-    others_in_flight: int = 0
 
     def note_start(self, now_s: float) -> None:
         """Count a call that is sent."""
@@ -76,8 +72,6 @@
         """Keep the newest load report."""
         self.report = report
         self.report_at_s = now_s
-        used_count = report.in_flight + report.queue_length
-        self.others_in_flight = max(0, used_count - self.in_flight)
 
     def is_available(self, now_s: float) -> bool:
         """Tell whether new work may be sent to the target."""
@@ -134,25 +128,10 @@
     return random.Random(f'{caller_name}/{target_name}').getrandbits(32)
 
 
-def estimate_cost(
-    state: TargetState,
-    now_s: float,
-    default_latency_s: float,
-) -> float:
-    """Estimate the cost of one more call, in seconds.
-
-    It is the latency seen, raised by the share of the admission limit that
-    is in use. Calls of others count by the last report, less the older it
-    is.
-    """
-    report = state.report
-    if report is None:
-        load = (state.in_flight + 1) / UNKNOWN_LIMIT
-    else:
-        age_s = now_s - state.report_at_s
-        others = state.others_in_flight / (1 + age_s / REPORT_HALF_LIFE_S)
-        load = (state.in_flight + others + 1) / max(1, report.limit)
-    cost_s = (state.latency_ewma_s or default_latency_s) * (1 + load)
+def estimate_cost(state: TargetState, now_s: float) -> float:
+    """Estimate the time in seconds that one more call would take."""
+    latency_s = max(LATENCY_FLOOR_S, state.latency_ewma_s)
+    cost_s = latency_s * (1 + state.in_flight)
     if state.is_same_domain:
         return cost_s
     return cost_s + REMOTE_DOMAIN_COST_S
@@ -176,10 +155,7 @@
         second_index += 1
     first = candidates[first_index]
     second = candidates[second_index]
-    # A target without an answer yet counts as being as fast as the other.
-    default_s = first.latency_ewma_s or second.latency_ewma_s or 1
-    first_cost_s = estimate_cost(first, now_s, default_s)
-    if estimate_cost(second, now_s, default_s) < first_cost_s:
+    if estimate_cost(second, now_s) < estimate_cost(first, now_s):
         return second
     return first
 
