--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -15,14 +15,13 @@
 # A report loses half of its weight in this time; load shifts within
 # milliseconds, so an old report says little.
 REPORT_HALF_LIFE_S: Final = 0.05
-# Latency seen long ago is forgotten, so that an avoided target is tried again.
-LATENCY_HALF_LIFE_S: Final = 2.0
 LATENCY_GAIN: Final = 0.2
-LATENCY_FLOOR_S: Final = 0.0005
 # One way between failure domains takes about 1 ms, two ways for each call.
 REMOTE_DOMAIN_COST_S: Final = 0.002
 SUBSET_SIZE: Final = 3
-_SAMPLE_TRIES: Final = 4
+# Concurrent requests assumed for a target that has sent no report yet: it may
+# be cold.
+UNKNOWN_LIMIT: Final = 2
 
 
 @final
@@ -32,7 +31,8 @@
 
     ``affinity`` ranks the targets for this caller in the ``subset`` policy
     (see ``compute_affinity``). ``answered_at_s`` is the time of the last
-    answer, or of the first call in flight if that is later.
+    answer, or of the first call in flight if that is later, and
+    ``others_in_flight`` the calls of other callers in the last report.
     """
 
     target: Target
@@ -45,6 +45,7 @@
     is_same_domain: bool = False
     affinity: int = 0
     answered_at_s: float = 0
+    others_in_flight: int = 0
 
     def note_start(self, now_s: float) -> None:
         """Count a call that is sent."""
@@ -72,6 +73,8 @@
         """Keep the newest load report."""
         self.report = report
         self.report_at_s = now_s
+        used_count = report.in_flight + report.queue_length
+        self.others_in_flight = max(0, used_count - self.in_flight)
 
     def is_available(self, now_s: float) -> bool:
         """Tell whether new work may be sent to the target."""
@@ -128,13 +131,35 @@
     return random.Random(f'{caller_name}/{target_name}').getrandbits(32)
 
 
-def estimate_cost(state: TargetState, now_s: float) -> float:
-    """Estimate the time in seconds that one more call would take."""
-    latency_s = max(LATENCY_FLOOR_S, state.latency_ewma_s)
-    cost_s = latency_s * (1 + state.in_flight)
-    if state.is_same_domain:
-        return cost_s
-    return cost_s + REMOTE_DOMAIN_COST_S
+def estimate_cost(
+    state: TargetState,
+    now_s: float,
+    default_latency_s: float,
+) -> float:
+    """Estimate the cost of one more call; only comparisons have a meaning.
+
+    The latency counts squared, since a caller has few own calls in flight to
+    tell a slow target by. A target that has calls in flight and has answered
+    none for longer than its latency counts as that slow, which shows a stall
+    before any answer does. Own calls in flight are never stale; those of
+    others are, so they count less the older the report is, and matter only
+    near the admission limit.
+    """
+    own_count = state.in_flight
+    latency_s = state.latency_ewma_s or default_latency_s
+    if own_count:
+        latency_s = max(latency_s, now_s - state.answered_at_s)
+    if not state.is_same_domain:
+        latency_s += REMOTE_DOMAIN_COST_S
+    report = state.report
+    if report is None:
+        used_share = (own_count + 1) / UNKNOWN_LIMIT
+    else:
+        age_s = now_s - state.report_at_s
+        others = state.others_in_flight / (1 + age_s / REPORT_HALF_LIFE_S)
+        used_share = (own_count + others + 1) / max(1, report.limit)
+    load = (1 + own_count) * (1 + used_share * used_share)
+    return latency_s * latency_s * load
 
 
 @policy('power_of_two')
@@ -155,7 +180,10 @@
         second_index += 1
     first = candidates[first_index]
     second = candidates[second_index]
-    if estimate_cost(second, now_s) < estimate_cost(first, now_s):
+    # A target without an answer yet counts as being as fast as the other.
+    default_s = first.latency_ewma_s or second.latency_ewma_s or 1
+    first_cost = estimate_cost(first, now_s, default_s)
+    if estimate_cost(second, now_s, default_s) < first_cost:
         return second
     return first
 
