Hedge at the 95th percentile of the latency

Cause: with a hedge after 1.5 times the 95th percentile, the slowest calls of a stalled or slow target waited about 85 ms before a second attempt.

--- a/packages/core/src/cornelbeam_core/retry.py
+++ b/packages/core/src/cornelbeam_core/retry.py
@@ -68,7 +68,7 @@
     """
 
     max_attempt_count: int = 3
-    hedge_factor: float = 1.5
+    hedge_factor: float = 1
     hedge_min_ms: int = 2
 
 
