Add the operators' command and the settings checker

Writes of a list are ordered so that no step in between is contradictory, where such an order exists; contradictions written by others meanwhile are found by a check after the write.

--- /dev/null
+++ b/packages/operator/src/cornelbeam_operator/checks.py
@@ -0,0 +1,188 @@
+"""Checks of changes against the stored objects, before they are written."""
+
+import difflib
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from typing import Self, TypeVar, final
+
+from cornelbeam_core.contradictions import Contradiction, find_contradictions
+from cornelbeam_core.selectors import ANY_SERVICE, SelectorSpec
+from cornelbeam_platform.kinds import LabelsSpec, SelectorObjectSpec, Spec
+
+from cornelbeam_operator.planning import Change, parse_or_none
+from cornelbeam_operator.store import ObjectStore, list_existing
+
+_Element = TypeVar('_Element')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Inventory:
+    """Parsed objects by name."""
+
+    selectors: Mapping[str, SelectorSpec]
+    labels: Mapping[str, Mapping[str, str]]
+    services: frozenset[str]
+
+    def after(self, changes: Iterable[Change]) -> Self:
+        """Give the inventory as it is once the changes are written."""
+        selectors = dict(self.selectors)
+        labels = dict(self.labels)
+        services = set(self.services)
+        for change in changes:
+            name = change.desired.name
+            spec = parse_or_none(change.desired.kind, change.desired.spec)
+            if change.desired.kind == 'selector':
+                _replace(selectors, name, _selector_of(name, spec))
+            elif change.desired.kind == 'labels':
+                _replace(labels, name, _labels_of(spec))
+            elif change.desired.kind == 'service':
+                services.discard(name)
+                services.update((name,) if spec else ())
+        return type(self)(selectors, labels, frozenset(services))
+
+
+async def read_inventory(store: ObjectStore) -> Inventory:
+    """Read the objects that selectors have to do with.
+
+    A stored object that doesn't parse is left out; ``get`` shows it.
+    """
+    selectors: dict[str, SelectorSpec] = {}
+    for selector in await list_existing(store, 'selector'):
+        spec = parse_or_none('selector', selector.spec)
+        _replace(selectors, selector.name, _selector_of(selector.name, spec))
+    labels: dict[str, Mapping[str, str]] = {}
+    for labelled in await list_existing(store, 'labels'):
+        spec = parse_or_none('labels', labelled.spec)
+        _replace(labels, labelled.name, _labels_of(spec))
+    services = await list_existing(store, 'service')
+    names = frozenset(service.name for service in services)
+    return Inventory(selectors, labels, names)
+
+
+def find_new_contradictions(
+    inventory: Inventory,
+    changes: Iterable[Change],
+) -> list[Contradiction]:
+    """Find contradictions that involve a written selector.
+
+    Contradictions between stored selectors alone don't count: the change may
+    be a step to resolve them.
+    """
+    written = tuple(changes)
+    names = {
+        change.desired.name
+        for change in written
+        if change.desired.kind == 'selector'
+    }
+    after = inventory.after(written)
+    return [
+        found
+        for found in find_contradictions(after.selectors.values())
+        if names.intersection(found.selector_names)
+    ]
+
+
+def find_doubts(
+    inventory: Inventory,
+    changes: Iterable[Change],
+) -> Iterator[str]:
+    """Find what is allowed but probably a mistake."""
+    written = tuple(changes)
+    after = inventory.after(written)
+    known = {
+        (label, text)
+        for labels in after.labels.values()
+        for label, text in labels.items()
+    }
+    for change in written:
+        selector = after.selectors.get(change.desired.name)
+        if change.desired.kind == 'selector' and selector is not None:
+            yield from _doubt_service(selector, after.services)
+            yield from _doubt_labels(selector, known)
+
+
+def order_writes(
+    inventory: Inventory,
+    changes: Iterable[Change],
+) -> tuple[list[Change], list[Contradiction]]:
+    """Order the writes so that no step in between is contradictory.
+
+    Objects are written one after the other. The second result names the
+    contradictions that exist in between when no such order is found.
+    """
+    pending = list(changes)
+    ordered: list[Change] = []
+    passing: list[Contradiction] = []
+    while pending:
+        chosen = pending[0]
+        chosen_faults = find_new_contradictions(inventory, [*ordered, chosen])
+        for candidate in pending[1:]:
+            if not chosen_faults:
+                break
+            faults = find_new_contradictions(inventory, [*ordered, candidate])
+            if len(faults) < len(chosen_faults):
+                chosen, chosen_faults = candidate, faults
+        pending.remove(chosen)
+        ordered.append(chosen)
+        if pending:
+            passing.extend(chosen_faults)
+    return ordered, list(dict.fromkeys(passing))
+
+
+def _doubt_service(
+    selector: SelectorSpec,
+    services: frozenset[str],
+) -> Iterator[str]:
+    service = selector.service
+    if service == ANY_SERVICE or service in services:
+        return
+    hint = _nearest(service, services)
+    yield (
+        f'selector {selector.name}: there is no object for service'
+        f' "{service}"{hint}'
+    )
+
+
+def _doubt_labels(
+    selector: SelectorSpec,
+    known: set[tuple[str, str]],
+) -> Iterator[str]:
+    names = {label for label, _ in known}
+    for label, texts in selector.target_labels.items():
+        if label not in names:
+            yield (
+                f'selector {selector.name}: no labels object has label'
+                f' "{label}"{_nearest(label, names)}'
+            )
+        elif not any((label, text) in known for text in texts):
+            allowed = ', '.join(texts)
+            yield (
+                f'selector {selector.name}: no labels object has label'
+                f' "{label}" with one of the values: {allowed}'
+            )
+
+
+def _nearest(text: str, known: Iterable[str]) -> str:
+    nearest = difflib.get_close_matches(text, known, n=1)
+    return f', did you mean "{nearest[0]}"?' if nearest else ''
+
+
+def _selector_of(name: str, spec: Spec | None) -> SelectorSpec | None:
+    if isinstance(spec, SelectorObjectSpec):
+        return spec.to_selector(name)
+    return None
+
+
+def _labels_of(spec: Spec | None) -> Mapping[str, str] | None:
+    return spec.labels if isinstance(spec, LabelsSpec) else None
+
+
+def _replace(
+    elements: dict[str, _Element],
+    name: str,
+    element: _Element | None,
+) -> None:
+    elements.pop(name, None)
+    if element is not None:
+        elements[name] = element
--- /dev/null
+++ b/packages/operator/tests/test_check_cli.py
@@ -0,0 +1,50 @@
+"""Tests of the settings checker."""
+
+import json
+from types import SimpleNamespace
+
+import pytest
+from cornelbeam_operator.check_cli import run
+from cornelbeam_operator.output import is_colour_wanted
+from cornelbeam_settings import documentation_table
+
+
+class TestChecker:
+    """Guards against a broken file that a pipeline takes for valid."""
+
+    def test_invalid(self, tmp_path, capsys):
+        path = tmp_path / 's.jsonc'
+        path.write_text('{\n"log": {"levle": "INFO"}}')
+        assert run([str(path)]) == 3
+        assert f'{path}:2: log.levle: unknown key' in capsys.readouterr().err
+
+    def test_json(self, tmp_path, capsys):
+        path = tmp_path / 's.jsonc'
+        path.write_text('[]')
+        assert run([str(path), '--json']) == 3
+        content = json.loads(capsys.readouterr().out)
+        assert content['problems'][0]['line'] == 1
+
+    def test_no_file(self):
+        assert run([]) == 2
+
+    def test_documentation(self, capsys):
+        assert run(['--document']) == 0
+        assert capsys.readouterr().out == documentation_table()
+
+
+class TestColour:
+    """Guards against control sequences in files and pipes."""
+
+    @pytest.mark.parametrize(
+        ('is_terminal', 'variables', 'is_wanted'),
+        [
+            (True, {}, True),
+            (False, {}, False),
+            (True, {'NO_COLOR': '1'}, False),
+            (True, {'TERM': 'dumb'}, False),
+        ],
+    )
+    def test_choice(self, is_terminal, variables, is_wanted):
+        stream = SimpleNamespace(isatty=lambda: is_terminal)
+        assert is_colour_wanted(stream, variables) is is_wanted
