--- a/packages/operator/src/cornelbeam_operator/explaining.py
+++ b/packages/operator/src/cornelbeam_operator/explaining.py
@@ -69,6 +69,7 @@
 ) -> Iterator[str]:
     if selector.service not in {ANY_SERVICE, facts.service}:
         yield f'it is for service {selector.service}'
+        return
     if selector.methods and facts.method not in selector.methods:
         methods = ', '.join(selector.methods)
         yield f'method {facts.method} is not one of {methods}'
--- a/packages/operator/src/cornelbeam_operator/reading.py
+++ b/packages/operator/src/cornelbeam_operator/reading.py
@@ -158,6 +158,11 @@
     if facts.service not in inventory.services:
         context.output.warn(f'there is no object for service {facts.service}')
     explanation = explain(inventory, facts)
+    if explanation.excluded:
+        context.output.warn(
+            'labels objects do not tell the service of a target; ask a daemon'
+            ' with --admin to see the targets of the service only',
+        )
     domains = await list_existing(context.store, 'failure-domain')
     content = _encode_explanation(explanation)
     content['domains_out_of_service'] = [
--- a/packages/operator/src/cornelbeam_operator/store.py
+++ b/packages/operator/src/cornelbeam_operator/store.py
@@ -98,7 +98,7 @@
     except (KeyError, OSError):
         user = 'unknown'
     safe_user = re.sub('[^A-Za-z0-9._-]', '_', user)
-    return f'{safe_user}-{uuid.uuid4().hex}'
+    return f'{safe_user}-{uuid.uuid4().hex[:16]}'
 
 
 async def list_existing(store: ObjectStore, kind: str) -> list[StoredView]:
