Fit the operators' command to the admin endpoint

The daemon sets the labels domain and service for each target, so checks and local explanations must not expect them in labels objects. The present revision is the store's own: the highest revision of existing objects misses a deletion, and wait would have reported too early.

--- a/packages/operator/src/cornelbeam_operator/check_cli.py
+++ b/packages/operator/src/cornelbeam_operator/check_cli.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Any
 
-import defopt  # type: ignore[import-untyped]
+import defopt
 from cornelbeam_settings import (
     Problem,
     SettingsError,
--- a/packages/operator/src/cornelbeam_operator/checks.py
+++ b/packages/operator/src/cornelbeam_operator/checks.py
@@ -3,7 +3,7 @@
 import difflib
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
-from typing import Self, TypeVar, final
+from typing import Final, Self, TypeVar, final
 
 from cornelbeam_core.contradictions import (
     Contradiction,
@@ -17,6 +17,9 @@
 from cornelbeam_operator.planning import Change, parse_or_none
 from cornelbeam_operator.store import ObjectStore, list_existing
 
+# Daemons set these for each target, whatever its labels object says.
+IMPLICIT_LABELS: Final = frozenset(('domain', 'service'))
+
 _Element = TypeVar('_Element')
 
 
@@ -101,6 +104,9 @@
         for label, text in labels.items()
     }
     for change in written:
+        if change.desired.kind == 'labels':
+            labels = after.labels.get(change.desired.name, {})
+            yield from _doubt_implicit(change.desired.reference, labels)
         selector = after.selectors.get(change.desired.name)
         if change.desired.kind == 'selector' and selector is not None:
             yield from _doubt_service(selector, after.services)
@@ -156,6 +162,8 @@
 ) -> Iterator[str]:
     names = {label for label, _ in known}
     for label, texts in selector.target_labels.items():
+        if label in IMPLICIT_LABELS:
+            continue
         if label not in names:
             yield (
                 f'selector {selector.name}: no labels object has label'
@@ -169,6 +177,14 @@
             )
 
 
+def _doubt_implicit(
+    reference: str,
+    labels: Mapping[str, str],
+) -> Iterator[str]:
+    for label in sorted(IMPLICIT_LABELS.intersection(labels)):
+        yield f'{reference}: label "{label}" has no effect, daemons set it'
+
+
 def _doubt_repeats(
     selector: SelectorSpec,
     others: Iterable[SelectorSpec],
--- a/packages/operator/src/cornelbeam_operator/cli.py
+++ b/packages/operator/src/cornelbeam_operator/cli.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Sequence
 
-import defopt  # type: ignore[import-untyped]
+import defopt
 
 from cornelbeam_operator.commands import Commands
 from cornelbeam_operator.exit_codes import ExitCode, describe_exit_codes
--- a/packages/operator/src/cornelbeam_operator/explaining.py
+++ b/packages/operator/src/cornelbeam_operator/explaining.py
@@ -13,7 +13,7 @@
     is_below,
 )
 
-from cornelbeam_operator.checks import Inventory
+from cornelbeam_operator.checks import IMPLICIT_LABELS, Inventory
 
 
 @final
@@ -87,7 +87,7 @@
 ) -> Iterator[str]:
     for label, allowed in route.target_labels.items():
         text = labels.get(label)
-        if text in allowed:
+        if label in IMPLICIT_LABELS or text in allowed:
             continue
         found = 'missing' if text is None else f'"{text}"'
         wanted = ', '.join(sorted(allowed))
--- a/packages/operator/src/cornelbeam_operator/fleet.py
+++ b/packages/operator/src/cornelbeam_operator/fleet.py
@@ -12,8 +12,8 @@
 # The design allows a change 9 s; polling twice a second adds little to that
 # and little load to the daemons asked.
 POLL_PERIOD_S: Final = 0.5
-# Members in these states take no part in the fleet any more.
-_GONE_STATES: Final = frozenset(('dead', 'DEAD'))
+# Such a member takes no part in the fleet any more.
+_GONE_STATE: Final = 'dead'
 
 
 @final
@@ -50,7 +50,7 @@
         except CornelbeamError as error:
             silent[address] = error.detail
             continue
-        for name, revision in _members_of(address, answer):
+        for name, revision in _members_of(answer):
             revisions[name] = max(revision, revisions.get(name, 0))
     return FleetView(revisions, silent)
 
@@ -76,12 +76,7 @@
         await sleep(POLL_PERIOD_S)
 
 
-def _members_of(
-    address: str,
-    answer: Mapping[str, Any],
-) -> Iterator[tuple[str, int]]:
-    if isinstance(answer.get('revision'), int):
-        yield str(answer.get('name', address)), answer['revision']
+def _members_of(answer: Mapping[str, Any]) -> Iterator[tuple[str, int]]:
     for member in answer.get('members', ()):
-        if member.get('state') not in _GONE_STATES:
+        if member.get('state') != _GONE_STATE:
             yield str(member.get('name')), int(member.get('revision', 0))
--- a/packages/operator/src/cornelbeam_operator/reading.py
+++ b/packages/operator/src/cornelbeam_operator/reading.py
@@ -99,16 +99,9 @@
 
 
 async def read_revision(context: Context) -> int:
-    """Give the highest revision of the objects of all kinds.
-
-    Kinds written by daemons alone count as well: the store numbers all its
-    writes in one order.
-    """
-    revisions = [0]
-    for kind in KINDS:
-        listed = await context.store.list_kind(kind)
-        revisions.extend(each.revision for each in listed.objects)
-    return max(revisions)
+    """Give the present revision of the store, which covers deletions too."""
+    listed = await context.store.list_kind('failure-domain')
+    return listed.revision
 
 
 async def drain(
@@ -160,8 +153,8 @@
     explanation = explain(inventory, facts)
     if explanation.excluded:
         context.output.warn(
-            'labels objects do not tell the service of a target; ask a daemon'
-            ' with --admin to see the targets of the service only',
+            'labels objects do not tell the service and the failure domain of'
+            ' a target; ask a daemon with --admin to take them into account',
         )
     domains = await list_existing(context.store, 'failure-domain')
     content = _encode_explanation(explanation)
--- a/packages/operator/tests/test_check_cli.py
+++ b/packages/operator/tests/test_check_cli.py
@@ -4,9 +4,10 @@
 from types import SimpleNamespace
 
 import pytest
+from cornelbeam_core.selection import POLICIES
 from cornelbeam_operator.check_cli import run
 from cornelbeam_operator.output import is_colour_wanted
-from cornelbeam_settings import documentation_table
+from cornelbeam_settings import describe_keys, documentation_table
 
 
 class TestChecker:
@@ -28,6 +29,11 @@
     def test_no_file(self):
         assert run([]) == 2
 
+    def test_every_policy_can_be_set(self):
+        keys = {f'{each.section}.{each.key}': each for each in describe_keys()}
+        allowed = keys['policy.selection'].range.split(', ')
+        assert sorted(allowed) == sorted(POLICIES)
+
     def test_documentation(self, capsys):
         assert run(['--document']) == 0
         assert capsys.readouterr().out == documentation_table()
--- a/packages/operator/tests/test_fleet_commands.py
+++ b/packages/operator/tests/test_fleet_commands.py
@@ -59,6 +59,10 @@
         found = store.state.find('labels', 't1')
         assert found.spec == {'labels': {'tier': 'silver'}}
 
+    def test_label_that_daemons_set(self, terminal):
+        assert terminal.run('label', 't1', 'domain=Mission') == 0
+        assert '"domain" has no effect' in terminal.stderr
+
     @pytest.mark.parametrize(
         ('target', 'change', 'exit_code'),
         [('t1', 'tier', 2), ('t1', '=gold', 3), ('t/1', 'tier=gold', 3)],
@@ -103,6 +107,13 @@
             '10.0.0.2:9100 does not answer: refused',
         ]
 
+    def test_latest_revision_covers_a_deletion(self, terminal, store):
+        store.seed('service', 'windows', {})
+        store.seed('service', 'windows', None)
+        members = [{'name': 'a', 'revision': 1}]
+        terminal.answers['GET 10.0.0.1/fleet'] = [{'members': members}]
+        assert terminal.run('wait', ADMIN) == 8
+
     def test_needs_an_address(self, terminal):
         assert terminal.run('wait') == 2
 
@@ -191,6 +202,12 @@
             'once': 'method GET is not one of POST; header desk is not "1"',
         }
 
+    def test_labels_that_daemons_set(self, terminal, store):
+        labels = {'domain': ['Langley']}
+        store.seed('selector', 'near', {'priority': 9, 'target_labels': labels})
+        told = self.explain(terminal, 'GET', '/')
+        assert told['targets_eligible_by_labels'] == ['t1', 't2']
+
     def test_asks_a_daemon(self, terminal):
         terminal.answers['GET 10.0.0.1/explain'] = [{'eligible': ['t1']}]
         told = self.explain(terminal, 'GET', '/', '--admin', ADMIN)
