--- a/packages/standins/src/cornelbeam_standins/backend_server.py
+++ b/packages/standins/src/cornelbeam_standins/backend_server.py
@@ -75,7 +75,9 @@
         elif place == 'control':
             await self._control(scope, receive, send)
         elif place == 'health':
-            await asgi.send_json(send, 200, self.state.reported_health())
+            health = self.state.reported_health()
+            status = 200 if health == 'ok' else _DEFAULT_REFUSAL_STATUS
+            await asgi.send_json(send, status, health)
         elif place == 'load':
             in_flight = self.state.reported_in_flight(time.monotonic())
             await asgi.send_json(send, 200, {'in_flight': in_flight})
--- a/packages/standins/src/cornelbeam_standins/processes.py
+++ b/packages/standins/src/cornelbeam_standins/processes.py
@@ -134,13 +134,18 @@
     return ManagedProcess(name, [sys.executable, '-c', code, *arguments])
 
 
-def start_standin(*arguments: str) -> ManagedProcess:
-    """Start a stand-in and wait until it listens."""
-    process = start_module(
+def spawn_standin(*arguments: str) -> ManagedProcess:
+    """Start a stand-in without waiting until it listens."""
+    return start_module(
         arguments[0],
         'cornelbeam_standins.cli',
         *arguments,
     )
+
+
+def start_standin(*arguments: str) -> ManagedProcess:
+    """Start a stand-in and wait until it listens."""
+    process = spawn_standin(*arguments)
     try:
         process.wait_listening()
     except ProcessError:
