--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -73,7 +73,10 @@
             'peer': _bind(settings.peer_listener),
             'admin': _bind(settings.admin_listener),
         }
-        own = _own_target(settings, self.address('peer'))
+        own = _own_target(
+            settings,
+            settings.peer_listener.announced_address or self.address('peer'),
+        )
         self.own = own
         self.metrics = Metrics(CollectorRegistry())
         self.table = RoutingTable(own.name, own.domain)
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -61,6 +61,20 @@
     ] = 0
 
 
+class PeerListenerSettings(ListenerSettings, frozen=True):
+    """Where other daemons connect, and the address they are told."""
+
+    announced_address: Annotated[
+        str,
+        text(
+            'Address (ip:port) announced to other daemons when they reach'
+            ' this one at another address than it listens at; empty announces'
+            ' the listening address.',
+            pattern=r'^([0-9A-Fa-f.:\[\]]+:[0-9]{1,5})?\Z',
+        ),
+    ] = ''
+
+
 class BackendServerSettings(Section, frozen=True):
     """The backend server beside the daemon."""
 
@@ -306,7 +320,7 @@
         text('Where callers connect, by HTTP.'),
     ]
     peer_listener: Annotated[
-        ListenerSettings,
+        PeerListenerSettings,
         text(
             'Where other daemons connect. The address is announced to them,'
             ' so it names one interface.',
--- a/packages/standins/src/cornelbeam_standins/photos.py
+++ b/packages/standins/src/cornelbeam_standins/photos.py
@@ -1,5 +1,6 @@
 """Photo content that both ends of a transfer can compute."""
 
+import functools
 import hashlib
 import random
 from collections.abc import Iterator
@@ -22,6 +23,7 @@
         yield part[: size_bytes - number]
 
 
+@functools.lru_cache
 def photo_digest(size_bytes: int) -> str:
     """Give the SHA-256 of the photo of a size in hexadecimal."""
     digest = hashlib.sha256()
