--- /dev/null
+++ b/packages/report/src/cornelbeam_report/recording.py
@@ -0,0 +1,99 @@
+"""Records scrapes of admin endpoints at a fixed period."""
+
+import time
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from typing import Final, final
+
+import anyio
+import httpx
+import msgspec
+
+from cornelbeam_report.scrapes import Scrape
+
+# Few enough connections at a time for a small operator machine.
+_MAX_CONNECTION_COUNT: Final = 50
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An admin endpoint and the instance behind it."""
+
+    instance: str
+    domain: str
+    url: str
+
+
+class _Instance(msgspec.Struct, frozen=True):
+    name: str
+    domain: str
+
+
+class _Status(msgspec.Struct, frozen=True):
+    """The part of ``GET /status`` that a recording needs."""
+
+    instance: _Instance
+
+
+async def find_endpoints(
+    client: httpx.AsyncClient,
+    urls: Sequence[str],
+) -> list[Endpoint]:
+    """Ask every admin endpoint for its instance and failure domain.
+
+    Raises ``httpx.HTTPError`` when one cannot be reached: a recording that
+    silently lacks an instance would look better than the service was.
+    """
+    found = []
+    for url in urls:
+        answer = await client.get(f'{url}/status')
+        answer.raise_for_status()
+        status = msgspec.json.decode(answer.content, type=_Status)
+        found.append(
+            Endpoint(status.instance.name, status.instance.domain, url),
+        )
+    return found
+
+
+async def record_scrapes(
+    client: httpx.AsyncClient,
+    endpoints: Sequence[Endpoint],
+    period_s: float,
+    scrape_count: int,
+) -> AsyncIterator[Scrape]:
+    """Scrape all endpoints ``scrape_count`` times, every ``period_s``.
+
+    An endpoint that does not answer is left out of that round; the report
+    covers the gap with the next answer.
+    """
+    limiter = anyio.CapacityLimiter(_MAX_CONNECTION_COUNT)
+    start_s = anyio.current_time()
+    for number in range(scrape_count):
+        due_s = start_s + number * period_s
+        await anyio.sleep(max(0, due_s - anyio.current_time()))
+        scrapes: list[Scrape] = []
+        async with anyio.create_task_group() as tasks:
+            for endpoint in endpoints:
+                tasks.start_soon(_scrape, client, limiter, endpoint, scrapes)
+        for scrape in sorted(scrapes, key=lambda one: one.instance):
+            yield scrape
+
+
+async def _scrape(
+    client: httpx.AsyncClient,
+    limiter: anyio.CapacityLimiter,
+    endpoint: Endpoint,
+    scrapes: list[Scrape],
+) -> None:
+    async with limiter:
+        try:
+            answer = await client.get(f'{endpoint.url}/metrics')
+        except httpx.HTTPError:
+            return
+    if answer.is_success:
+        scrapes.append(
+            Scrape(
+                time.time(), endpoint.instance, endpoint.domain, answer.text
+            ),
+        )
