Add golden sessions for the invariants and the failures

A change of a decision should show as a change of what is sent. Sessions record the messages between caller, daemons, backend servers and Object API on a virtual clock, drive the decision classes of the core, and are compared with golden files; CORNELBEAM_RECORD=1 rewrites the files.

The golden file alone was ruled out as the check, since re-recording would accept a broken invariant: the nine invariants are checked on the recorded events first, by code that knows nothing of the decision classes.

The test of the recorder found that ports in the names of sender and receiver were not normalized; they are now.

--- /dev/null
+++ b/packages/standins/src/cornelbeam_standins/session_checks.py
@@ -0,0 +1,350 @@
+"""Checks of the invariants on the recorded events of a session.
+
+The checks know nothing of the classes that took the decisions: they look at
+what was sent. They rely on these events:
+
+- ``request`` from a caller to a daemon (``request_id``, ``is_repeatable``),
+  from a daemon to its backend server (``attempt_id``, ``request_id``), and
+  ``probe`` from a daemon to its backend server;
+- ``answer`` on the way back (``request_id``, ``content``; to callers also
+  ``ran`` and ``is_whole``);
+- notes of backend servers: ``starts`` (cold); of daemons: ``leaves``,
+  ``exits``, ``in force`` (``kind``, ``name``, ``version``), ``cut off`` and
+  ``connected``;
+- ``stored`` from the Object API (``kind``, ``name``, ``version`` and
+  ``is_in_service`` for failure domains).
+
+A backend server and the daemon beside it have the same number, as in
+``backend-2`` and ``daemon-2``.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Final, TypeAlias, final
+
+from cornelbeam_core.errors import RunState
+
+from cornelbeam_standins.sessions import Event
+
+_TOLERANCE: Final = 1e-9
+
+
+class InvariantError(AssertionError):
+    """Raised when the events of a session break an invariant."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class SessionLimits:
+    """What the participants of a session agreed on.
+
+    ``domains`` gives the failure domain of each daemon. ``notice_s`` is the
+    time within which a daemon must know that its failure domain is out or
+    that a target leaves, ``config_s`` the one for all other changes.
+    """
+
+    domains: Mapping[str, str] = field(default_factory=dict)
+    cold_slot_count: int = 2
+    probe_per_s: float = 1
+    probe_burst_count: int = 2
+    notice_s: float = 5
+    config_s: float = 9
+
+
+Check: TypeAlias = Callable[
+    [Sequence[Event], SessionLimits],
+    Iterator[str],
+]
+CHECKS: Final[dict[str, Check]] = {}
+
+
+def check(name: str) -> Callable[[Check], Check]:
+    """Register the check of an invariant; it yields what is wrong."""
+
+    def register(function: Check) -> Check:  # noqa: WPS430
+        CHECKS[name] = function
+        return function
+
+    return register
+
+
+def check_session(events: Sequence[Event], limits: SessionLimits) -> None:
+    """Check all invariants; raises ``InvariantError`` with all findings."""
+    findings = [
+        f'{name}: {finding}'
+        for name, function in CHECKS.items()
+        for finding in function(events, limits)
+    ]
+    if findings:
+        raise InvariantError('\n'.join(findings))
+
+
+@check('I1')
+def check_probe_budget(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """Probes of a backend server stay within burst and rate."""
+    times: defaultdict[str, list[float]] = defaultdict(list)
+    for event in events:
+        if event.name == 'probe':
+            times[event.receiver].append(event.at_s)
+    for server, probes in times.items():
+        for index, end_s in enumerate(probes):
+            for first, start_s in enumerate(probes[: index + 1]):
+                allowed = limits.probe_burst_count + (
+                    limits.probe_per_s * (end_s - start_s)
+                )
+                if index - first + 1 > allowed + _TOLERANCE:
+                    yield f'{server} got more probes than its budget'
+                    return
+
+
+@check('I2')
+def check_cold_start(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """After its start a backend server gets one more slot per limit's worth
+    of answers, not more.
+    """
+    slots: dict[str, _ColdSlots] = {}
+    for event in events:
+        if event.name == 'starts':
+            slots[event.sender] = _ColdSlots(limits.cold_slot_count)
+        elif event.name == 'request' and event.receiver in slots:
+            server = slots[event.receiver]
+            server.in_flight += 1
+            if server.in_flight > server.limit:
+                yield (
+                    f'{event.receiver} got {server.in_flight} requests at'
+                    f' once, it can handle {server.limit}'
+                )
+        elif event.name == 'answer' and event.sender in slots:
+            slots[event.sender].note_answer()
+
+
+@check('I3')
+def check_domain_out(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """A failure domain that is out gets no new work after a few seconds."""
+    out_since_s: dict[str, float] = {}
+    for event in events:
+        if event.name == 'stored' and event.find('kind') == 'failure-domain':
+            domain = str(event.find('name'))
+            if event.find('is_in_service'):
+                out_since_s.pop(domain, None)
+            else:
+                out_since_s.setdefault(domain, event.at_s)
+        if _is_hand_over(event):
+            domain = limits.domains.get(event.sender, '')
+            since_s = out_since_s.get(domain, event.at_s)
+            if event.at_s > since_s + limits.notice_s:
+                yield f'{event.receiver} got work while {domain} is out'
+
+
+@check('I4')
+def check_whole_answers(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """A caller gets one answer, whole and to its own request."""
+    sent: defaultdict[object, set[object]] = defaultdict(set)
+    got: Counter[object] = Counter()
+    for event in events:
+        if event.name != 'answer':
+            continue
+        request_id = event.find('request_id')
+        if event.receiver.startswith('daemon'):
+            sent[request_id].add(event.find('content'))
+            continue
+        got[request_id] += 1
+        if got[request_id] > 1:
+            yield f'{event.receiver} got a second answer to {request_id!r}'
+        has_content = event.find('content') is not None
+        is_claimed_whole = event.find('is_whole') and has_content
+        if is_claimed_whole and event.find('content') not in sent[request_id]:
+            yield f'{event.receiver} got an answer that is not its own'
+
+
+@check('I5')
+def check_not_run(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """What was said not to run was not handed over, before or after."""
+    handed_over = {
+        event.find(name)
+        for event in events
+        if _is_hand_over(event)
+        for name in ('attempt_id', 'request_id')
+    }
+    for event in events:
+        if event.find('ran') == 'no':
+            if event.find('request_id') in handed_over:
+                yield f'{event.receiver} was told not run, but it was'
+        is_evidence = event.find('run_state') is RunState.NOT_RUN
+        if is_evidence and event.find('attempt_id') in handed_over:
+            yield f'{event.sender} said that an attempt was not run'
+
+
+@check('I6')
+def check_at_most_once(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """A request that must not repeat is handed over once."""
+    guarded = {
+        event.find('request_id')
+        for event in events
+        if event.name == 'request' and event.find('is_repeatable') is False
+    }
+    counts = Counter(
+        event.find('request_id') for event in events if _is_hand_over(event)
+    )
+    for request_id in guarded:
+        if counts[request_id] > 1:
+            yield f'{request_id!r} was handed over {counts[request_id]} times'
+
+
+@check('I7')
+def check_leaving(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """A target that leaves gets no new work after a few seconds."""
+    leaving_since_s: dict[str, float] = {}
+    for event in events:
+        if event.name == 'leaves':
+            leaving_since_s[event.sender] = event.at_s
+        elif _is_hand_over(event):
+            since_s = leaving_since_s.get(event.sender, event.at_s)
+            if event.at_s > since_s + limits.notice_s:
+                yield f'{event.receiver} got work while it leaves'
+
+
+@check('I8')
+def check_planned_stop(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """A daemon that leaves exits after the last answer was passed on."""
+    waiting: defaultdict[str, set[object]] = defaultdict(set)
+    for event in events:
+        if _is_hand_over(event):
+            waiting[event.sender].add(event.find('request_id'))
+        elif event.name in {'AnswerStart', 'answer'} and not event.is_lost:
+            waiting[event.sender].discard(event.find('request_id'))
+        elif event.name == 'exits' and waiting[event.sender]:
+            yield f'{event.sender} exits with requests in flight'
+
+
+@check('I9')
+def check_configuration(
+    events: Sequence[Event],
+    limits: SessionLimits,
+) -> Iterator[str]:
+    """An accepted change is soon in force everywhere and never reverts.
+
+    A daemon that is cut off has the time again after it is connected.
+    """
+    yield from _find_reverts(events)
+    if not events:
+        return
+    end_s = events[-1].at_s
+    for stored in events:
+        if stored.name != 'stored':
+            continue
+        for daemon in sorted(limits.domains):
+            due_s = _due_s(events, stored, daemon, limits.config_s)
+            if due_s < end_s and not _is_in_force(
+                events,
+                stored,
+                daemon,
+                due_s,
+            ):
+                yield f'{_describe(stored)} is not in force at {daemon}'
+
+
+@final
+@dataclass(slots=True)
+class _ColdSlots:
+    """Slots that the rule of cold starts allows."""
+
+    limit: int
+    in_flight: int = 0
+    answer_count: int = 0
+
+    def note_answer(self) -> None:
+        """Allow one more slot after as many answers as there are slots."""
+        self.in_flight -= 1
+        self.answer_count += 1
+        if self.answer_count >= self.limit:
+            self.limit += 1
+            self.answer_count = 0
+
+
+def _is_hand_over(event: Event) -> bool:
+    return event.name == 'request' and event.receiver.startswith('backend')
+
+
+def _describe(event: Event) -> str:
+    return f'{event.find("kind")}/{event.find("name")}@{event.find("version")}'
+
+
+def _find_reverts(events: Iterable[Event]) -> Iterator[str]:
+    versions: dict[tuple[object, ...], int] = {}
+    for event in events:
+        if event.name != 'in force':
+            continue
+        key = (event.sender, event.find('kind'), event.find('name'))
+        version = int(str(event.find('version')))
+        if version < versions.get(key, 0):
+            yield f'{_describe(event)} came after a later version'
+        versions[key] = version
+
+
+def _due_s(
+    events: Iterable[Event],
+    stored: Event,
+    daemon: str,
+    config_s: float,
+) -> float:
+    due_s = stored.at_s + config_s
+    for event in events:
+        if event.sender != daemon or event.at_s > due_s:
+            continue
+        if event.name == 'cut off':
+            due_s = float('inf')
+        elif event.name == 'connected':
+            due_s = max(stored.at_s, event.at_s) + config_s
+    return due_s
+
+
+def _is_in_force(
+    events: Iterable[Event],
+    stored: Event,
+    daemon: str,
+    due_s: float,
+) -> bool:
+    notes = (
+        event
+        for event in events
+        if event.name == 'in force' and event.sender == daemon
+    )
+    return any(
+        event.at_s <= due_s and _covers(event, stored) for event in notes
+    )
+
+
+def _covers(in_force: Event, stored: Event) -> bool:
+    """Tell whether what is in force is the stored version or a later one."""
+    if in_force.find('kind') != stored.find('kind'):
+        return False
+    if in_force.find('name') != stored.find('name'):
+        return False
+    version = int(str(in_force.find('version')))
+    return version >= int(str(stored.find('version')))
--- /dev/null
+++ b/packages/standins/src/cornelbeam_standins/session_config.py
@@ -0,0 +1,260 @@
+"""Configuration in sessions: Object API, relay and daemons, step by step."""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any, Final, final
+
+from cornelbeam_core.configuration import (
+    ConfigAction,
+    ConfigBatch,
+    ConfigObject,
+    ConfigurationSpread,
+    ConfigurationState,
+    PullConfig,
+    PushConfig,
+)
+from cornelbeam_platform.client import ObjectList, StoredObject
+from cornelbeam_wire.gen import messages
+
+from cornelbeam_standins.object_store import (
+    ObjectStore,
+    VersionConflictError,
+)
+from cornelbeam_standins.session_clock import Session
+
+STORE: Final = 'object-api'
+
+
+@final
+class StoreSide:
+    """The stand-in Object API and the operators who write to it."""
+
+    __slots__ = ('is_down', 'session', 'store')
+
+    def __init__(self, session: Session) -> None:
+        """Start with an empty store."""
+        self.session = session
+        self.store = ObjectStore()
+        self.is_down = False
+
+    def write(
+        self,
+        operator: str,
+        place: tuple[str, str],
+        spec: dict[str, Any],
+        expected_version: int,
+        *,
+        is_answer_lost: bool = False,
+    ) -> str:
+        """Write as an operator; give the write id."""
+        session = self.session
+        kind, name = place
+        write_id = f'{session.rng.getrandbits(64):016x}'
+        session.send(
+            operator,
+            STORE,
+            'put',
+            kind=kind,
+            name=name,
+            expected_version=expected_version,
+            write_id=write_id,
+        )
+        if self.is_down:
+            session.send(STORE, operator, 'unavailable')
+            return write_id
+        try:
+            stored = self.store.write(
+                kind,
+                name,
+                spec,
+                expected_version,
+                write_id,
+            )
+        except VersionConflictError as conflict:
+            self._send_object(operator, 'conflict', conflict.current)
+            return write_id
+        self._send_object(operator, 'stored', stored, is_lost=is_answer_lost)
+        return write_id
+
+    def read_back(self, operator: str, place: tuple[str, str]) -> StoredObject:
+        """Read an object as an operator whose write got no answer."""
+        kind, name = place
+        self.session.send(operator, STORE, 'get', kind=kind, name=name)
+        found = self.store.find(kind, name)
+        assert found is not None  # noqa: S101
+        self._send_object(operator, 'object', found)
+        return found
+
+    def watch(self, relay: str, since_revision: int) -> ObjectList | None:
+        """Answer the watch of a relay; None while the store is down."""
+        session = self.session
+        session.send(relay, STORE, 'watch', since_revision=since_revision)
+        if self.is_down:
+            session.send(STORE, relay, 'unavailable')
+            return None
+        changes = self.store.changes_since(since_revision)
+        session.send(
+            STORE,
+            relay,
+            'events',
+            objects=[
+                f'{stored.kind}/{stored.name}@{stored.version}'
+                for stored in changes.objects
+            ],
+            revision=changes.revision,
+        )
+        return changes
+
+    def _send_object(
+        self,
+        operator: str,
+        message: str,
+        stored: StoredObject | None,
+        *,
+        is_lost: bool = False,
+    ) -> None:
+        if stored is None:
+            self.session.send(STORE, operator, message)
+            return
+        self.session.send(
+            STORE,
+            operator,
+            message,
+            is_lost=is_lost,
+            kind=stored.kind,
+            name=stored.name,
+            version=stored.version,
+            write_id=stored.write_id,
+            is_in_service=stored.spec.get('is_in_service'),
+        )
+
+
+@final
+class ConfigSide:
+    """Configuration of one daemon; ``peers`` are the daemons it reaches."""
+
+    __slots__ = ('name', 'peers', 'session', 'spread', 'state')
+
+    def __init__(
+        self,
+        session: Session,
+        number: int,
+        domain: str,
+        peers: dict[str, 'ConfigSide'],
+    ) -> None:
+        """Start without objects and join the peers."""
+        self.session = session
+        self.name = f'daemon-{number}'
+        self.state = ConfigurationState()
+        self.spread = ConfigurationSpread(self.state)
+        self.peers = peers
+        peers[self.name] = self
+        session.domains[self.name] = domain
+
+    def watch(self, store: StoreSide) -> None:
+        """Ask the store for changes and push them, as a relay."""
+        since = self.state.revision
+        changes = store.watch(self.name, since)
+        if changes is None:
+            return
+        batch = ConfigBatch(
+            tuple(_to_object(stored) for stored in changes.objects),
+            since,
+            changes.revision,
+        )
+        changed, actions = self.spread.on_store_batch(
+            batch,
+            self._reachable(),
+            self.session.rng,
+        )
+        self._note(changed.accepted)
+        self._act(actions)
+
+    def ping(self, receiver: str) -> None:
+        """Ping a peer: each side learns the revision of the other."""
+        session = self.session
+        peer = self.peers[receiver]
+        ping = messages.Ping([], self.state.revision, '')
+        session.send(self.name, receiver, ping)
+        ack = messages.Ack([], peer.state.revision, receiver, 0)
+        session.send(receiver, self.name, ack)
+        peer.hear_revision(self.name, self.state.revision)
+        self.hear_revision(receiver, peer.state.revision)
+
+    def hear_revision(self, sender: str, revision: int) -> None:
+        """Take the revision of a peer's ping or ack."""
+        self._act(
+            self.spread.on_peer_revision(sender, revision, self.session.now_s),
+        )
+
+    def take_push(self, batch: ConfigBatch, sender: str) -> None:
+        """Take a push, and do what follows from it."""
+        changed, actions = self.spread.on_push(
+            batch,
+            sender,
+            self._reachable(),
+            self.session.now_s,
+            self.session.rng,
+        )
+        self._note(changed.accepted)
+        self._act(actions)
+
+    def take_pull(self, sender: str, since_revision: int) -> None:
+        """Answer a pull."""
+        self._act(self.spread.on_pull(sender, since_revision))
+
+    def _reachable(self) -> list[str]:
+        return [name for name in self.peers if name != self.name]
+
+    def _note(self, accepted: Iterable[ConfigObject]) -> None:
+        for each in accepted:
+            self.session.note(
+                self.name,
+                'in force',
+                kind=each.kind,
+                name=each.name,
+                version=each.version,
+            )
+
+    def _act(self, actions: Iterable[ConfigAction]) -> None:
+        for action in actions:
+            peer = self.peers[action.peer]
+            match action:
+                case PushConfig(batch=batch):
+                    push = messages.ConfigPush(
+                        [messages.ConfigObject(**each) for each in _raw(batch)],
+                        batch.since_revision,
+                        batch.up_to_revision,
+                        batch.has_more,
+                    )
+                    self.session.send(self.name, peer.name, push)
+                    peer.take_push(batch, self.name)
+                case PullConfig(since_revision=since_revision):
+                    pull = messages.ConfigPull(since_revision)
+                    self.session.send(self.name, peer.name, pull)
+                    peer.take_pull(self.name, since_revision)
+
+
+def _to_object(stored: StoredObject) -> ConfigObject:
+    return ConfigObject(
+        stored.kind,
+        stored.name,
+        stored.version,
+        stored.revision,
+        stored.is_deleted,
+        json.dumps(stored.spec, sort_keys=True).encode(),
+    )
+
+
+def _raw(batch: ConfigBatch) -> list[Mapping[str, Any]]:
+    return [
+        {
+            'kind': each.kind,
+            'name': each.name,
+            'version': each.version,
+            'revision': each.revision,
+            'is_deleted': each.is_deleted,
+            'spec': each.spec,
+        }
+        for each in batch.objects
+    ]
--- /dev/null
+++ b/packages/standins/src/cornelbeam_standins/sessions.py
@@ -0,0 +1,295 @@
+"""Recorded sessions: who sent which message to whom, compared with a file.
+
+A session is the sequence of messages between caller, daemons, backend servers
+and Object API, together with notes of what a participant decided. It is
+rendered as text in which times, ports and identifiers are normalized, so that
+the same behaviour always gives the same text.
+
+>>> recorder = SessionRecorder('One booking')
+>>> recorder.record(8.5, 'caller', 'daemon-1', 'request', method='POST')
+>>> recorder.note(8.502, 'daemon-1', 'chooses', target='daemon-2')
+>>> print(recorder.render(), end='')
+One booking
+<BLANKLINE>
+   0 ms  caller -> daemon-1: request method=POST
+   2 ms  daemon-1: chooses target=daemon-2
+"""
+
+import difflib
+import enum
+import os
+import re
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final, final
+
+from cornelbeam_core.errors import RunState
+from cornelbeam_core.members import MemberState
+
+RECORD_VARIABLE: Final = 'CORNELBEAM_RECORD'
+
+_MS_PER_S: Final = 1000
+_MAX_TEXT_LENGTH: Final = 40
+_ADDRESS: Final = re.compile(r'(\d+\.\d+\.\d+\.\d+):(\d+)')
+# Fields whose values are drawn at random, and the word they are numbered by.
+_IDENTIFIERS: Final = {
+    'attempt_id': 'attempt',
+    'request_id': 'request',
+    'incarnation': 'incarnation',
+    'target_incarnation': 'incarnation',
+    'write_id': 'write',
+    'nonce': 'nonce',
+    'proof': 'proof',
+}
+# What a session shows of each message; other fields, such as headers, depend
+# on the environment or repeat what earlier messages said.
+_SHOWN_FIELDS: Final = {
+    'Hello': ('name', 'service_name', 'domain', 'incarnation'),
+    'CallStart': (
+        'attempt_id',
+        'target_incarnation',
+        'method',
+        'path',
+        'remaining_ms',
+        'is_repeatable',
+        'request_id',
+    ),
+    'BodyPart': ('is_last',),
+    'AnswerStart': ('status', 'body', 'is_complete', 'load'),
+    'Refusal': ('code', 'run_state', 'retry_after_ms', 'step'),
+    'Cancel': ('reason',),
+    'Credit': ('size_bytes',),
+    'OutcomeQuery': ('attempt_id', 'target_incarnation', 'is_forbidding'),
+    'OutcomeReply': ('run_state', 'is_answer_kept'),
+    'Ping': ('updates', 'revision'),
+    'Ack': ('name', 'updates', 'revision'),
+    'IndirectPing': ('name',),
+    'ViewRequest': ('service_name',),
+    'ViewReply': ('service_name', 'is_unchanged', 'members'),
+    'ConfigPush': ('objects', 'since_revision', 'up_to_revision'),
+    'ConfigPull': ('since_revision',),
+    'ProbeRequest': ('caller',),
+    'ProbeReply': ('is_healthy', 'age_ms'),
+}
+
+
+class GoldenMismatchError(AssertionError):
+    """Raised when a session differs from its golden file."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A message, or a note of a participant when ``receiver`` is empty.
+
+    ``fields`` hold the values as they were sent; only the rendered text is
+    normalized. A lost message was sent and never arrives.
+    """
+
+    at_s: float
+    sender: str
+    receiver: str
+    name: str
+    fields: Mapping[str, object]
+    is_lost: bool = False
+
+    def find(self, name: str) -> object:
+        """Give a field, None if the event has none of that name."""
+        return self.fields.get(name)
+
+
+@final
+class SessionRecorder:
+    """Collects the events of one session in the order of their recording.
+
+    ``has_times`` is false for sessions on a real clock: the text then holds
+    neither times nor the values of fields in milliseconds.
+    """
+
+    __slots__ = ('_has_times', '_title', 'events')
+
+    def __init__(self, title: str, *, has_times: bool = True) -> None:
+        """Start without events."""
+        self._title = title
+        self._has_times = has_times
+        self.events: list[Event] = []
+
+    def record(
+        self,
+        at_s: float,
+        sender: str,
+        receiver: str,
+        event: str,
+        /,
+        *,
+        is_lost: bool = False,
+        **fields: object,
+    ) -> None:
+        """Add a message that is no thrift struct, for example HTTP."""
+        self.events.append(
+            Event(at_s, sender, receiver, event, fields, is_lost),
+        )
+
+    def record_message(
+        self,
+        at_s: float,
+        sender: str,
+        receiver: str,
+        message: object,
+        /,
+        *,
+        is_lost: bool = False,
+        **fields: object,
+    ) -> None:
+        """Add a thrift struct with its shown fields, and further ``fields``."""
+        name = type(message).__name__
+        shown = {
+            field: _read_field(message, field) for field in _SHOWN_FIELDS[name]
+        }
+        self.events.append(
+            Event(at_s, sender, receiver, name, shown | fields, is_lost),
+        )
+
+    def note(
+        self,
+        at_s: float,
+        sender: str,
+        event: str,
+        /,
+        **fields: object,
+    ) -> None:
+        """Add what a participant decided or what happened to it."""
+        self.events.append(Event(at_s, sender, '', event, fields))
+
+    def render(self, last_count: int | None = None) -> str:
+        """Render the session as text with a line per event.
+
+        With ``last_count``, only so many events at the end are shown.
+        """
+        shown = self.events
+        head = [self._title, '']
+        if last_count is not None and last_count < len(shown):
+            head.append(f'({len(shown) - last_count} earlier events)')
+            shown = shown[-last_count:]
+        normalizer = _Normalizer(has_times=self._has_times)
+        lines = normalizer.render_events(shown)
+        return ''.join(f'{line}\n' for line in (*head, *lines))
+
+
+def compare_with_golden(path: Path, text: str) -> None:
+    """Compare a session with its golden file, or write the file.
+
+    The file is written when the environment variable ``CORNELBEAM_RECORD``
+    is 1. Raises ``GoldenMismatchError`` with the difference otherwise.
+    """
+    if os.environ.get(RECORD_VARIABLE) == '1':
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text, encoding='utf-8')
+        return
+    golden = path.read_text(encoding='utf-8') if path.exists() else ''
+    if golden == text:
+        return
+    difference = difflib.unified_diff(
+        golden.splitlines(),
+        text.splitlines(),
+        f'golden {path.name}',
+        'this run',
+        lineterm='',
+    )
+    raise GoldenMismatchError('\n'.join(difference))
+
+
+@final
+class _Normalizer:
+    """Replaces what differs between runs by numbered names."""
+
+    __slots__ = ('_has_times', '_names', '_start_s')
+
+    def __init__(self, *, has_times: bool) -> None:
+        self._has_times = has_times
+        self._names: dict[str, dict[object, str]] = {}
+        self._start_s: float | None = None
+
+    def render_events(self, events: Iterable[Event]) -> Iterator[str]:
+        """Render events, numbering identifiers in order of appearance."""
+        for event in events:
+            line = f'{self._render_route(event)}{self._render_fields(event)}'
+            if self._has_times:
+                line = f'{self._render_time(event.at_s):>4} ms  {line}'
+            yield line
+
+    def _render_route(self, event: Event) -> str:
+        route = event.sender
+        if event.receiver:
+            arrow = '-x' if event.is_lost else '->'
+            route = f'{event.sender} {arrow} {event.receiver}'
+        return f'{_ADDRESS.sub(self._replace_port, route)}: {event.name}'
+
+    def _render_time(self, at_s: float) -> int:
+        if self._start_s is None:
+            self._start_s = at_s
+        return round((at_s - self._start_s) * _MS_PER_S)
+
+    def _render_fields(self, event: Event) -> str:
+        return ''.join(
+            f' {name}={self._render_value(name, value)}'
+            for name, value in event.fields.items()
+            if value is not None
+        )
+
+    def _render_value(self, name: str, value: object) -> str:
+        word = _IDENTIFIERS.get(name)
+        if word is not None:
+            return self._number(word, value)
+        if name.endswith('_ms') and not self._has_times:
+            return '*'
+        if isinstance(value, bool):
+            return 'yes' if value else 'no'
+        if isinstance(value, enum.Enum):
+            return value.name.lower()
+        if isinstance(value, (list, tuple)):
+            return f'[{", ".join(map(str, value))}]'
+        return _ADDRESS.sub(self._replace_port, _shorten(value))
+
+    def _replace_port(self, match: re.Match[str]) -> str:
+        return f'{match[1]}:{self._number("port", match[2])}'
+
+    def _number(self, word: str, value: object) -> str:
+        names = self._names.setdefault(word, {})
+        return names.setdefault(value, f'{word}-{len(names) + 1}')
+
+
+def _shorten(value: object) -> str:
+    if isinstance(value, bytes):
+        value = value.decode('utf-8', 'backslashreplace')
+    text = str(value)
+    if len(text) > _MAX_TEXT_LENGTH:
+        return f'{text[:_MAX_TEXT_LENGTH]}... ({len(text)} characters)'
+    return text if text.isprintable() and text else repr(text)
+
+
+def _read_field(message: object, name: str) -> object:
+    value = getattr(message, name)
+    if name == 'run_state':
+        return RunState(value)
+    if isinstance(value, (list, tuple)):
+        return tuple(_summarize(each) for each in value)
+    return value if _is_plain(value) else _summarize(value)
+
+
+def _is_plain(value: object) -> bool:
+    return value is None or isinstance(value, (str, bytes, int, float))
+
+
+def _summarize(struct: Any) -> str:
+    """Name the nested structs that sessions show."""
+    if hasattr(struct, 'kind'):
+        is_deleted = ' deleted' if struct.is_deleted else ''
+        return f'{struct.kind}/{struct.name}@{struct.version}{is_deleted}'
+    if hasattr(struct, 'refutation'):
+        return f'{struct.name} {MemberState(struct.state).name.lower()}'
+    if hasattr(struct, 'is_leaving'):
+        leaving = ' leaving' if struct.is_leaving else ''
+        return f'{struct.in_flight}/{struct.limit}{leaving}'
+    return str(struct)
