--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from cornelbeam_core.targets import LoadReport
+
 from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 
 
@@ -88,6 +89,7 @@
 
     def close(self) -> None:
         """Free what the answer holds; later calls do nothing."""
-        on_close, self._on_close = self._on_close, None
+        on_close = self._on_close
+        self._on_close = None
         if on_close is not None:
             on_close()
--- a/packages/wire/src/cornelbeam_wire/codec.py
+++ b/packages/wire/src/cornelbeam_wire/codec.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterator
 from typing import Final, final
 
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from thrift.protocol import fastbinary
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_wire.gen.messages import Frame
 
 MAX_FRAME_BYTES: Final = 256 * 1024
@@ -18,10 +18,10 @@
 def encode_frame(frame: Frame) -> bytes:
     """Encode a frame with its length.
 
-    >>> encode_frame(Frame(stream_id=1))[:4]
-    b'\\x00\\x00\\x00\\x08'
+    >>> len(encode_frame(Frame(stream_id=1)))
+    12
     """
-    payload = fastbinary.encode_binary(frame, _TYPE_ARGUMENTS)
+    payload: bytes = fastbinary.encode_binary(frame, _TYPE_ARGUMENTS)
     return len(payload).to_bytes(LENGTH_BYTES, 'big') + payload
 
 
