--- a/packages/report/src/cornelbeam_report/cli.py
+++ b/packages/report/src/cornelbeam_report/cli.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 import anyio
-import defopt  # type: ignore[import-untyped]
+import defopt
 import httpx
 import msgspec
 from cornelbeam_core.errors import CornelbeamError
--- a/packages/report/src/cornelbeam_report/recording.py
+++ b/packages/report/src/cornelbeam_report/recording.py
@@ -25,15 +25,11 @@
     url: str
 
 
-class _Instance(msgspec.Struct, frozen=True):
-    name: str
-    domain: str
-
-
 class _Status(msgspec.Struct, frozen=True):
     """The part of ``GET /status`` that a recording needs."""
 
-    instance: _Instance
+    name: str
+    domain: str
 
 
 async def find_endpoints(
@@ -51,7 +47,7 @@
         answer.raise_for_status()
         status = msgspec.json.decode(answer.content, type=_Status)
         found.append(
-            Endpoint(status.instance.name, status.instance.domain, url),
+            Endpoint(status.name, status.domain, url),
         )
     return found
 
--- a/packages/report/tests/test_recording.py
+++ b/packages/report/tests/test_recording.py
@@ -27,7 +27,7 @@
         number = request.url.host[-1]
         if request.url.path == '/status':
             status = {'name': f'yard-{number}', 'domain': 'Langley'}
-            return httpx.Response(200, json={'instance': status})
+            return httpx.Response(200, json=status)
         asked.append(number)
         if asked.count('2') == 2 and number == '2':
             raise httpx.ConnectError('refused')
