--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -240,11 +240,7 @@
             return chosen
         for state in candidates:
             if state.target.name == self._name:
-                is_better = estimate_cost(state, now_s) <= estimate_cost(
-                    chosen,
-                    now_s,
-                )
-                return state if is_better else chosen
+                return _cheaper(state, chosen, now_s)
         return chosen
 
     def _new_call(self, pending: Pending, state: TargetState) -> Call:
@@ -417,6 +413,18 @@
         send_error(responder, error)
 
 
+def _cheaper(
+    local: TargetState,
+    other: TargetState,
+    now_s: float,
+) -> TargetState:
+    default_s = local.latency_ewma_s or other.latency_ewma_s or 1
+    local_cost = estimate_cost(local, now_s, default_s)
+    if local_cost <= estimate_cost(other, now_s, default_s):
+        return local
+    return other
+
+
 def _check_length(headers: list[bytes], content: bytes) -> None:
     length = fields.find(headers, b'content-length')
     if length is not None and length != str(len(content)).encode():
--- a/packages/standins/src/cornelbeam_standins/policy_bench.py
+++ b/packages/standins/src/cornelbeam_standins/policy_bench.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Final, TypeAlias, final
 
-import defopt  # type: ignore[import-untyped]
+import defopt
 from cornelbeam_core.admission import AdmissionSettings
 from cornelbeam_core.selection import POLICIES, TargetState, compute_affinity
 from cornelbeam_core.targets import Target
