Reserve half of the retry burst from hedges

Retries and hedges share one budget; a hedge only shortens a call, while a retry saves one, so hedges may not take the last tokens.

--- a/packages/core/src/cornelbeam_core/budget.py
+++ b/packages/core/src/cornelbeam_core/budget.py
@@ -94,7 +94,7 @@
     ``min_per_s`` calls a second to the load that makes them fail.
     """
 
-    __slots__ = ('_bucket', '_ratio')
+    __slots__ = ('_bucket', '_ratio', '_reserve_count')
 
     def __init__(
         self,
@@ -105,6 +105,7 @@
         """Start with a full burst."""
         self._ratio = ratio
         self._bucket = TokenBucket(burst_count, min_per_s)
+        self._reserve_count = burst_count / 2
 
     @classmethod
     def from_settings(cls, settings: RetryBudgetSettings) -> 'RetryBudget':
@@ -116,9 +117,18 @@
         self._bucket.add(now_s, self._ratio)
 
     def try_take(self, now_s: float, cost: float = 1) -> bool:
-        """Spend on one retry or hedge if the budget allows it."""
+        """Spend on one retry if the budget allows it."""
         return self._bucket.try_take(now_s, cost)
 
+    def try_take_hedge(self, now_s: float) -> bool:
+        """Spend on one hedge; half of the burst is reserved for retries.
+
+        A hedge only shortens a call, while a retry saves one.
+        """
+        if self._bucket.tokens(now_s) - 1 < self._reserve_count:
+            return False
+        return self._bucket.try_take(now_s)
+
     def tokens(self, now_s: float) -> float:
         """Give the retries that could be made at once."""
         return self._bucket.tokens(now_s)
--- a/packages/core/src/cornelbeam_core/retry.py
+++ b/packages/core/src/cornelbeam_core/retry.py
@@ -118,9 +118,9 @@
 
     ``slow_latency_s`` is a high quantile of the service's latency (see
     ``QuantileEstimate``), zero if nothing is known. None means that the
-    request is not hedged. The caller side takes a token from the retry
-    budget when the delay is over, not before. Source: Dean and Barroso, "The
-    Tail at Scale", 2013.
+    request is not hedged. The caller side calls
+    ``RetryBudget.try_take_hedge`` when the delay is over, not before.
+    Source: Dean and Barroso, "The Tail at Scale", 2013.
     """
     if not (route.is_repeatable and is_idempotent) or not slow_latency_s:
         return None
--- a/packages/standins/src/cornelbeam_standins/policy_caller.py
+++ b/packages/standins/src/cornelbeam_standins/policy_caller.py
@@ -135,7 +135,7 @@
     def _hedge(self, call: _Call) -> None:
         if call.is_over or len(call.attempts) != 1:
             return
-        if self.budget.try_take(self.events.now_s):
+        if self.budget.try_take_hedge(self.events.now_s):
             self.tally.counts['hedges'] += 1
             self._send(call)
 
