Recognise a cold server by calls that start after a bad streak

Cause: answers to calls from before a server went cold broke the streak of bad ones, so recognition took until those had ended. A stall raised the same suspicion as a cold start.

The streak now ignores answers to older calls, the cold limit holds under suspicion, the baseline is learned anew after a cold start, and a slot needs at least 8 answers.

--- a/packages/core/src/cornelbeam_core/admission.py
+++ b/packages/core/src/cornelbeam_core/admission.py
@@ -12,6 +12,7 @@
 
 _MS_PER_S: Final = 1000
 _US_PER_S: Final = 1_000_000
+_SERVICE_TIME_GAIN: Final = 0.1
 
 
 @final
@@ -28,22 +29,31 @@
 class AdmissionSettings:
     """Bounds of the limit and of the queue.
 
-    The limit stays between one and ``slot_count``. A service time counts as
-    slow above ``slow_factor`` times the baseline and as cold above
-    ``cold_factor`` times it; ``cold_streak_count`` cold ones in a row raise
-    the suspicion that the server went cold.
+    The limit stays between one and ``slot_count``. It grows by one slot after
+    a limit's worth of answers, at least ``grow_min_count``. A service time is
+    slow above ``slow_factor`` times the baseline and cold above
+    ``cold_factor`` times it. ``cold_streak_count`` cold ones in a row, or
+    ``shed_streak_count`` refusals, raise the suspicion that the server went
+    cold.
+
+    The baseline is a running median of service times that falls with
+    ``baseline_fall_gain`` and rises with ``baseline_rise_gain``, so that slow
+    times hardly move it.
     """
 
     slot_count: int = 20
     cold_slot_count: int = 2
     queue_count: int = 20
     queue_ms: int = 50
+    grow_min_count: int = 8
     slow_factor: float = 2.5
     cold_factor: float = 4
     cold_streak_count: int = 4
+    shed_streak_count: int = 2
     decrease_ratio: float = 0.85
     window_count: int = 16
-    baseline_gain: float = 0.02
+    baseline_fall_gain: float = 0.2
+    baseline_rise_gain: float = 0.02
 
 
 @final
@@ -68,11 +78,19 @@
     The limit starts at what a cold server can handle, grows by one slot for
     each limit's worth of answers given while the limit was reached, and falls
     when the server sheds or slows down.
+
+    A stall makes the calls in flight slow, a cold server also those that
+    start later. After a streak of bad calls the limit is therefore held at
+    the cold limit until a call that started under suspicion ends: if it is
+    bad too, the server is cold and its baseline is learned anew, if enough
+    of them are good, the old limit returns.
     """
 
     __slots__ = (
         '_baseline_s',
-        '_cold_streak',
+        '_bad_since_s',
+        '_bad_streak',
+        '_good_count',
         '_grow_count',
         '_limit',
         '_queue_length',
@@ -95,7 +113,9 @@
         self._service_time_s: float = 0
         self._baseline_s: float = 0
         self._grow_count = 0
-        self._cold_streak = 0
+        self._bad_streak: float = 0
+        self._bad_since_s: float = 0
+        self._good_count = 0
         self._suspected_at_s: float | None = None
         self._reached_at_s = float('-inf')
         self._window: deque[float] = deque(
@@ -147,14 +167,21 @@
     ) -> None:
         """Count the end of a running call and adapt the limit."""
         self.in_flight -= 1
-        if outcome is CallOutcome.CANCELLED:
+        if outcome in {CallOutcome.CANCELLED, CallOutcome.FAILED}:
             return
+        started_at_s = now_s - service_time_s
+        settings = self._settings
         if outcome is CallOutcome.SHED:
-            self._note_shed()
+            self._decrease(least=1)
+            self._note_bad(now_s, started_at_s, 1 / settings.shed_streak_count)
             return
-        if outcome is CallOutcome.FAILED:
+        self._service_time_s += _SERVICE_TIME_GAIN * (
+            service_time_s - self._service_time_s
+        )
+        if self._is_above(service_time_s, settings.cold_factor):
+            self._note_bad(now_s, started_at_s, 1 / settings.cold_streak_count)
             return
-        self._note_service_time(now_s, service_time_s)
+        self._note_answer(started_at_s, service_time_s)
 
     def next_queued(self, now_s: float) -> QueueRelease | None:
         """Take the next call out of the queue, None if none may leave.
@@ -237,62 +264,70 @@
     def _become_cold(self) -> None:
         self._limit = self._cold_limit()
         self._grow_count = 0
-        self._cold_streak = 0
+        self._bad_streak = 0
         self._suspected_at_s = None
+        self._baseline_s = 0
         self._window.clear()
 
-    def _decrease(self) -> None:
-        self._limit = max(1, int(self._limit * self._settings.decrease_ratio))
+    def _decrease(self, least: int) -> None:
+        lower = int(self._limit * self._settings.decrease_ratio)
+        self._limit = min(self._limit, max(least, lower))
         self._grow_count = 0
 
-    def _note_shed(self) -> None:
-        self._cold_streak += 1
-        if self._cold_streak >= self._settings.cold_streak_count:
-            self._become_cold()
-            return
-        self._decrease()
+    def _is_above(self, service_time_s: float, factor: float) -> bool:
+        return 0 < self._baseline_s * factor < service_time_s
 
-    def _note_service_time(self, now_s: float, service_time_s: float) -> None:
-        if not self._service_time_s:
-            self._service_time_s = service_time_s
-        self._service_time_s += 0.1 * (service_time_s - self._service_time_s)
-        started_at_s = now_s - service_time_s
-        if self._is_cold_time(service_time_s):
-            self._note_cold_time(now_s, started_at_s)
+    def _note_bad(
+        self,
+        now_s: float,
+        started_at_s: float,
+        weight: float,
+    ) -> None:
+        if self._suspected_at_s is not None:
+            if started_at_s >= self._suspected_at_s:
+                self._become_cold()
             return
-        self._cold_streak = 0
+        if not self._bad_streak:
+            self._bad_since_s = started_at_s
+        self._bad_streak += weight
+        if self._bad_streak >= 1:
+            self._bad_streak = 0
+            self._good_count = 0
+            self._suspected_at_s = now_s
+
+    def _note_answer(self, started_at_s: float, service_time_s: float) -> None:
+        # An answer to a call from before the streak says nothing about it.
+        if started_at_s >= self._bad_since_s:
+            self._bad_streak = 0
         if self._suspected_at_s is not None:
-            if started_at_s < self._suspected_at_s:
-                return
-            self._suspected_at_s = None
+            if started_at_s >= self._suspected_at_s:
+                self._clear_suspicion(service_time_s)
+            return
         self._window.append(service_time_s)
         if started_at_s <= self._reached_at_s:
             self._grow_count += 1
-        if self._grow_count >= self._limit:
+        if self._grow_count >= max(self._limit, self._settings.grow_min_count):
             self._adapt()
 
-    def _is_cold_time(self, service_time_s: float) -> bool:
-        if not self._baseline_s:
-            return False
-        return service_time_s > self._baseline_s * self._settings.cold_factor
-
-    def _note_cold_time(self, now_s: float, started_at_s: float) -> None:
-        if self._suspected_at_s is not None:
-            if started_at_s >= self._suspected_at_s:
-                self._become_cold()
+    def _clear_suspicion(self, service_time_s: float) -> None:
+        if self._is_above(service_time_s, self._settings.slow_factor):
             return
-        self._cold_streak += 1
-        if self._cold_streak >= self._settings.cold_streak_count:
-            self._suspected_at_s = now_s
+        self._good_count += 1
+        if self._good_count >= self._cold_limit():
+            self._suspected_at_s = None
 
     def _adapt(self) -> None:
         self._grow_count = 0
+        settings = self._settings
         median_s = statistics.median(self._window)
-        if not self._baseline_s or median_s < self._baseline_s:
+        if self._is_above(median_s, settings.slow_factor):
+            self._decrease(least=self._cold_limit())
+        else:
+            self._limit = min(settings.slot_count, self._limit + 1)
+        if not self._baseline_s:
             self._baseline_s = median_s
-        if median_s > self._baseline_s * self._settings.slow_factor:
-            self._decrease()
             return
-        gain = self._settings.baseline_gain
+        gain = settings.baseline_rise_gain
+        if median_s < self._baseline_s:
+            gain = settings.baseline_fall_gain
         self._baseline_s += gain * (median_s - self._baseline_s)
-        self._limit = min(self._settings.slot_count, self._limit + 1)
