Weigh the service time that targets report

Cause: each caller learned of a slow target only by its own calls; with a dozen callers each sends few. The daemon beside the server measures the service time over all of them.

Also, a target that reported to be leaving is tried again after 2 s, in case it came back.

--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -22,6 +22,10 @@
 # One way between failure domains takes about 1 ms, two ways for each call.
 REMOTE_DOMAIN_COST_S: Final = 0.002
 SUBSET_SIZE: Final = 3
+# A target that reported to be leaving is tried again after this time, in case
+# it came back and the news of that is late.
+LEAVING_MEMORY_S: Final = 2.0
+_US_PER_S: Final = 1_000_000
 # Concurrent requests assumed for a target that has sent no report yet: it may
 # be cold.
 UNKNOWN_LIMIT: Final = 2
@@ -85,7 +89,10 @@
         """Tell whether new work may be sent to the target."""
         if not self.is_reachable or self.ejected_until_s > now_s:
             return False
-        return self.report is None or not self.report.is_leaving
+        report = self.report
+        if report is None or not report.is_leaving:
+            return True
+        return now_s - self.report_at_s > LEAVING_MEMORY_S
 
 
 Policy: TypeAlias = Callable[
@@ -119,7 +126,7 @@
     choose = POLICIES[policy_name]
     available = [state for state in candidates if state.is_available(now_s)]
     if not available:
-        available = [state for state in candidates if _is_last_resort(state)]
+        available = [state for state in candidates if _is_usable(state)]
     if not available:
         return None
     if len(available) == 1:
@@ -146,12 +153,17 @@
     The latency counts squared, since a caller has few own calls in flight to
     tell a slow target by. A target that has calls in flight and has answered
     none for longer than its latency counts as that slow, which shows a stall
-    before any answer does. Own calls in flight are never stale; those of
+    before any answer does. The service time in the report stands for the
+    calls of all callers: it shows a slow target to a caller that has sent it
+    few calls. Own calls in flight are never stale; those of
     others are, so they count less the older the report is, and matter only
     near the admission limit.
     """
     own_count = state.in_flight
+    report = state.report
     latency_s = state.latency_ewma_s
+    if report is not None:
+        latency_s = max(latency_s, report.service_time_us / _US_PER_S)
     silent_s = now_s - state.answered_at_s
     if own_count:
         latency_s = max(latency_s or default_latency_s, silent_s)
@@ -161,7 +173,6 @@
         latency_s = default_latency_s
     if not state.is_same_domain:
         latency_s += REMOTE_DOMAIN_COST_S
-    report = state.report
     if report is None:
         used_share = (own_count + 1) / UNKNOWN_LIMIT
     else:
@@ -247,7 +258,7 @@
     return choose_power_of_two(subset, now_s, rng)
 
 
-def _is_last_resort(state: TargetState) -> bool:
+def _is_usable(state: TargetState) -> bool:
     if not state.is_reachable:
         return False
     return state.report is None or not state.report.is_leaving
