--- a/packages/operator/tests/test_fleet_commands.py
+++ b/packages/operator/tests/test_fleet_commands.py
@@ -114,6 +114,13 @@
         terminal.answers['GET 10.0.0.1/fleet'] = [{'members': members}]
         assert terminal.run('wait', ADMIN) == 8
 
+    def test_known_revision_needs_no_store(self, terminal, store):
+        store.is_silent = True
+        members = [{'name': 'a', 'revision': 7}]
+        terminal.answers['GET 10.0.0.1/fleet'] = [{'members': members}]
+        assert terminal.run('wait', ADMIN) == 6
+        assert terminal.run('wait', ADMIN, '--revision', '7') == 0
+
     def test_needs_an_address(self, terminal):
         assert terminal.run('wait') == 2
 
--- a/packages/settings/src/cornelbeam_settings/documentation.py
+++ b/packages/settings/src/cornelbeam_settings/documentation.py
@@ -34,9 +34,10 @@
 
 def describe_keys() -> Iterator[KeyDocument]:
     """Give all keys in the order of the model."""
-    sections = get_type_hints(DaemonSettings)
-    for section, model in sections.items():
-        yield from _describe_section(section, model)
+    sections = get_type_hints(DaemonSettings, include_extras=True)
+    for section, annotation in sections.items():
+        model, meta = split_annotation(annotation)
+        yield from _describe_section(section, model, meta.description or '')
 
 
 def documentation_table() -> str:
@@ -68,7 +69,7 @@
         return ', '.join(map(str, get_args(plain)))
     if meta.ge is not None:
         return f'{meta.ge:g} to {meta.le:.10g}'
-    stated = (meta.extra or {}).get('range', meta.pattern or '')
+    stated = (meta.extra or {}).get('range', '')
     return f'{stated}'.replace('|', r'\|')
 
 
@@ -80,6 +81,7 @@
 def _describe_section(
     section: str,
     model: type[msgspec.Struct],
+    purpose: str,
 ) -> Iterator[KeyDocument]:
     hints = get_type_hints(model, include_extras=True)
     for field in msgspec.structs.fields(model):
@@ -91,7 +93,7 @@
             unit=describe_unit(meta),
             default=_default(field),
             range=describe_range(plain, meta),
-            description=meta.description or '',
+            description=f'{meta.description or ""} {purpose}'.strip(),
         )
 
 
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -18,6 +18,7 @@
     service_name,
     size,
     text,
+    url,
 )
 
 _DAY_MS: Final = 86_400_000
@@ -111,7 +112,7 @@
 
     base_url: Annotated[
         str,
-        text('URL of the Object API.', pattern=r'^https?://[^\s]+\Z'),
+        url('URL of the Object API.'),
     ]
     timeout_ms: Annotated[
         int,
--- a/packages/settings/src/cornelbeam_settings/units.py
+++ b/packages/settings/src/cornelbeam_settings/units.py
@@ -11,14 +11,18 @@
 
 def text(
     description: str,
-    pattern: str | None = None,
     min_length: int | None = None,
 ) -> Meta:
     """Describe a text, a switch or a map of texts."""
+    return Meta(description=description, min_length=min_length)
+
+
+def url(description: str) -> Meta:
+    """Describe a URL of HTTP."""
     return Meta(
         description=description,
-        pattern=pattern,
-        min_length=min_length,
+        pattern=r'^https?://[^\s]+\Z',
+        extra={'range': 'http:// or https:// URL'},
     )
 
 
