--- a/packages/standins/src/cornelbeam_standins/fleet.py
+++ b/packages/standins/src/cornelbeam_standins/fleet.py
@@ -9,7 +9,7 @@
 import os
 import socket
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
@@ -135,6 +135,7 @@
         # Sections of the settings that replace or add keys in each daemon.
         self.settings: dict[str, dict[str, Any]] = {}
         self._directory = directory
+        self._announced: dict[str, str] = {}
         self._ports = _free_ports()
         self._secret = directory / 'fleet-secret'
         self._secret.write_text('for tests only', encoding='ascii')
@@ -184,6 +185,15 @@
         for started in waiting:
             started.wait_daemon()
 
+    def announce_elsewhere(self, node: Node) -> int:
+        """Let other daemons reach a node at a free port, where a relay listens.
+
+        Gives that port. Call it before the daemon starts.
+        """
+        port = next(self._ports)
+        self._announced[node.name] = f'{_LOOPBACK}:{port}'
+        return port
+
     def restart_daemon(self, node: Node) -> None:
         """Start a new daemon in place of one that has ended."""
         if node.daemon is not None:
@@ -203,7 +213,11 @@
                 'region': 'loopback',
             },
             'caller_listener': {'host': _LOOPBACK, 'port': node.caller_port},
-            'peer_listener': {'host': host, 'port': int(port)},
+            'peer_listener': {
+                'host': host,
+                'port': int(port),
+                'announced_address': self._announced.get(node.name, ''),
+            },
             'admin_listener': {'host': _LOOPBACK, 'port': node.admin_port},
             'backend_server': {
                 'host': backend_host,
@@ -232,7 +246,7 @@
 
     def _introducers(self, node: Node) -> list[str]:
         return [
-            other.peer_address
+            self._announced.get(other.name, other.peer_address)
             for other in self.nodes.values()
             if other is not node
         ]
@@ -277,11 +291,6 @@
     ).raise_for_status()
 
 
-def free_ports(count: int) -> Sequence[int]:
-    """Give loopback ports on which nothing listens now."""
-    return tuple(itertools.islice(_free_ports(), count))
-
-
 def _free_ports() -> Iterator[int]:
     # Processes of several test runs start their search at different ports.
     start = os.getpid() * 97
--- a/packages/standins/src/cornelbeam_standins/tcp_link.py
+++ b/packages/standins/src/cornelbeam_standins/tcp_link.py
@@ -9,7 +9,7 @@
 from typing import Final, Self, final
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import Listener, SocketStream, TaskGroup
 
 _MS_PER_S: Final = 1000
 _READ_BYTES: Final = 65_536
@@ -48,6 +48,7 @@
     __slots__ = (
         '_connections',
         '_group',
+        '_listener',
         '_port',
         '_target',
         'connection_count',
@@ -63,16 +64,17 @@
         self._target = target_address
         self._connections: set[_Connection] = set()
         self._group: TaskGroup | None = None
+        self._listener: Listener[SocketStream] | None = None
 
     async def __aenter__(self) -> Self:
         """Start to listen."""
-        listener = await anyio.create_tcp_listener(
+        self._listener = await anyio.create_tcp_listener(
             local_host='127.0.0.1',
             local_port=self._port,
         )
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
-        self._group.start_soon(listener.serve, self._relay)
+        self._group.start_soon(self._listener.serve, self._relay)
         return self
 
     async def __aexit__(
@@ -82,10 +84,13 @@
         traceback: TracebackType | None,
     ) -> bool | None:
         """Close the listener and all connections."""
-        if self._group is None:
+        if self._group is None or self._listener is None:
             return None
         self._group.cancel_scope.cancel()
-        return await self._group.__aexit__(exc_type, exc, traceback)
+        try:
+            return await self._group.__aexit__(exc_type, exc, traceback)
+        finally:
+            await self._listener.aclose()
 
     def silence(self, *ways: Direction) -> int:
         """Hold what the existing connections carry; both ways by default.
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,286 @@
+"""Failures of whole processes under load.
+
+The verdicts rest on the journals of the backend servers and on counts. All
+calls enter at a daemon of another service, so that they cross to the daemons
+of the called one.
+"""
+
+import random
+from collections import Counter
+from contextlib import asynccontextmanager
+from functools import partial
+
+import anyio
+import pytest
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_platform.client import ObjectApiClient
+from cornelbeam_standins.checked_caller import CheckedCaller, Verdict
+from cornelbeam_standins.fleet import Fleet, read_json
+from cornelbeam_standins.tcp_link import Direction, TcpLink
+from cornelbeam_standins.workload import Workload
+
+SEED = 7
+SERVICE = 'bookings'
+WORKER_COUNT = 8
+CALL_COUNT = 400
+WAIT_LIMIT_S = 60
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Give a running fleet: an entry and two targets in two domains."""
+    print(f'seed {SEED}')
+    with Fleet(tmp_path) as running:
+        running.settings = {
+            'fleet': {'ping_period_ms': 200, 'view_period_ms': 500},
+            'limits': {'silence_ms': 500},
+        }
+        running.add('edge-1', 'edge', 'north')
+        running.add('bookings-1', SERVICE, 'north')
+        running.add('bookings-2', SERVICE, 'south')
+        yield running
+
+
+@asynccontextmanager
+async def calling(fleet, deadline_ms=10_000):
+    """Give a caller whose entry reaches the service."""
+    entry = fleet.nodes['edge-1'].entry_url
+    caller = CheckedCaller([entry], random.Random(SEED), deadline_ms)
+    try:
+        await caller.wait_whole(SERVICE, entry)
+        yield caller
+    finally:
+        await caller.aclose()
+
+
+@asynccontextmanager
+async def loading(caller, call_count=CALL_COUNT):
+    """Give a workload of bookings and reads that ends with the block."""
+    load = Workload(call_count)
+    async with anyio.create_task_group() as group:
+        for number in range(WORKER_COUNT):
+            method = (caller.book, caller.read_item)[number % 2]
+            group.start_soon(load.work, partial(method, SERVICE))
+        yield load
+
+
+async def wait_until(is_reached):
+    """Wait until a condition that is read from outside holds."""
+    with anyio.fail_after(WAIT_LIMIT_S):
+        while not is_reached():
+            await anyio.sleep(0.02)
+
+
+def verdicts(load):
+    """Count the verdicts of a workload and show what was refused."""
+    print(
+        Counter(
+            (each.verdict.value, each.code, each.ran) for each in load.records
+        )
+    )
+    print('slowest', max(each.latency_s for each in load.records))
+    return {each.verdict for each in load.records}
+
+
+def in_flight(node):
+    """Read how many requests a daemon works on."""
+    status = read_json(f'{node.admin_url}/status')
+    return status['in_flight'] + status['queue_length']
+
+
+class TestDaemonDies:
+    """Guards against duplicates and lost service when a daemon is killed."""
+
+    def test_killed_daemon_causes_no_duplicate_and_service_goes_on(self, fleet):
+        async def body():
+            async with calling(fleet) as caller:
+                async with loading(caller) as load:
+                    await load.wait_finished(CALL_COUNT // 4)
+                    fleet.nodes['bookings-1'].daemon.kill()
+                assert Verdict.CUT not in verdicts(load)
+                assert caller.audit(fleet.read_runs()).is_clean
+                after = [await caller.book(SERVICE) for _ in range(20)]
+                assert {each.server for each in after} == {'bookings-2'}
+                assert {each.verdict for each in after} == {Verdict.WHOLE}
+
+        fleet.start()
+        anyio.run(body)
+
+    def test_resumed_daemon_runs_nothing_that_was_told_not_run(self, fleet):
+        async def body():
+            async with calling(fleet, deadline_ms=2_000) as caller:
+                paused = fleet.nodes['bookings-1']
+                async with loading(caller) as load:
+                    await load.wait_finished(CALL_COUNT // 4)
+                    paused.daemon.pause()
+                    await load.wait_finished(CALL_COUNT // 2)
+                    paused.daemon.resume()
+                assert Verdict.CUT not in verdicts(load)
+                await caller.wait_whole(SERVICE, paused.entry_url)
+                await wait_until(lambda: not in_flight(paused))
+                assert caller.audit(fleet.read_runs()).is_clean
+
+        fleet.start()
+        anyio.run(body)
+
+
+class TestSilentConnection:
+    """Guards against hanging calls and a second run after a silence."""
+
+    @pytest.mark.parametrize(
+        'ways',
+        [
+            (Direction.TO_TARGET,),
+            (Direction.TO_OPENER,),
+            (Direction.TO_TARGET, Direction.TO_OPENER),
+        ],
+    )
+    def test_calls_end_over_a_new_connection(self, fleet, ways):
+        async def body():
+            silent = fleet.nodes['bookings-1']
+            port = fleet.announce_elsewhere(silent)
+            async with TcpLink(port, silent.peer_address) as link:
+                await anyio.to_thread.run_sync(fleet.start)
+                async with calling(fleet) as caller:
+                    await check(caller, link, silent)
+
+        async def check(caller, link, silent):
+            # All calls go to one target, so that the silence concerns them.
+            await take_out(fleet, 'south')
+            await wait_until(lambda: has_left(fleet, 'edge-1'))
+            async with loading(caller) as load:
+                await load.wait_finished(CALL_COUNT // 4)
+                link.silence(*ways)
+                before = link.connection_count
+            assert link.connection_count > before
+            link.release()
+            await wait_until(lambda: not in_flight(silent))
+            assert caller.audit(fleet.read_runs()).is_clean
+            assert verdicts(load) == {Verdict.WHOLE}
+
+        anyio.run(body)
+
+
+class TestStore:
+    """Guards against calls that need the store, and a change that is lost."""
+
+    def test_outage_stops_neither_calls_nor_a_restarted_daemon(self, fleet):
+        async def body():
+            async with calling(fleet) as caller:
+                await take_out(fleet, 'south')
+                await wait_until(lambda: has_left(fleet, 'edge-1'))
+                fleet.inject(is_down=True)
+                entry = fleet.nodes['edge-1']
+                entry.daemon.kill()
+                await anyio.to_thread.run_sync(fleet.restart_daemon, entry)
+                await caller.wait_whole(SERVICE, entry.entry_url)
+                await wait_until(lambda: has_left(fleet, 'edge-1'))
+                async with loading(caller) as load:
+                    await load.wait_finished(CALL_COUNT)
+                assert verdicts(load) == {Verdict.WHOLE}
+                assert {each.server for each in load.records} == {'bookings-1'}
+
+        fleet.start()
+        anyio.run(body)
+
+    def test_write_whose_answer_was_lost_is_in_force_everywhere(self, fleet):
+        async def body():
+            async with calling(fleet) as caller:
+                fleet.inject(lost_answer_count=1)
+                with pytest.raises(CornelbeamError):
+                    await take_out(fleet, 'south')
+                for name in fleet.nodes:
+                    await wait_until(partial(has_left, fleet, name))
+                before = (
+                    fleet.nodes['bookings-2'].read_counts().get('started', 0)
+                )
+                async with loading(caller) as load:
+                    await load.wait_finished(CALL_COUNT)
+                counts = fleet.nodes['bookings-2'].read_counts()
+                assert counts.get('started', 0) == before
+                assert verdicts(load) == {Verdict.WHOLE}
+
+        fleet.start()
+        anyio.run(body)
+
+
+class TestPlannedStop:
+    """Guards against a planned stop that interrupts requests in flight."""
+
+    def test_stop_under_load_interrupts_nothing(self, fleet):
+        async def body():
+            async with calling(fleet) as caller:
+                leaving = fleet.nodes['bookings-1']
+                leaving.inject(service_time_ms=20)
+                async with loading(caller) as load:
+                    await load.wait_finished(CALL_COUNT // 4)
+                    leaving.daemon.request_stop()
+                assert verdicts(load) == {Verdict.WHOLE}
+                assert caller.audit(fleet.read_runs()).is_clean
+                assert 'cancelled' not in leaving.read_counts()
+                status = await anyio.to_thread.run_sync(leaving.daemon.wait)
+                assert not status, leaving.daemon.read_errors()
+
+        fleet.start()
+        anyio.run(body)
+
+
+class TestBackendServer:
+    """Guards against passing on the faults of a backend server."""
+
+    def test_truncated_answer_is_never_passed_on_as_whole(self, fleet):
+        async def body():
+            async with calling(fleet) as caller:
+                for node in fleet.nodes.values():
+                    node.inject(truncate_count=5)
+                async with loading(caller) as load:
+                    await load.wait_finished(CALL_COUNT // 4)
+                    photo = await caller.fetch_photo(SERVICE, 1_000_000)
+                audit = caller.audit(fleet.read_runs())
+                assert audit.is_clean
+                assert photo.verdict is not Verdict.WRONG
+                assert Verdict.WRONG not in verdicts(load)
+
+        fleet.start()
+        anyio.run(body)
+
+    def test_server_turned_cold_gets_the_load_of_a_cold_one(self, fleet):
+        async def body():
+            async with calling(fleet) as caller:
+                cold = fleet.nodes['bookings-1']
+                async with loading(caller) as load:
+                    await load.wait_finished(CALL_COUNT // 2)
+                    cold.inject(
+                        cold_limit=4,
+                        collapse_ms=300,
+                        warm_up_count=8,
+                        cold_service_time_ms=50,
+                    )
+                    await load.wait_finished(CALL_COUNT)
+                counts = cold.read_counts()
+                print(counts)
+                # The turn itself may be noticed by one collapse.
+                assert counts.get('collapses', 0) <= 1
+                assert Verdict.CUT not in verdicts(load)
+                assert caller.audit(fleet.read_runs()).is_clean
+
+        fleet.start()
+        anyio.run(body)
+
+
+async def take_out(fleet, domain):
+    """Switch a failure domain off."""
+    async with ObjectApiClient(fleet.store_url, 5_000) as client:
+        await client.put(
+            'failure-domain',
+            domain,
+            {'is_in_service': False},
+            0,
+            f'take out {domain}',
+        )
+
+
+def has_left(fleet, name):
+    """Tell whether a daemon holds the switched failure domain."""
+    config = read_json(f'{fleet.nodes[name].admin_url}/config')
+    return 'failure-domain' in {each['kind'] for each in config['objects']}
