Keep invented services out of the bound on service labels

The service of a refused request may not exist. Counting it under its own name let anyone use up the 24 names, after which the services really called were counted as "other".

--- a/packages/daemon/src/cornelbeam_daemon/metrics.py
+++ b/packages/daemon/src/cornelbeam_daemon/metrics.py
@@ -53,6 +53,17 @@
 _CODES: Final = frozenset(
     (OK_CODE, SERVER_ERROR_CODE, *(code.value for code in ErrorCode)),
 )
+# Refusals of requests whose service may not exist. Their names must not use
+# up the bound, which would hide the services that are really called.
+_UNROUTED_CODES: Final = frozenset(
+    (
+        ErrorCode.MALFORMED_REQUEST.value,
+        ErrorCode.HEAD_TOO_LARGE.value,
+        ErrorCode.BODY_TOO_LARGE.value,
+        ErrorCode.UNKNOWN_SERVICE.value,
+        ErrorCode.TOO_MANY_HOPS.value,
+    ),
+)
 _LOWEST_SERVER_ERROR: Final = 500
 
 _Metric = TypeVar('_Metric', bound=MetricWrapperBase)
@@ -108,9 +119,9 @@
     __slots__ = ('_max_count', '_names')
 
     def __init__(self, max_count: int) -> None:
-        """Accept the first ``max_count`` names."""
-        self._max_count = max_count
-        self._names: set[str | bool] = set()
+        """Accept the first ``max_count`` names, and ``other``."""
+        self._max_count = max_count + 1
+        self._names: set[str | bool] = {OTHER}
 
     def __call__(self, key: _Key) -> tuple[_Labels, bool]:
         """Replace a name beyond the bound."""
@@ -119,6 +130,10 @@
         last = name if is_accepted else OTHER
         return (*map(str, first), str(last)), is_accepted
 
+    def is_known(self, name: str | bool) -> bool:
+        """Tell whether the name is a label value already."""
+        return name in self._names
+
     def is_accepted(self, name: str | bool) -> bool:
         """Tell whether the name may be a label value."""
         if name in self._names:
@@ -142,7 +157,11 @@
     def __call__(self, key: _Key) -> tuple[_Labels, bool]:
         """Replace a service beyond the bound and an unknown code."""
         service, is_idempotent, code = key
-        (name,), is_accepted = self._services((service,))
+        is_doubtful = code in _UNROUTED_CODES
+        if is_doubtful and not self._services.is_known(service):
+            (name,), is_accepted = (OTHER,), False
+        else:
+            (name,), is_accepted = self._services((service,))
         (known_code,), is_known = _fold_code((code,))
         kind = IDEMPOTENT if is_idempotent else NON_IDEMPOTENT
         return (name, kind, known_code), is_accepted and is_known
--- a/packages/daemon/tests/test_metrics.py
+++ b/packages/daemon/tests/test_metrics.py
@@ -38,6 +38,21 @@
             'other': 98,
         }
 
+    def test_unknown_services(self, metrics: Metrics) -> None:
+        """Invented services do not push real ones out of the bound."""
+        for number in range(100):
+            name = f'invented-{number}'
+            metrics.count_answer(name, True, 'unknown_service', 0.1)
+        metrics.count_answer('windows', True, 'ok', 0.1)
+        metrics.count_answer('windows', True, 'unknown_service', 0.1)
+        text = generate_latest(metrics.registry).decode()
+        assert 'invented' not in text
+        # Kept children would let callers fill the memory of the daemon.
+        assert len(metrics._calls) == 2
+        labels = {'kind': 'idempotent', 'code': 'unknown_service'}
+        assert _sample(metrics, _CALLS, service='other', **labels) == 100
+        assert _sample(metrics, _CALLS, service='windows', **labels) == 1
+
     def test_codes_and_names(self, metrics: Metrics) -> None:
         """Unknown codes and messages do not become label values."""
         metrics.count_answer('windows', True, 'invented', 0.1)
