--- a/packages/standins/src/cornelbeam_standins/checked_caller.py
+++ b/packages/standins/src/cornelbeam_standins/checked_caller.py
@@ -48,6 +48,7 @@
 
     key: str
     method: str
+    path: str
     verdict: Verdict
     code: str
     ran: str
@@ -93,7 +94,6 @@
         self._rng = rng
         self._deadline_ms = deadline_ms
         self._number = 0
-        # Daemons may hold one of these for as long as a deadline lasts.
         self._http = httpx.AsyncClient(
             timeout=_TIMEOUT_S,
             trust_env=False,
@@ -248,6 +248,7 @@
         record = CallRecord(
             key=key,
             method=method,
+            path=path,
             verdict=verdict,
             code=code,
             ran=ran,
--- a/packages/standins/src/cornelbeam_standins/fleet.py
+++ b/packages/standins/src/cornelbeam_standins/fleet.py
@@ -244,6 +244,24 @@
         """Set faults of the Object API."""
         post_control(f'{self.store_url}/control', faults)
 
+    def operate(self, *arguments: str) -> tuple[int, str]:
+        """Run ``cornelbeamctl``; give its exit status and its output."""
+        with start_module(
+            'cornelbeamctl',
+            'cornelbeam_operator.cli',
+            *arguments,
+            '--object-api',
+            self.store_url,
+        ) as command:
+            output = command.read_output()
+            return command.wait(), output + command.read_errors()
+
+    def admin_addresses(self) -> list[str]:
+        """Give the admin address of each daemon, for operators' commands."""
+        return [
+            f'{_LOOPBACK}:{node.admin_port}' for node in self.nodes.values()
+        ]
+
     def _introducers(self, node: Node) -> list[str]:
         return [
             self._announced.get(other.name, other.peer_address)
--- a/packages/standins/src/cornelbeam_standins/object_store.py
+++ b/packages/standins/src/cornelbeam_standins/object_store.py
@@ -26,6 +26,8 @@
     delay_ms: int = 0
     # Answers of so many coming writes are lost after the write took effect.
     lost_answer_count: int = 0
+    # Only writes of this kind lose their answers; empty means any.
+    lost_answer_kind: str = ''
 
 
 @final
--- a/packages/standins/src/cornelbeam_standins/processes.py
+++ b/packages/standins/src/cornelbeam_standins/processes.py
@@ -87,6 +87,11 @@
             raise ProcessError(self._describe('printed nothing'))
         return output.readline().decode()
 
+    def read_output(self) -> str:
+        """Read standard output to its end, for a process that ends itself."""
+        output = self._process.stdout
+        return '' if output is None else output.read().decode()
+
     def pause(self) -> None:
         """Send SIGSTOP."""
         self._process.send_signal(signal.SIGSTOP)
--- a/packages/standins/src/cornelbeam_standins/tcp_link.py
+++ b/packages/standins/src/cornelbeam_standins/tcp_link.py
@@ -9,7 +9,12 @@
 from typing import Final, Self, final
 
 import anyio
-from anyio.abc import Listener, SocketStream, TaskGroup
+from anyio.abc import (
+    Listener,
+    SocketAttribute,
+    SocketStream,
+    TaskGroup,
+)
 
 _MS_PER_S: Final = 1000
 _READ_BYTES: Final = 65_536
@@ -49,18 +54,21 @@
         '_connections',
         '_group',
         '_listener',
-        '_port',
         '_target',
         'connection_count',
         'delay_ms',
+        'port',
     )
 
     def __init__(self, port: int, target_address: str) -> None:
-        """Listen at ``port`` once entered; ``target_address`` is ip:port."""
+        """Listen at ``port`` once entered; ``target_address`` is ip:port.
+
+        Port 0 takes any free one, which ``port`` gives then.
+        """
         self.connection_count = 0
         # Added to each piece of data, in both directions.
         self.delay_ms = 0
-        self._port = port
+        self.port = port
         self._target = target_address
         self._connections: set[_Connection] = set()
         self._group: TaskGroup | None = None
@@ -70,8 +78,9 @@
         """Start to listen."""
         self._listener = await anyio.create_tcp_listener(
             local_host='127.0.0.1',
-            local_port=self._port,
+            local_port=self.port,
         )
+        self.port = self._listener.extra(SocketAttribute.local_port)
         self._group = anyio.create_task_group()
         await self._group.__aenter__()
         self._group.start_soon(self._listener.serve, self._relay)
--- /dev/null
+++ b/packages/standins/tests/test_checked_caller.py
@@ -0,0 +1,79 @@
+"""The auditor and the link show the faults they exist for."""
+
+import random
+
+import anyio
+from cornelbeam_standins.checked_caller import (
+    CallRecord,
+    CheckedCaller,
+    Verdict,
+)
+from cornelbeam_standins.tcp_link import Direction, TcpLink
+
+
+def record(key, verdict, ran=''):
+    """Make a record of a booking."""
+    return CallRecord(key, 'POST', '/booking', verdict, '', ran, 0, 0, '')
+
+
+class TestAudit:
+    """Guards against an auditor that overlooks a broken invariant."""
+
+    def test_each_broken_claim_is_found(self):
+        caller = CheckedCaller([], random.Random(1))
+        caller.records = [
+            record('twice', Verdict.CUT),
+            record('denied', Verdict.REFUSED, 'no'),
+            record('missing', Verdict.WHOLE),
+            record('mixed up', Verdict.WRONG),
+            record('fine', Verdict.WHOLE),
+            record('open', Verdict.REFUSED, 'unknown'),
+        ]
+        audit = caller.audit(
+            {'key': key, 'count': 2 if key == 'twice' else 1}
+            for key in ('twice', 'denied', 'fine', 'open')
+        )
+        assert audit.run_twice == ('twice',)
+        assert audit.run_though_told_not == ('denied',)
+        assert audit.not_run_though_answered == ('missing',)
+        assert audit.wrong == ('mixed up',)
+        assert not audit.is_clean
+
+
+class TestLink:
+    """Guards against a silence that loses bytes or stops new connections."""
+
+    def test_held_bytes_arrive_late_and_new_connections_work(self):
+        async def echo(stream):
+            async with stream:
+                async for data in stream:
+                    await stream.send(data)
+
+        async def body():
+            target = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = target.extra(anyio.abc.SocketAttribute.local_port)
+            async with (
+                target,
+                anyio.create_task_group() as group,
+                TcpLink(0, f'127.0.0.1:{port}') as link,
+            ):
+                group.start_soon(target.serve, echo)
+                await check(link)
+                group.cancel_scope.cancel()
+
+        async def check(link):
+            async with await anyio.connect_tcp('127.0.0.1', link.port) as old:
+                await old.send(b'1')
+                assert await old.receive() == b'1'
+                assert link.silence(Direction.TO_TARGET) == 1
+                await old.send(b'2')
+                async with await anyio.connect_tcp(
+                    '127.0.0.1',
+                    link.port,
+                ) as new:
+                    await new.send(b'3')
+                    assert await new.receive() == b'3'
+                link.release()
+                assert await old.receive() == b'2'
+
+        anyio.run(body)
