--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -13,6 +13,7 @@
     ip_host,
     name,
     number,
+    optional_address,
     path_text,
     service_list,
     service_name,
@@ -67,11 +68,10 @@
 
     announced_address: Annotated[
         str,
-        text(
+        optional_address(
             'Address (ip:port) announced to other daemons when they reach'
             ' this one at another address than it listens at; empty announces'
             ' the listening address.',
-            pattern=r'^([0-9A-Fa-f.:\[\]]+:[0-9]{1,5})?\Z',
         ),
     ] = ''
 
--- a/packages/settings/src/cornelbeam_settings/units.py
+++ b/packages/settings/src/cornelbeam_settings/units.py
@@ -68,6 +68,15 @@
     )
 
 
+def optional_address(description: str) -> Meta:
+    """Describe an ``ip:port`` that may be empty."""
+    return Meta(
+        description=description,
+        pattern=r'^([0-9A-Fa-f.:\[\]]+:[0-9]{1,5})?\Z',
+        extra={'range': 'ip:port or empty'},
+    )
+
+
 def path_text(description: str) -> Meta:
     """Describe the path of a URL."""
     return Meta(
--- a/packages/standins/src/cornelbeam_standins/asgi.py
+++ b/packages/standins/src/cornelbeam_standins/asgi.py
@@ -15,10 +15,11 @@
 Listener = socket.socket
 Application = Callable[[Scope, Receive, Send], Awaitable[None]]
 
-# Callers keep connections for as long as they like: the defaults of
-# hypercorn close a connection after 5 s of rest or 1,000 requests, which
-# would show up as failures of whatever is measured.
-_KEEP_ALIVE_S: Final = 86_400
+# Callers keep connections for long: the defaults of hypercorn close one after
+# 5 s of rest or 1,000 requests, which would show up as failures of whatever is
+# measured. hypercorn holds a connection that its peer closed for as long as it
+# would hold an idle one, so the time isn't longer than tests need.
+_KEEP_ALIVE_S: Final = 120
 _KEEP_ALIVE_REQUEST_COUNT: Final = 1_000_000_000
 _BACKLOG: Final = 4_096
 _GRACE_S: Final = 1
