End the admin endpoint by its own event at a planned stop

hypercorn raises InvalidStateError when it is cancelled while a connection is open, and it holds a connection that its peer closed for the keep-alive time. A planned stop within 5 s of a call to the admin endpoint ended with exit status 1 and an exception.

--- a/packages/daemon/src/cornelbeam_daemon/admin.py
+++ b/packages/daemon/src/cornelbeam_daemon/admin.py
@@ -161,19 +161,19 @@
     return {'is_leaving': True}
 
 
-async def serve_admin(daemon: 'Daemon') -> None:
-    """Serve the admin endpoint until cancelled."""
+async def serve_admin(daemon: 'Daemon', stop: asyncio.Event) -> None:
+    """Serve the admin endpoint until ``stop`` is set.
+
+    hypercorn fails with ``InvalidStateError`` when it is cancelled while a
+    connection is open, so it is told to end instead.
+    """
     config = Config()
     config.bind = [f'fd://{daemon.sockets["admin"].fileno()}']
     config.include_server_header = False
     config.loglevel = 'ERROR'
     config.graceful_timeout = 1
     app: Any = _make_app(daemon)
-    await serve(app, config, shutdown_trigger=_never)
-
-
-async def _never() -> None:
-    await asyncio.Event().wait()
+    await serve(app, config, shutdown_trigger=stop.wait)
 
 
 def _make_app(daemon: 'Daemon') -> Callable[..., Awaitable[None]]:
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -82,6 +82,8 @@
         self.table = RoutingTable(own.name, own.domain)
         self._rng = random.Random()
         self._stop = asyncio.Event()
+        self._admin_stop = asyncio.Event()
+        self._admin_ended = asyncio.Event()
         self._accepted: set[PeerConnection] = set()
         self._callers: set[HttpServerConnection] = set()
         self._identity = Identity(
@@ -154,8 +156,6 @@
 
     async def run(self) -> None:
         """Serve until a stop is asked for and all work is done."""
-        from cornelbeam_daemon.admin import serve_admin  # noqa: PLC0415
-
         loop = asyncio.get_running_loop()
         caller_server = await loop.create_server(
             lambda: HttpServerConnection(
@@ -184,18 +184,28 @@
             group.start_soon(self._silence.run)
             group.start_soon(self._relay_when_chosen, client, group)
             group.start_soon(self._write_introducers, client)
-            group.start_soon(serve_admin, self)
+            group.start_soon(self._serve_admin)
             self._apply_members()
             _log.info('serving', target=self.own.name)
             await self._stop.wait()
             await self._drain(caller_server)
             peer_server.close()
+            self._admin_stop.set()
+            await self._admin_ended.wait()
             group.cancel_scope.cancel()
         self._pool.close()
         for connection in tuple(self._accepted):
             connection.close()
         _log.info('stopped', target=self.own.name)
 
+    async def _serve_admin(self) -> None:
+        from cornelbeam_daemon.admin import serve_admin  # noqa: PLC0415
+
+        try:
+            await serve_admin(self, self._admin_stop)
+        finally:
+            self._admin_ended.set()
+
     async def _drain(self, caller_server: asyncio.Server) -> None:
         """Refuse new work, finish what is in flight, then go."""
         _log.info('leaving', in_flight=self.backend_side.work_count)
