Recognise a refused connection when asking for an outcome

The text of the error was searched for 'refused', but asyncio words it 'Connect call failed', so a call at a killed daemon asked until its deadline. The cause of the error is checked instead.

--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -204,7 +204,7 @@
                     return RunState.UNKNOWN, None
                 if error.code is not ErrorCode.PEER_UNREACHABLE:
                     return error.run_state, None
-                if 'refused' in error.detail.lower():
+                if isinstance(error.__cause__, ConnectionRefusedError):
                     refused_count += 1
             await asyncio.sleep(ASK_PERIOD_S)
         return RunState.UNKNOWN, None
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -32,7 +32,8 @@
     with Fleet(tmp_path) as running:
         running.settings = {
             'fleet': {'ping_period_ms': 200, 'view_period_ms': 500},
-            'limits': {'silence_ms': 500},
+            # Deadlines are the callers' own.
+            'limits': {'silence_ms': 500, 'default_timeout_ms': 3_600_000},
         }
         declare_domains(running, tmp_path / 'domains.json')
         running.add('edge-1', 'edge', 'north')
@@ -106,6 +107,28 @@
         fleet.start()
         anyio.run(body)
 
+    def test_booking_at_a_killed_daemon_is_unknown_at_once(self, fleet):
+        async def body():
+            async with calling(fleet, deadline_ms=3_600_000) as caller:
+                await take_out(fleet, 'south')
+                await wait_until(lambda: has_left(fleet, 'edge-1'))
+                with anyio.fail_after(WAIT_LIMIT_S):
+                    await book_and_kill(caller, fleet.nodes['bookings-1'])
+                assert caller.records[-1].ran == 'unknown'
+
+        async def book_and_kill(caller, target):
+            before = target.read_counts().get('started', 0)
+            target.inject(service_time_ms=3_600_000)
+            async with anyio.create_task_group() as group:
+                group.start_soon(caller.book, SERVICE)
+                await wait_until(
+                    lambda: target.read_counts().get('started', 0) > before,
+                )
+                target.daemon.kill()
+
+        fleet.start()
+        anyio.run(body)
+
     def test_resumed_daemon_runs_nothing_that_was_told_not_run(self, fleet):
         async def body():
             async with calling(fleet, deadline_ms=2_000) as caller:
