--- a/packages/standins/src/cornelbeam_standins/fleet.py
+++ b/packages/standins/src/cornelbeam_standins/fleet.py
@@ -9,7 +9,7 @@
 import os
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
@@ -244,6 +244,24 @@
         """Set faults of the Object API."""
         post_control(f'{self.store_url}/control', faults)
 
+    def operate(self, *arguments: str) -> tuple[int, str]:
+        """Run ``cornelbeamctl``; give its exit status and its output."""
+        with start_module(
+            'cornelbeamctl',
+            'cornelbeam_operator.cli',
+            *arguments,
+            '--object-api',
+            self.store_url,
+        ) as command:
+            output = command.read_output()
+            return command.wait(), output + command.read_errors()
+
+    def admin_addresses(self) -> list[str]:
+        """Give the admin address of each daemon, for operators' commands."""
+        return [
+            f'{_LOOPBACK}:{node.admin_port}' for node in self.nodes.values()
+        ]
+
     def _introducers(self, node: Node) -> list[str]:
         return [
             self._announced.get(other.name, other.peer_address)
@@ -291,6 +309,14 @@
     ).raise_for_status()
 
 
+def free_ports(count: int) -> Sequence[int]:
+    """Give loopback ports on which nothing listens now.
+
+    Within one process, each call gives the same ports until they are used.
+    """
+    return tuple(itertools.islice(_free_ports(), count))
+
+
 def _free_ports() -> Iterator[int]:
     # Processes of several test runs start their search at different ports.
     start = os.getpid() * 97
