--- a/packages/core/src/cornelbeam_core/attempts.py
+++ b/packages/core/src/cornelbeam_core/attempts.py
@@ -273,3 +273,23 @@
         if entry.answer is not None:
             self._kept_bytes -= len(entry.answer)
             entry.answer = None
+
+
+def judge_outcome(
+    run_state: RunState,
+    now_s: float,
+    deadline_s: float,
+) -> RunState:
+    """Give what a reply to an outcome query proves to the asking side.
+
+    ``NOT_RUN`` counts only before the caller's own deadline: the ledger keeps
+    an entry until then and ``keep_s`` longer. A query that was delayed beyond
+    finds no entry of an attempt that ran. The times are read when the reply
+    is read, so that a pause of the asking side is covered.
+
+    >>> judge_outcome(RunState.NOT_RUN, now_s=6, deadline_s=5)
+    <RunState.UNKNOWN: 3>
+    """
+    if run_state is RunState.NOT_RUN and now_s >= deadline_s:
+        return RunState.UNKNOWN
+    return run_state
--- a/packages/core/src/cornelbeam_core/membership.py
+++ b/packages/core/src/cornelbeam_core/membership.py
@@ -16,82 +16,20 @@
     MemberUpdate,
     digest_members,
 )
+from cornelbeam_core.membership_actions import (
+    MemberChanged,
+    MembershipAction,
+    MembershipSettings,
+    SelfReplaced,
+    SendIndirectPing,
+    SendPing,
+)
+from cornelbeam_core.rumors import RumorQueue
 from cornelbeam_core.targets import Target
 
 MS_PER_S: Final = 1000
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class MembershipSettings:
-    """Periods and bounds of failure detection.
-
-    One member is pinged per ``ping_period_ms``. After ``ping_timeout_ms``
-    without an ack, ``indirect_count`` others are asked to ping it; at the end
-    of the period it is suspected, and after ``suspicion_ms`` dead. The tick
-    must be called at least three times per ``ping_timeout_ms``: a longer gap
-    than that timeout counts as a pause of this process.
-
-    A dead member is remembered for ``dead_keep_ms``, at most ``dead_limit``
-    of them, and one of them is pinged after every ``dead_ping_every`` other
-    pings, which finds those that were only cut off.
-    """
-
-    ping_period_ms: int = 1000
-    ping_timeout_ms: int = 300
-    suspicion_ms: int = 3000
-    indirect_count: int = 3
-    max_update_count: int = 6
-    max_health_score: int = 8
-    transmit_factor: int = 3
-    dead_keep_ms: int = 86_400_000
-    dead_limit: int = 64
-    dead_ping_every: int = 5
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class SendPing:
-    """Ping a member; its ack goes to ``Membership.on_ack``."""
-
-    name: str
-    address: str
-    updates: tuple[MemberUpdate, ...]
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class SendIndirectPing:
-    """Ask the daemon at ``via_address`` to ping a member for this one.
-
-    The ack that it passes back goes to ``Membership.on_ack`` as well.
-    """
-
-    via_address: str
-    name: str
-    address: str
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class MemberChanged:
-    """What holds for a member is new; ``previous`` held before, if known."""
-
-    update: MemberUpdate
-    previous: MemberUpdate | None
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class SelfReplaced:
-    """A later run of this daemon's own name exists: this one must stop."""
-
-    incarnation: int
-
-
-MembershipAction = SendPing | SendIndirectPing | MemberChanged | SelfReplaced
-
-
 @final
 @dataclass(slots=True)
 class _PendingPing:
@@ -101,13 +39,6 @@
     is_indirect_sent: bool = False
 
 
-@final
-@dataclass(slots=True)
-class _Rumor:
-    update: MemberUpdate
-    sent_count: int = 0
-
-
 @final
 @dataclass(slots=True)
 class _Schedule:
@@ -151,7 +82,8 @@
         # Time in seconds at which a suspicion becomes a declared death.
         self._suspicions: dict[str, float] = {}
         self._dead_since_s: dict[str, float] = {}
-        self._rumors = {self_target.name: _Rumor(self._self)}
+        self._rumors = RumorQueue(settings.transmit_factor)
+        self._rumors.add(self._self)
         self._schedule = _Schedule()
         self._health_score = 0
 
@@ -246,14 +178,11 @@
         held = self._members.get(receiver)
         if held is not None and held.state is not MemberState.ALIVE:
             chosen.append(held)
-        by_count = sorted(
-            self._rumors.values(),
-            key=lambda each: each.sent_count,
+        rumors = self._rumors.take(
+            limit - len(chosen),
+            group_size=len(self._members) + 1,
         )
-        for rumor in by_count[: limit - len(chosen)]:
-            if rumor.update not in chosen:
-                chosen.append(rumor.update)
-            self._count_sent(rumor)
+        chosen.extend(each for each in rumors if each not in chosen)
         return tuple(chosen)
 
     def request_ping(self, name: str) -> None:
@@ -271,7 +200,7 @@
 
     def _state_self(self, state: MemberState, refutation: int) -> None:
         self._self = MemberUpdate(self._self.target, state, refutation)
-        self._rumors[self._self.target.name] = _Rumor(self._self)
+        self._rumors.add(self._self)
 
     def _hear_of_self(
         self,
@@ -301,7 +230,7 @@
             # keeping it would let old news fill the memory.
             return
         self._members[name] = update
-        self._rumors[name] = _Rumor(update)
+        self._rumors.add(update)
         self._suspicions.pop(name, None)
         self._dead_since_s.pop(name, None)
         if update.state is MemberState.SUSPECT:
@@ -443,16 +372,7 @@
                 return
             self._dead_since_s.pop(name)
             self._members.pop(name)
-            self._rumors.pop(name, None)
-
-    def _count_sent(self, rumor: _Rumor) -> None:
-        rumor.sent_count += 1
-        member_count = len(self._members) + 2
-        limit = self._settings.transmit_factor * math.ceil(
-            math.log2(member_count),
-        )
-        if rumor.sent_count >= limit:
-            self._rumors.pop(rumor.update.target.name)
+            self._rumors.discard(name)
 
     def _raise_health_score(self) -> None:
         self._health_score = min(
--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -4,8 +4,8 @@
 from typing import Final, final
 
 import httptools
-
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import (
     BUFFER_LIMIT_BYTES,
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -16,6 +16,7 @@
 from cornelbeam_core.outcomes import CallOutcome
 from cornelbeam_core.requests import is_idempotent_method
 from cornelbeam_core.targets import LoadReport
+
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.backend_client import (
     BackendAnswer,
--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from cornelbeam_core.targets import LoadReport
+
 from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 
 
--- a/packages/daemon/src/cornelbeam_daemon/headers.py
+++ b/packages/daemon/src/cornelbeam_daemon/headers.py
@@ -4,18 +4,20 @@
 from typing import Final
 
 # RFC 9110, section 7.6.1.
-_HOP_BY_HOP: Final = frozenset((
-    b'connection',
-    b'keep-alive',
-    b'proxy-authenticate',
-    b'proxy-authorization',
-    b'proxy-connection',
-    b'te',
-    b'trailer',
-    b'transfer-encoding',
-    b'upgrade',
-    b'expect',
-))
+_HOP_BY_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    )
+)
 CONTROL_PREFIX: Final = b'cornelbeam-'
 DEADLINE: Final = b'cornelbeam-deadline-ms'
 HOPS: Final = b'cornelbeam-hops'
--- a/packages/wire/src/cornelbeam_wire/codec.py
+++ b/packages/wire/src/cornelbeam_wire/codec.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterator
 from typing import Final, final
 
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from thrift.protocol import fastbinary
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_wire.gen.messages import Frame
 
 MAX_FRAME_BYTES: Final = 256 * 1024
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -5,6 +5,7 @@
 from typing import Any, Final, Protocol, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+
 from cornelbeam_wire.codec import FrameDecoder, encode_frame, violation
 from cornelbeam_wire.gen.messages import BodyPart, Credit, Frame, Hello
 from cornelbeam_wire.identity import Handshake, Identity
--- a/packages/wire/src/cornelbeam_wire/pool.py
+++ b/packages/wire/src/cornelbeam_wire/pool.py
@@ -4,6 +4,7 @@
 from typing import Final, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
+
 from cornelbeam_wire.connection import Acceptor, PeerConnection
 from cornelbeam_wire.identity import Identity
 
