--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -15,14 +15,20 @@
 # A report loses half of its weight in this time; load shifts within
 # milliseconds, so an old report says little.
 REPORT_HALF_LIFE_S: Final = 0.05
-# Latency seen long ago is forgotten, so that an avoided target is tried again.
-LATENCY_HALF_LIFE_S: Final = 2.0
 LATENCY_GAIN: Final = 0.2
-LATENCY_FLOOR_S: Final = 0.0005
+# A target that is avoided for its latency is tried again now and then: unused
+# for this time, it counts as twice as fast.
+LATENCY_HALF_LIFE_S: Final = 3.0
 # One way between failure domains takes about 1 ms, two ways for each call.
 REMOTE_DOMAIN_COST_S: Final = 0.002
 SUBSET_SIZE: Final = 3
-_SAMPLE_TRIES: Final = 4
+# A target that reported to be leaving is tried again after this time, in case
+# it came back and the news of that is late.
+LEAVING_MEMORY_S: Final = 2.0
+_US_PER_S: Final = 1_000_000
+# Concurrent requests assumed for a target that has sent no report yet: it may
+# be cold.
+UNKNOWN_LIMIT: Final = 2
 
 
 @final
@@ -32,7 +38,8 @@
 
     ``affinity`` ranks the targets for this caller in the ``subset`` policy
     (see ``compute_affinity``). ``answered_at_s`` is the time of the last
-    answer, or of the first call in flight if that is later.
+    answer, or of the first call in flight if that is later, and
+    ``others_in_flight`` the calls of other callers in the last report.
     """
 
     target: Target
@@ -45,10 +52,13 @@
     is_same_domain: bool = False
     affinity: int = 0
     answered_at_s: float = 0
+    others_in_flight: int = 0
 
     def note_start(self, now_s: float) -> None:
         """Count a call that is sent."""
         if not self.in_flight:
+            idle_s = max(0, now_s - self.answered_at_s)
+            self.latency_ewma_s /= 1 + idle_s / LATENCY_HALF_LIFE_S
             self.answered_at_s = now_s
         self.in_flight += 1
 
@@ -63,16 +73,26 @@
             return
         self.latency_ewma_s += LATENCY_GAIN * (latency_s - self.latency_ewma_s)
 
+    def note_abandoned(self, now_s: float, elapsed_s: float) -> None:
+        """Count a call that is no longer waited for, as at least so slow."""
+        is_slow = elapsed_s > self.latency_ewma_s
+        self.note_end(now_s, elapsed_s if is_slow else None)
+
     def note_report(self, report: LoadReport, now_s: float) -> None:
         """Keep the newest load report."""
         self.report = report
         self.report_at_s = now_s
+        used_count = report.in_flight + report.queue_length
+        self.others_in_flight = max(0, used_count - self.in_flight)
 
     def is_available(self, now_s: float) -> bool:
         """Tell whether new work may be sent to the target."""
         if not self.is_reachable or self.ejected_until_s > now_s:
             return False
-        return self.report is None or not self.report.is_leaving
+        report = self.report
+        if report is None or not report.is_leaving:
+            return True
+        return now_s - self.report_at_s > LEAVING_MEMORY_S
 
 
 Policy: TypeAlias = Callable[
@@ -106,7 +126,7 @@
     choose = POLICIES[policy_name]
     available = [state for state in candidates if state.is_available(now_s)]
     if not available:
-        available = [state for state in candidates if _is_last_resort(state)]
+        available = [state for state in candidates if _is_usable(state)]
     if not available:
         return None
     if len(available) == 1:
@@ -123,13 +143,44 @@
     return random.Random(f'{caller_name}/{target_name}').getrandbits(32)
 
 
-def estimate_cost(state: TargetState, now_s: float) -> float:
-    """Estimate the time in seconds that one more call would take."""
-    latency_s = max(LATENCY_FLOOR_S, state.latency_ewma_s)
-    cost_s = latency_s * (1 + state.in_flight)
-    if state.is_same_domain:
-        return cost_s
-    return cost_s + REMOTE_DOMAIN_COST_S
+def estimate_cost(
+    state: TargetState,
+    now_s: float,
+    default_latency_s: float,
+) -> float:
+    """Estimate the cost of one more call; only comparisons have a meaning.
+
+    The latency counts squared, since a caller has few own calls in flight to
+    tell a slow target by. A target that has calls in flight and has answered
+    none for longer than its latency counts as that slow, which shows a stall
+    before any answer does. The service time in the report stands for the
+    calls of all callers: it shows a slow target to a caller that has sent it
+    few calls. Own calls in flight are never stale; those of
+    others are, so they count less the older the report is, and matter only
+    near the admission limit.
+    """
+    own_count = state.in_flight
+    report = state.report
+    latency_s = state.latency_ewma_s
+    if report is not None:
+        latency_s = max(latency_s, report.service_time_us / _US_PER_S)
+    silent_s = now_s - state.answered_at_s
+    if own_count:
+        latency_s = max(latency_s or default_latency_s, silent_s)
+    elif latency_s:
+        latency_s /= 1 + silent_s / LATENCY_HALF_LIFE_S
+    else:
+        latency_s = default_latency_s
+    if not state.is_same_domain:
+        latency_s += REMOTE_DOMAIN_COST_S
+    if report is None:
+        used_share = (own_count + 1) / UNKNOWN_LIMIT
+    else:
+        age_s = now_s - state.report_at_s
+        others = state.others_in_flight / (1 + age_s / REPORT_HALF_LIFE_S)
+        used_share = (own_count + others + 1) / max(1, report.limit)
+    load = (1 + own_count) * (1 + used_share * used_share)
+    return latency_s * latency_s * load
 
 
 @policy('power_of_two')
@@ -150,7 +201,10 @@
         second_index += 1
     first = candidates[first_index]
     second = candidates[second_index]
-    if estimate_cost(second, now_s) < estimate_cost(first, now_s):
+    # A target without an answer yet counts as being as fast as the other.
+    default_s = first.latency_ewma_s or second.latency_ewma_s or 1
+    first_cost = estimate_cost(first, now_s, default_s)
+    if estimate_cost(second, now_s, default_s) < first_cost:
         return second
     return first
 
@@ -204,7 +258,7 @@
     return choose_power_of_two(subset, now_s, rng)
 
 
-def _is_last_resort(state: TargetState) -> bool:
+def _is_usable(state: TargetState) -> bool:
     if not state.is_reachable:
         return False
     return state.report is None or not state.report.is_leaving
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -13,11 +13,13 @@
     ip_host,
     name,
     number,
+    optional_address,
     path_text,
     service_list,
     service_name,
     size,
     text,
+    url,
 )
 
 _DAY_MS: Final = 86_400_000
@@ -61,6 +63,19 @@
     ] = 0
 
 
+class PeerListenerSettings(ListenerSettings, frozen=True):
+    """Where other daemons connect, and the address they are told."""
+
+    announced_address: Annotated[
+        str,
+        optional_address(
+            'Address (ip:port) announced to other daemons when they reach'
+            ' this one at another address than it listens at; empty announces'
+            ' the listening address.',
+        ),
+    ] = ''
+
+
 class BackendServerSettings(Section, frozen=True):
     """The backend server beside the daemon."""
 
@@ -111,7 +126,7 @@
 
     base_url: Annotated[
         str,
-        text('URL of the Object API.', pattern=r'^https?://[^\s]+\Z'),
+        url('URL of the Object API.'),
     ]
     timeout_ms: Annotated[
         int,
@@ -306,7 +321,7 @@
         text('Where callers connect, by HTTP.'),
     ]
     peer_listener: Annotated[
-        ListenerSettings,
+        PeerListenerSettings,
         text(
             'Where other daemons connect. The address is announced to them,'
             ' so it names one interface.',
--- a/packages/standins/src/cornelbeam_standins/processes.py
+++ b/packages/standins/src/cornelbeam_standins/processes.py
@@ -64,13 +64,18 @@
         """Whether the process hasn't ended."""
         return self._process.poll() is None
 
-    def wait_listening(self) -> str:
-        """Wait for the first line ``listening HOST:PORT``; give the address."""
+    def wait_listening(self, *, is_main: bool = True) -> str:
+        """Wait for a line ``listening HOST:PORT`` and give the address.
+
+        The first one is the main address and kept as ``address``.
+        """
         line = self.read_line()
         if not line.startswith(_LISTENING):
             raise ProcessError(self._describe(f'printed {line!r}'))
-        self.address = line.removeprefix(_LISTENING).strip()
-        return self.address
+        address = line.removeprefix(_LISTENING).strip()
+        if is_main:
+            self.address = address
+        return address
 
     def read_line(self) -> str:
         """Read the next line of standard output."""
@@ -129,13 +134,18 @@
     return ManagedProcess(name, [sys.executable, '-c', code, *arguments])
 
 
-def start_standin(*arguments: str) -> ManagedProcess:
-    """Start a stand-in and wait until it listens."""
-    process = start_module(
+def spawn_standin(*arguments: str) -> ManagedProcess:
+    """Start a stand-in without waiting until it listens."""
+    return start_module(
         arguments[0],
         'cornelbeam_standins.cli',
         *arguments,
     )
+
+
+def start_standin(*arguments: str) -> ManagedProcess:
+    """Start a stand-in and wait until it listens."""
+    process = spawn_standin(*arguments)
     try:
         process.wait_listening()
     except ProcessError:
