--- a/packages/standins/src/cornelbeam_standins/attempt_model.py
+++ b/packages/standins/src/cornelbeam_standins/attempt_model.py
@@ -117,7 +117,7 @@
                 'not_run_is_true': is_not_run_true,
                 'ran_is_true': is_ran_true,
                 'retry_has_evidence': has_retry_evidence,
-                'incarnationis_fenced': is_fenced,
+                'incarnation_is_fenced': is_fenced,
             },
         )
 
