Add the cheapest of three random targets as a policy

Cause: with three or four targets of which two are slow, one in six random pairs has only slow ones.

--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -22,6 +22,8 @@
 # One way between failure domains takes about 1 ms, two ways for each call.
 REMOTE_DOMAIN_COST_S: Final = 0.002
 SUBSET_SIZE: Final = 3
+_SAMPLE_COUNT: Final = 3
+_COST_JITTER: Final = 0.1
 # A target that reported to be leaving is tried again after this time, in case
 # it came back and the news of that is late.
 LEAVING_MEMORY_S: Final = 2.0
@@ -209,6 +211,30 @@
     return first
 
 
+@policy('power_of_three')
+def choose_power_of_three(
+    candidates: Sequence[TargetState],
+    now_s: float,
+    rng: random.Random,
+) -> TargetState:
+    """Take the cheapest of three random targets.
+
+    With three or four targets, two of which are slow, a random pair is often
+    a slow one; three leave that case out. Costs vary at random by a tenth, so
+    that callers with equal reports don't all pick the same target.
+    """
+    if len(candidates) > _SAMPLE_COUNT:
+        candidates = rng.sample(candidates, _SAMPLE_COUNT)
+    default_s = max(state.latency_ewma_s for state in candidates) or 1
+    return min(
+        candidates,
+        key=lambda state: (
+            estimate_cost(state, now_s, default_s)
+            * (1 + _COST_JITTER * rng.random())
+        ),
+    )
+
+
 @policy('least_outstanding')
 def choose_least_outstanding(
     candidates: Sequence[TargetState],
