Let a target recover sooner from a stall

Cause: a test showed that a target five times slower than its peers was not tried again after 10 s unused, because the latency fell hyperbolically; and the reported service time, which falls only by answers, kept a stalled target avoided.

The latency of an unused target now halves each 3 s, and the reported service time falls with a gain of 0.3 while it rises with 0.1.

Trying a target again that is still slow costs some tail; a target that is never tried again would cost its whole capacity.

--- a/packages/core/src/cornelbeam_core/admission.py
+++ b/packages/core/src/cornelbeam_core/admission.py
@@ -12,7 +12,9 @@
 
 _MS_PER_S: Final = 1000
 _US_PER_S: Final = 1_000_000
-_SERVICE_TIME_GAIN: Final = 0.1
+# After a stall the smoothed service time falls back within a few answers.
+_SERVICE_TIME_RISE_GAIN: Final = 0.1
+_SERVICE_TIME_FALL_GAIN: Final = 0.3
 
 
 @final
@@ -175,9 +177,7 @@
             self._decrease(least=1)
             self._note_bad(now_s, started_at_s, 1 / settings.shed_streak_count)
             return
-        self._service_time_s += _SERVICE_TIME_GAIN * (
-            service_time_s - self._service_time_s
-        )
+        self._smooth_service_time(service_time_s)
         if self._is_above(service_time_s, settings.cold_factor):
             self._note_bad(now_s, started_at_s, 1 / settings.cold_streak_count)
             return
@@ -261,6 +261,12 @@
         if not queue:
             self._queues.pop(caller)
 
+    def _smooth_service_time(self, service_time_s: float) -> None:
+        gain = _SERVICE_TIME_RISE_GAIN
+        if service_time_s < self._service_time_s:
+            gain = _SERVICE_TIME_FALL_GAIN
+        self._service_time_s += gain * (service_time_s - self._service_time_s)
+
     def _become_cold(self) -> None:
         self._limit = self._cold_limit()
         self._grow_count = 0
--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -16,8 +16,8 @@
 # milliseconds, so an old report says little.
 REPORT_HALF_LIFE_S: Final = 0.05
 LATENCY_GAIN: Final = 0.2
-# A target that is avoided for its latency is tried again now and then: unused
-# for this time, it counts as twice as fast.
+# A target that is avoided for its latency is tried again now and then: with
+# each such time unused it counts as twice as fast.
 LATENCY_HALF_LIFE_S: Final = 3.0
 # One way between failure domains takes about 1 ms, two ways for each call.
 REMOTE_DOMAIN_COST_S: Final = 0.002
@@ -59,8 +59,8 @@
     def note_start(self, now_s: float) -> None:
         """Count a call that is sent."""
         if not self.in_flight:
-            idle_s = max(0, now_s - self.answered_at_s)
-            self.latency_ewma_s /= 1 + idle_s / LATENCY_HALF_LIFE_S
+            idle_s = now_s - self.answered_at_s
+            self.latency_ewma_s *= 2 ** (-idle_s / LATENCY_HALF_LIFE_S)
             self.answered_at_s = now_s
         self.in_flight += 1
 
@@ -170,7 +170,7 @@
     if own_count:
         latency_s = max(latency_s or default_latency_s, silent_s)
     elif latency_s:
-        latency_s /= 1 + silent_s / LATENCY_HALF_LIFE_S
+        latency_s *= 2 ** (-silent_s / LATENCY_HALF_LIFE_S)
     else:
         latency_s = default_latency_s
     if not state.is_same_domain:
