--- a/packages/core/src/cornelbeam_core/ejection.py
+++ b/packages/core/src/cornelbeam_core/ejection.py
@@ -19,8 +19,9 @@
 
     A target is ejected after ``failure_count`` failures in a row, or when its
     smoothed latency stays ``slow_factor`` times the median of its peers, and
-    at least ``slow_ms`` above it, for ``confirm_ms``. ``floor_ratio`` of the
-    targets of a service, rounded up, always stay in.
+    at least ``slow_ms`` above it, for ``confirm_ms``, and its last latency is
+    above that too: the smoothed one lags when a stall is over.
+    ``floor_ratio`` of the targets of a service, rounded up, always stay in.
 
     A failure domain is slow when ``domain_ratio`` of its targets, at least
     two, are ``domain_slow_factor`` times as slow as their peers in other
@@ -118,13 +119,16 @@
         if now_s < record.check_at_s:
             return False
         record.check_at_s = now_s + settings.check_period_ms / _MS_PER_S
-        if not self._is_slow(record.state):
+        bound_s = self._slow_bound_s(record.state)
+        if record.state.latency_ewma_s <= bound_s:
             record.slow_since_s = None
             return False
         if record.slow_since_s is None:
             record.slow_since_s = now_s
         if (now_s - record.slow_since_s) * _MS_PER_S < settings.confirm_ms:
             return False
+        if record.state.last_latency_s <= bound_s:
+            return False
         if self._is_domain_slow(record.state):
             return False
         return self._eject(record, now_s)
@@ -137,17 +141,17 @@
             if record.state.target.service == service
         ]
 
-    def _is_slow(self, state: TargetState) -> bool:
+    def _slow_bound_s(self, state: TargetState) -> float:
         latencies = [
             peer.latency_ewma_s
             for peer in self._peers(state)
             if peer is not state and peer.latency_ewma_s
         ]
         if not latencies:
-            return False
+            return float('inf')
         usual_s = statistics.median(latencies)
         settings = self._settings
-        return state.latency_ewma_s > max(
+        return max(
             usual_s * settings.slow_factor,
             usual_s + settings.slow_ms / _MS_PER_S,
         )
--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -40,8 +40,9 @@
 
     ``affinity`` ranks the targets for this caller in the ``subset`` policy
     (see ``compute_affinity``). ``answered_at_s`` is the time of the last
-    answer, or of the first call in flight if that is later, and
-    ``others_in_flight`` the calls of other callers in the last report.
+    answer, or of the first call in flight if that is later,
+    ``others_in_flight`` the calls of other callers in the last report, and
+    ``last_latency_s`` the latency that was counted last.
     """
 
     target: Target
@@ -55,6 +56,7 @@
     affinity: int = 0
     answered_at_s: float = 0
     others_in_flight: int = 0
+    last_latency_s: float = 0
 
     def note_start(self, now_s: float) -> None:
         """Count a call that is sent."""
@@ -70,6 +72,7 @@
         self.answered_at_s = now_s
         if latency_s is None:
             return
+        self.last_latency_s = latency_s
         if not self.latency_ewma_s:
             self.latency_ewma_s = latency_s
             return
