--- a/packages/core/tests/test_selectors.py
+++ b/packages/core/tests/test_selectors.py
@@ -166,6 +166,14 @@
         )
         assert found == [('a', 'b', 'c')]
 
+    def test_only_the_smallest_sets_are_reported(self):
+        found = self.names(
+            _selector('a', '12'),
+            _selector('b', '1'),
+            _selector('c', '2'),
+        )
+        assert found == [('b', 'c')]
+
     def test_three_without_a_common_method(self):
         assert not self.names(
             _selector('a', '12', methods=('GET', 'PUT')),
--- a/packages/operator/tests/conftest.py
+++ b/packages/operator/tests/conftest.py
@@ -18,13 +18,15 @@
 
     ``script`` holds one step for each coming write: ``ok``, ``lost`` (it
     takes effect, the answer does not arrive), ``dropped`` (neither) or
-    ``refused``. ``rivals`` holds writes of others that come before it.
+    ``refused``. ``rivals`` holds writes of others that come before it,
+    ``early_rivals`` those that come after the next read.
     """
 
     def __init__(self):
         self.state = ObjectStore()
         self.script = []
         self.rivals = []
+        self.early_rivals = []
         self.write_ids = []
         self.is_silent = False
 
@@ -40,7 +42,11 @@
 
     async def read_back(self, kind, name):
         self._check_available()
-        return self.state.find(kind, name)
+        found = self.state.find(kind, name)
+        for rival in self.early_rivals:
+            self.seed(*rival)
+        self.early_rivals = []
+        return found
 
     async def list_kind(self, kind):
         self._check_available()
--- a/packages/operator/tests/test_apply.py
+++ b/packages/operator/tests/test_apply.py
@@ -143,6 +143,8 @@
             'b',
             {'target_labels': {'tier': ['silver']}},
         )
+        unrelated = write_file({**ONCE, 'spec': {'priority': 9}})
+        assert terminal.run('apply', unrelated) == 0
         assert terminal.run('delete', 'selector', 'a') == 0
 
     def test_order_avoids_a_passing_contradiction(self, terminal, write_file):
--- a/packages/operator/tests/test_fleet_commands.py
+++ b/packages/operator/tests/test_fleet_commands.py
@@ -107,6 +107,13 @@
             '10.0.0.2:9100 does not answer: refused',
         ]
 
+    def test_late_news_of_a_member_do_not_count(self, terminal):
+        for number, revision in enumerate((7, 5), start=1):
+            answer = {'members': [{'name': 'a', 'revision': revision}]}
+            terminal.answers[f'GET 10.0.0.{number}/fleet'] = [answer]
+        addresses = (ADMIN, '10.0.0.2:9100')
+        assert terminal.run('wait', *addresses, '--revision', '7') == 0
+
     def test_latest_revision_covers_a_deletion(self, terminal, store):
         store.seed('service', 'windows', {})
         store.seed('service', 'windows', None)
--- a/packages/operator/tests/test_races.py
+++ b/packages/operator/tests/test_races.py
@@ -42,6 +42,14 @@
         labels = terminal.store.state.find('labels', 't1').spec['labels']
         assert labels == {'tier': 'silver', 'disk': 'ssd'}
 
+    @pytest.mark.parametrize('moment', ['rivals', 'early_rivals'])
+    def test_new_labels_of_a_rival(self, terminal, moment):
+        rival = ('labels', 't1', {'labels': {'disk': 'ssd'}})
+        setattr(terminal.store, moment, [rival])
+        assert terminal.run('label', 't1', 'tier=silver') == 5
+        labels = terminal.store.state.find('labels', 't1').spec['labels']
+        assert labels == {'disk': 'ssd'}
+
     def test_deleted_meanwhile(self, terminal, write_file):
         terminal.store.seed('selector', 'once', {'priority': 1})
         terminal.store.rivals = [('selector', 'once', None)]
