--- a/packages/standins/src/cornelbeam_standins/session_caller.py
+++ b/packages/standins/src/cornelbeam_standins/session_caller.py
@@ -104,6 +104,7 @@
         call.attempt_count += 1
         call.attempt_id = session.rng.randbytes(_ID_BYTES)
         call.target_name = target_name
+        call.incarnation = state.target.incarnation
         call.sent_at_s = session.now_s
         call.is_outcome_asked = False
         state.note_start(session.now_s)
@@ -131,7 +132,7 @@
         call.is_outcome_asked = True
         query = messages.OutcomeQuery(
             call.attempt_id,
-            self.states[call.target_name].target.incarnation,
+            call.incarnation,
             True,
             remaining_ms(call.deadline_s, session.now_s),
         )
--- a/packages/standins/src/cornelbeam_standins/session_checks.py
+++ b/packages/standins/src/cornelbeam_standins/session_checks.py
@@ -85,12 +85,16 @@
     events: Sequence[Event],
     limits: SessionLimits,
 ) -> Iterator[str]:
-    """Probes of a backend server stay within burst and rate."""
-    times: defaultdict[str, list[float]] = defaultdict(list)
+    """Probes of one run of a backend server stay within burst and rate."""
+    starts: Counter[str] = Counter()
+    times: defaultdict[tuple[str, int], list[float]] = defaultdict(list)
     for event in events:
-        if event.name == 'probe':
-            times[event.receiver].append(event.at_s)
-    for server, probes in times.items():
+        if event.name == 'starts':
+            starts[event.sender] += 1
+        elif event.name == 'probe':
+            server = event.receiver
+            times[server, starts[server]].append(event.at_s)
+    for (server, _), probes in times.items():
         for index, end_s in enumerate(probes):
             for first, start_s in enumerate(probes[: index + 1]):
                 allowed = limits.probe_burst_count + (
--- a/packages/standins/src/cornelbeam_standins/session_clock.py
+++ b/packages/standins/src/cornelbeam_standins/session_clock.py
@@ -85,7 +85,12 @@
 @final
 @dataclass(slots=True)
 class Call:
-    """One request at the caller side."""
+    """One request at the caller side.
+
+    ``incarnation`` is the run of the target to which the last attempt was
+    sent. The target may be replaced before its outcome is asked for, and a
+    later run knows nothing of the attempt.
+    """
 
     request_id: str
     facts: RequestFacts
@@ -94,5 +99,6 @@
     attempt_count: int = 0
     attempt_id: bytes = b''
     target_name: str = ''
+    incarnation: int = 0
     sent_at_s: float = 0
     is_outcome_asked: bool = False
--- a/packages/standins/src/cornelbeam_standins/sessions.py
+++ b/packages/standins/src/cornelbeam_standins/sessions.py
@@ -151,6 +151,30 @@
             Event(at_s, sender, receiver, name, shown | fields, is_lost),
         )
 
+    def record_frame(
+        self,
+        at_s: float,
+        sender: str,
+        receiver: str,
+        frame: Any,
+        /,
+        *,
+        is_lost: bool = False,
+        **fields: object,
+    ) -> None:
+        """Add the message inside a thrift ``Frame``."""
+        for slot in frame.__slots__:
+            message = getattr(frame, slot)
+            if type(message).__name__ in _SHOWN_FIELDS:
+                self.record_message(
+                    at_s,
+                    sender,
+                    receiver,
+                    message,
+                    is_lost=is_lost,
+                    **fields,
+                )
+
     def note(
         self,
         at_s: float,
--- a/packages/standins/tests/test_sessions.py
+++ b/packages/standins/tests/test_sessions.py
@@ -182,11 +182,17 @@
     def _record(self, offset: int) -> SessionRecorder:
         recorder = SessionRecorder('Two attempts')
         for number in (1, 2, 1):
-            recorder.record_message(
+            query = messages.OutcomeQuery(
+                b'%d' % (offset + number),
+                5,
+                True,
+                90,
+            )
+            recorder.record_frame(
                 offset + number / 1000,
                 'daemon-1',
                 f'10.0.0.2:{4000 + offset + number}',
-                messages.OutcomeQuery(b'%d' % (offset + number), 5, True, 90),
+                messages.Frame(stream_id=number, outcome_query=query),
             )
         reply = messages.OutcomeReply(RunState.NOT_RUN, False)
         peer = f'10.0.0.2:{4001 + offset}'
--- a/tests/test_sessions_failures.py
+++ b/tests/test_sessions_failures.py
@@ -147,6 +147,29 @@
         caller.deliver(call, backends[1].answer(call.request_id, b'booked'))
         session.finish(_golden('failure_replaced'))
 
+    def test_replaced_and_silent(self) -> None:
+        """Two failures: what ran at the predecessor is never known again.
+
+        The booking may have run, so it is not sent elsewhere.
+        """
+        session = Session('Failure: connection silent, then instance replaced')
+        caller, backends = _fleet(session)
+        call = caller.accept('POST', '/bookings')
+        start = caller.send(call, 'daemon-2')
+        backends[0].take_call(start, caller.name)
+        session.wait_ms(2000)
+        lost = ErrorCode.PEER_UNREACHABLE
+        decision = caller.decide(call, RunState.UNKNOWN, lost)
+        assert decision is RetryDecision.ASK_OUTCOME
+        session.note('daemon-2', 'is replaced')
+        replaced = BackendSide(session, 2, 'Langley')
+        reply = replaced.take_query(caller.ask(call), caller.name)
+        assert reply.run_state == RunState.UNKNOWN
+        decision = caller.decide(call, reply.run_state, lost)
+        assert decision is RetryDecision.GIVE_UP
+        caller.refuse(call, ErrorCode.OUTCOME_UNKNOWN, reply.run_state)
+        session.finish(_golden('failure_replaced_and_silent'))
+
     def test_silent_connection(self) -> None:
         """A new connection works: it brings the answer that was kept."""
         session = Session('Failure: a connection is silent, a new one works')
