--- a/packages/daemon/src/cornelbeam_daemon/metrics.py
+++ b/packages/daemon/src/cornelbeam_daemon/metrics.py
@@ -1,25 +1,25 @@
 """Metrics of the daemon, in the Prometheus text exposition.
 
-Every label has a bounded set of values. Service names reach the daemon in
-Host headers, so a caller could otherwise create any number of time series:
-services beyond a fixed number are counted under ``other``, as are codes that
-are not in the fixed set.
+Labels are bounded by ``cornelbeam_daemon.metric_labels``.
 """
 
 from collections.abc import Mapping
-from typing import Final, Generic, Protocol, TypeVar, final
+from typing import Final, final
 
-from cornelbeam_core.errors import ErrorCode, RunState
+from cornelbeam_core.errors import RunState
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.metrics import MetricWrapperBase
 
-OK_CODE: Final = 'ok'
-SERVER_ERROR_CODE: Final = 'answer_5xx'
-OTHER: Final = 'other'
+from cornelbeam_daemon.metric_labels import (
+    OK_CODE,
+    SERVER_ERROR_CODE,
+    CallFold,
+    Children,
+    NamedFold,
+    fold_code,
+)
+
 CALLER_SIDE: Final = 'caller'
 BACKEND_SIDE: Final = 'backend'
-IDEMPOTENT: Final = 'idempotent'
-NON_IDEMPOTENT: Final = 'non-idempotent'
 
 # A daemon calls a handful of services. 24 services with both kinds and five
 # usual codes are 240 histograms.
@@ -50,26 +50,8 @@
     10,
 )
 
-_CODES: Final = frozenset(
-    (OK_CODE, SERVER_ERROR_CODE, *(code.value for code in ErrorCode)),
-)
-# Refusals of requests whose service may not exist. Their names must not use
-# up the bound, which would hide the services that are really called.
-_UNROUTED_CODES: Final = frozenset(
-    (
-        ErrorCode.MALFORMED_REQUEST.value,
-        ErrorCode.HEAD_TOO_LARGE.value,
-        ErrorCode.BODY_TOO_LARGE.value,
-        ErrorCode.UNKNOWN_SERVICE.value,
-        ErrorCode.TOO_MANY_HOPS.value,
-    ),
-)
 _LOWEST_SERVER_ERROR: Final = 500
 
-_Metric = TypeVar('_Metric', bound=MetricWrapperBase)
-_Key = tuple[str | bool, ...]
-_Labels = tuple[str, ...]
-
 
 def answer_code(status: int) -> str:
     """Give the outcome code of a whole answer with this HTTP status.
@@ -82,98 +64,6 @@
     return SERVER_ERROR_CODE if status >= _LOWEST_SERVER_ERROR else OK_CODE
 
 
-class _Fold(Protocol):
-    """Turns a key into label values that are bounded."""
-
-    def __call__(self, key: _Key) -> tuple[_Labels, bool]:
-        """Give the label values, and whether the key is within the bound."""
-
-
-@final
-class _Children(dict[_Key, _Metric], Generic[_Metric]):
-    """Label children by key, each resolved once and then kept.
-
-    A key beyond the bound is not kept, so that this dictionary is bounded
-    too.
-    """
-
-    def __init__(self, metric: _Metric, fold: _Fold) -> None:
-        """Start without children."""
-        super().__init__()
-        self._metric = metric
-        self._fold = fold
-
-    def __missing__(self, key: _Key) -> _Metric:
-        """Resolve the child of a key that is not kept yet."""
-        labels, is_within_bound = self._fold(key)
-        child = self._metric.labels(*labels)
-        if is_within_bound:
-            self[key] = child
-        return child
-
-
-@final
-class _NamedFold:
-    """Bounds the last label, whose values are names."""
-
-    __slots__ = ('_max_count', '_names')
-
-    def __init__(self, max_count: int) -> None:
-        """Accept the first ``max_count`` names, and ``other``."""
-        self._max_count = max_count + 1
-        self._names: set[str | bool] = {OTHER}
-
-    def __call__(self, key: _Key) -> tuple[_Labels, bool]:
-        """Replace a name beyond the bound."""
-        *first, name = key
-        is_accepted = self.is_accepted(name)
-        last = name if is_accepted else OTHER
-        return (*map(str, first), str(last)), is_accepted
-
-    def is_known(self, name: str | bool) -> bool:
-        """Tell whether the name is a label value already."""
-        return name in self._names
-
-    def is_accepted(self, name: str | bool) -> bool:
-        """Tell whether the name may be a label value."""
-        if name in self._names:
-            return True
-        if len(self._names) >= self._max_count:
-            return False
-        self._names.add(name)
-        return True
-
-
-@final
-class _CallFold:
-    """Bounds the labels of calls: service, kind and code."""
-
-    __slots__ = ('_services',)
-
-    def __init__(self, max_service_count: int) -> None:
-        """Accept the first ``max_service_count`` services."""
-        self._services = _NamedFold(max_service_count)
-
-    def __call__(self, key: _Key) -> tuple[_Labels, bool]:
-        """Replace a service beyond the bound and an unknown code."""
-        service, is_idempotent, code = key
-        is_doubtful = code in _UNROUTED_CODES
-        if is_doubtful and not self._services.is_known(service):
-            (name,), is_accepted = (OTHER,), False
-        else:
-            (name,), is_accepted = self._services((service,))
-        (known_code,), is_known = _fold_code((code,))
-        kind = IDEMPOTENT if is_idempotent else NON_IDEMPOTENT
-        return (name, kind, known_code), is_accepted and is_known
-
-
-def _fold_code(key: _Key) -> tuple[_Labels, bool]:
-    """Replace an unknown code, the last label."""
-    *first, code = map(str, key)
-    is_known = code in _CODES
-    return (*first, code if is_known else OTHER), is_known
-
-
 @final
 class Metrics:
     """All metrics of one daemon; its methods are called on the data path.
@@ -305,19 +195,19 @@
         self._control_bytes['received', message].inc(size_bytes)
 
     def _add_call_metrics(self, max_service_count: int) -> None:
-        self._calls = _Children(
+        self._calls = Children(
             self._histogram(
                 'cornelbeam_call_duration_seconds',
                 'Time of a call on the caller side, retries included.',
             ),
-            _CallFold(max_service_count),
+            CallFold(max_service_count),
         )
-        self._backend_calls = _Children(
+        self._backend_calls = Children(
             self._histogram(
                 'cornelbeam_backend_duration_seconds',
                 'Time of an attempt on the backend side, queue included.',
             ),
-            _CallFold(max_service_count),
+            CallFold(max_service_count),
         )
         in_flight = Gauge(
             'cornelbeam_in_flight_calls',
@@ -337,14 +227,14 @@
             'cornelbeam_admission_queue_calls',
             'Requests that wait for admission.',
         )
-        self._refusals = _Children(
+        self._refusals = Children(
             self._counter(
                 'cornelbeam_refusals',
                 'Requests refused, by side and code.',
                 'side',
                 'code',
             ),
-            _fold_code,
+            fold_code,
         )
 
     def _add_budget_metrics(self) -> None:
@@ -399,38 +289,38 @@
             'cornelbeam_config_revision',
             'Revision of the configuration in force.',
         )
-        self._config_objects = _Children(
+        self._config_objects = Children(
             self._gauge(
                 'cornelbeam_config_objects',
                 'Configuration objects in force.',
                 'kind',
             ),
-            _NamedFold(_MAX_NAME_COUNT),
+            NamedFold(_MAX_NAME_COUNT),
         )
-        self._member_counts = _Children(
+        self._member_counts = Children(
             self._gauge(
                 'cornelbeam_members',
                 'Members of the own service, by state.',
                 'state',
             ),
-            _NamedFold(_MAX_NAME_COUNT),
+            NamedFold(_MAX_NAME_COUNT),
         )
         labels = ('direction', 'message')
-        self._control_messages = _Children(
+        self._control_messages = Children(
             self._counter(
                 'cornelbeam_control_messages',
                 'Control messages between daemons.',
                 *labels,
             ),
-            _NamedFold(_MAX_NAME_COUNT),
+            NamedFold(_MAX_NAME_COUNT),
         )
-        self._control_bytes = _Children(
+        self._control_bytes = Children(
             self._counter(
                 'cornelbeam_control_bytes',
                 'Bytes of control messages between daemons.',
                 *labels,
             ),
-            _NamedFold(_MAX_NAME_COUNT),
+            NamedFold(_MAX_NAME_COUNT),
         )
 
     def _gauge(self, name: str, text: str, *labels: str) -> Gauge:
@@ -449,7 +339,7 @@
         )
 
 
-def _set_all(children: _Children[Gauge], counts: Mapping[str, int]) -> None:
+def _set_all(children: Children[Gauge], counts: Mapping[str, int]) -> None:
     """Set the given names, and zero for names that are no longer there."""
     for (name,), child in children.items():
         child.set(counts.get(str(name), 0))
