Hedge idempotent requests and probe ejected targets within a budget

Cause: the tail latency of idempotent requests was set by a stalled target, and an ejected target was tried again with a caller's request. Change: after the 95th percentile of a service's latency a second attempt goes to another target, within the retry budget; the slower one is cancelled. An ejected target is probed before it gets calls again; its daemon runs at most the probes of its token bucket and gives everybody else the last result, so the cost does not grow with the callers. Failed attempts at the backend side are counted, and replies are counted under their own name. Also: a request with an unclear attempt is never reported as not run because of a later refusal.

--- a/packages/daemon/src/cornelbeam_daemon/admin.py
+++ b/packages/daemon/src/cornelbeam_daemon/admin.py
@@ -227,6 +227,8 @@
     metrics.set_in_flight(daemon.caller_side.in_flight, load.in_flight)
     metrics.set_limit(load.limit)
     metrics.set_queue_length(load.queue_length)
+    metrics.set_probe_tokens(daemon.prober.tokens())
+    metrics.set_retry_tokens(daemon.caller_side.retry_tokens())
     metrics.set_members(daemon.fleet.member_counts())
     counts: dict[str, int] = {}
     for held in daemon.config.state.objects():
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -104,7 +104,7 @@
             answer = await self._serve(call, started_s)
         except CornelbeamError as error:
             error.peer = error.peer or self.name
-            self._metrics.count_refusal(BACKEND_SIDE, error.code.value)
+            self._count_error(call, error, started_s)
             self._end()
             raise
         except BaseException:
@@ -112,6 +112,20 @@
             raise
         return answer
 
+    def _count_error(
+        self,
+        call: Call,
+        error: CornelbeamError,
+        started_s: float,
+    ) -> None:
+        self._metrics.count_refusal(BACKEND_SIDE, error.code.value)
+        self._metrics.count_backend_answer(
+            call.service,
+            call.is_repeatable,
+            error.code.value,
+            self._loop.time() - started_s,
+        )
+
     async def _serve(self, call: Call, started_s: float) -> Answer:
         self._check(call, started_s)
         self._record(call, started_s)
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -25,6 +25,7 @@
 from cornelbeam_daemon.backend_side import BackendSide
 from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
 from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.hedging import Attempt, Hedger
 from cornelbeam_daemon.http_server import HttpRequest, Responder, send_error
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.metrics import CALLER_SIDE, Metrics, answer_code
@@ -59,6 +60,7 @@
         'deadline_s',
         'facts',
         'failed',
+        'has_unclear_attempt',
         'headers',
         'hop_count',
         'request',
@@ -79,9 +81,15 @@
         self.attempt_count = 0
         # Targets tried, and whether only the connection to them was lost.
         self.failed: dict[str, bool] = {}
+        self.has_unclear_attempt = False
         self.facts = RequestFacts('', '', '', {})
         self.route = Route((), {}, False, None)
 
+    def note_run_state(self, run_state: RunState) -> None:
+        """Remember an attempt that may have run."""
+        if run_state is not RunState.NOT_RUN:
+            self.has_unclear_attempt = True
+
     @property
     def is_idempotent(self) -> bool:
         """Tell whether the method is idempotent."""
@@ -97,6 +105,7 @@
         '_budget',
         '_client',
         '_ejector',
+        '_hedger',
         '_limits',
         '_loop',
         '_metrics',
@@ -129,11 +138,16 @@
             limits.retry_ratio,
             limits.retry_min_per_s,
         )
+        self._hedger = Hedger(self._budget, metrics)
         self._ejector = OutlierEjector()
         self._rng = random.Random()
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0
 
+    def retry_tokens(self) -> float:
+        """Give the retries and hedges that the budget allows now."""
+        return self._budget.tokens(self._loop.time())
+
     def forget_absent(self) -> None:
         """Drop the history of targets that are gone."""
         self._ejector.retain(self._table.all_states())
@@ -209,7 +223,7 @@
             await self._gather_body(pending)
         last_error: CornelbeamError | None = None
         while True:
-            state = self._choose(pending)
+            state = self._choose(pending, pending.failed)
             if state is None:
                 raise last_error or no_target_error(
                     self._table,
@@ -218,7 +232,7 @@
             pending.attempt_count += 1
             call = self._new_call(pending, state)
             try:
-                return await self._attempt(pending, state, call)
+                return await self._attempt_hedged(pending, state, call)
             except CornelbeamError as error:
                 last_error = error
             decision = self._decide(pending, last_error, is_asked=False)
@@ -227,11 +241,61 @@
                 if answer is not None:
                     return answer
                 decision = self._decide(pending, last_error, is_asked=True)
+            pending.note_run_state(last_error.run_state)
             if decision is not RetryDecision.RETRY:
                 raise last_error
             is_lost = last_error.code is ErrorCode.PEER_UNREACHABLE
             pending.failed[state.target.name] = is_lost
 
+    async def _attempt_hedged(
+        self,
+        pending: Pending,
+        state: TargetState,
+        call: Call,
+    ) -> Answer:
+        delay_s = None
+        if pending.body.is_whole:
+            delay_s = self._hedger.delay_s(
+                pending.facts.service,
+                pending.route,
+                pending.deadline_s,
+                is_idempotent=pending.is_idempotent,
+            )
+        first = self._attempt(pending, state, call)
+        if delay_s is None:
+            return await first
+        return await self._hedger.race(
+            first,
+            delay_s,
+            lambda: self._make_hedge(pending, state),
+        )
+
+    def _make_hedge(
+        self,
+        pending: Pending,
+        slow: TargetState,
+    ) -> Attempt | None:
+        tried = {**pending.failed, slow.target.name: False}
+        state = self._choose(pending, tried)
+        if state is None or state.target.name in tried:
+            return None
+        return self._attempt_second(pending, state)
+
+    async def _attempt_second(
+        self,
+        pending: Pending,
+        state: TargetState,
+    ) -> Answer:
+        try:
+            return await self._attempt(
+                pending,
+                state,
+                self._new_call(pending, state),
+            )
+        except CornelbeamError as error:
+            pending.note_run_state(error.run_state)
+            raise
+
     async def _gather_body(self, pending: Pending) -> None:
         """Wait for a body that is short, or whose request must not repeat.
 
@@ -256,7 +320,11 @@
                 detail='the body did not arrive in time',
             ) from error
 
-    def _choose(self, pending: Pending) -> TargetState | None:
+    def _choose(
+        self,
+        pending: Pending,
+        tried: Mapping[str, bool],
+    ) -> TargetState | None:
         now_s = self._loop.time()
         route = pending.route
         states = self._table.states(pending.facts.service)
@@ -267,8 +335,8 @@
                 for state in states
                 if route.is_eligible(state.target.labels)
             ]
-        if pending.failed:
-            candidates = _prefer_untried(candidates, pending.failed)
+        if tried:
+            candidates = _prefer_untried(candidates, tried)
         chosen = choose_target(self._policy, candidates, now_s, self._rng)
         if chosen is None or chosen.target.name == self._name:
             return chosen
@@ -328,6 +396,7 @@
             self._note_end(state, outcome, latency_s)
         if answer.load is not None:
             state.note_report(answer.load, started_s + latency_s)
+        self._hedger.note_latency(pending.facts.service, latency_s)
         self._budget.note_success(started_s)
         return answer
 
@@ -436,6 +505,9 @@
         error: CornelbeamError,
         responder: Responder,
     ) -> None:
+        if pending.has_unclear_attempt and error.run_state is RunState.NOT_RUN:
+            # The last attempt was not run, but an earlier one may have been.
+            error.run_state = RunState.UNKNOWN
         self._metrics.count_refusal(CALLER_SIDE, error.code.value)
         _log.info(
             'request not answered',
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -42,6 +42,7 @@
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.peer_server import PeerServer
+from cornelbeam_daemon.probing import Prober, ProbeWatch
 from cornelbeam_daemon.routing_table import RoutingTable
 from cornelbeam_daemon.silence import SilenceWatch
 
@@ -98,19 +99,32 @@
         self._pool = PeerPool(self._identity, _refuse_streams)
         self._messenger = Messenger(self._pool, self.metrics)
         self.admission = AdmissionLimit(_admission_settings(settings))
+        client = BackendClient(
+            settings.backend_server.host,
+            settings.backend_server.port,
+            settings.backend_server.connection_count,
+        )
         self.backend_side = BackendSide(
             own.name,
             self.admission,
             AttemptLedger(own.incarnation, LEDGER_CAPACITY, LEDGER_KEEP_S),
-            BackendClient(
-                settings.backend_server.host,
-                settings.backend_server.port,
-                settings.backend_server.connection_count,
-            ),
+            client,
             self.metrics,
             lambda: self.table.is_own_domain_in_service,
         )
         self._peer_server = PeerServer(self.backend_side, self._accepted)
+        self.prober = Prober(
+            settings,
+            client,
+            self.backend_side,
+            self.metrics,
+        )
+        self._probe_watch = ProbeWatch(
+            own.name,
+            self.table,
+            self._messenger,
+            self._rng,
+        )
         self.caller_side = CallerSide(
             own.name,
             self.table,
@@ -183,6 +197,7 @@
             group.start_soon(self._follow_changes)
             group.start_soon(self._expire_attempts)
             group.start_soon(self._silence.run)
+            group.start_soon(self._probe_watch.run)
             group.start_soon(self._relay_when_chosen, client, group)
             group.start_soon(self._write_introducers, client)
             group.start_soon(self._serve_admin)
@@ -258,6 +273,8 @@
             self.fleet.answer_indirect_ping(stream, frame.indirect_ping)
         elif frame.view_request is not None:
             self.fleet.answer_view_request(stream, frame.view_request)
+        elif frame.probe_request is not None:  # noqa: WPS223 - one per message
+            self.fleet.start(self.prober.answer(stream, self._messenger))
         else:
             self._accept_config(stream, frame, peer.address)
 
--- a/packages/daemon/src/cornelbeam_daemon/exchange.py
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -12,6 +12,13 @@
 REPLY_TIMEOUT_S: Final = 0.9
 # Approximate size of a frame around its message.
 _FRAME_BYTES: Final = 12
+_REPLY_NAMES: Final = {
+    'ping': 'ack',
+    'indirect_ping': 'ack',
+    'view_request': 'view_reply',
+    'config_pull': 'config_push',
+    'probe_request': 'probe_reply',
+}
 
 
 @final
@@ -73,7 +80,7 @@
         finally:
             stream.close()
         self._metrics.count_received(
-            name,
+            _REPLY_NAMES.get(name, name),
             max(_FRAME_BYTES, connection.received_bytes - received_bytes),
         )
         return frame
--- a/packages/daemon/src/cornelbeam_daemon/fleet_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -217,7 +217,7 @@
         request: messages.IndirectPing,
     ) -> None:
         """Ping a member for another daemon and pass its ack back."""
-        self._start(self._ping_for(stream, request))
+        self.start(self._ping_for(stream, request))
 
     def answer_view_request(
         self,
@@ -250,19 +250,25 @@
         """Ping a member soon whose connection broke."""
         self.membership.request_ping(name)
 
+    def start(self, work: Coroutine[None, None, None]) -> None:
+        """Run a short exchange beside the loop of ticks."""
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _tick(self, now_s: float) -> None:
         self._take(self.membership.tick(now_s, self._rng))
         introducers = self.introducers()
         for request in self.directory.tick(introducers, now_s, self._rng):
-            self._start(self._refresh_view(request))
+            self.start(self._refresh_view(request))
         if now_s >= self._next_own_view_s:
             self._next_own_view_s = now_s + self._draw(self._view_period_s)
-            self._start(self._refresh_own(introducers))
+            self.start(self._refresh_own(introducers))
         if now_s >= self._next_contact_s:
             self._next_contact_s = now_s + self._draw(CONTACT_PERIOD_S)
             self.contacts.expire(now_s)
             for address in choose_contacts(self.own.service, introducers):
-                self._start(self._announce_to(address))
+                self.start(self._announce_to(address))
         addresses, version = self._own_introducers()
         for action in self._keeper.tick(
             addresses,
@@ -271,7 +277,7 @@
             self._rng,
         ):
             if isinstance(action, CheckIntroducer):
-                self._start(self._check_introducer(action.address))
+                self.start(self._check_introducer(action.address))
             else:
                 self.wanted_writes.append(action)
 
@@ -297,14 +303,9 @@
 
     def _spawn(self, action: SendPing | SendIndirectPing) -> None:
         if isinstance(action, SendPing):
-            self._start(self._ping(action))
+            self.start(self._ping(action))
         else:
-            self._start(self._ping_via(action))
-
-    def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = self._loop.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            self.start(self._ping_via(action))
 
     def _note_change(self, action: MemberChanged) -> None:
         update = action.update
