Let a call wait for 100 ms at the backend side

Cause: while one of three failure domains is out, the utility runs at 90% of its slots; calls that could have run after 50 ms in the queue were refused, retried and refused again.

--- a/packages/core/src/cornelbeam_core/admission.py
+++ b/packages/core/src/cornelbeam_core/admission.py
@@ -46,7 +46,7 @@
     slot_count: int = 20
     cold_slot_count: int = 2
     queue_count: int = 20
-    queue_ms: int = 50
+    queue_ms: int = 100
     grow_min_count: int = 8
     slow_factor: float = 2.5
     cold_factor: float = 4
