Test the pure state and measure membership in virtual time

A run of 600 s at 5% loss held 2 of 4 running members dead: the suspicion ended before the refutation reached every observer. Each member of a group below 128 now pings a suspect itself first.

Views no longer enter the gossip: at 256 members the first views kept all pings full for minutes and one failure was not known to all after 40 s.

--- a/packages/core/src/cornelbeam_core/membership.py
+++ b/packages/core/src/cornelbeam_core/membership.py
@@ -27,7 +27,21 @@
 from cornelbeam_core.rumors import RumorQueue
 from cornelbeam_core.targets import Target
 
+__all__ = (
+    'MemberChanged',
+    'Membership',
+    'MembershipAction',
+    'MembershipSettings',
+    'SelfReplaced',
+    'SendIndirectPing',
+    'SendPing',
+)
+
 MS_PER_S: Final = 1000
+# In a smaller group each member pings a suspect itself before it holds it
+# dead, as few others could pass on a refutation. In a larger one so many
+# pings at once would be a burst.
+SELF_CHECK_LIMIT: Final = 128
 
 
 @final
@@ -156,7 +170,29 @@
         updates: Iterable[MemberUpdate],
         now_s: float,
     ) -> tuple[MembershipAction, ...]:
-        """Take what a ping, an ack or a view says about members."""
+        """Take what a ping or an ack says about members."""
+        return self._take(updates, now_s, is_view=False)
+
+    def on_view(
+        self,
+        updates: Iterable[MemberUpdate],
+        now_s: float,
+    ) -> tuple[MembershipAction, ...]:
+        """Take the members that another daemon listed on request.
+
+        Those unknown so far are not passed on: a member spreads its own
+        arrival, and others ask for views, too. Passing on a whole view takes
+        minutes of full pings in a large group.
+        """
+        return self._take(updates, now_s, is_view=True)
+
+    def _take(
+        self,
+        updates: Iterable[MemberUpdate],
+        now_s: float,
+        *,
+        is_view: bool,
+    ) -> tuple[MembershipAction, ...]:
         actions: list[MembershipAction] = []
         for update in updates:
             if update.target.service != self._self.target.service:
@@ -164,7 +200,10 @@
             if update.target.name == self._self.target.name:
                 actions.extend(self._hear_of_self(update))
             else:
+                is_known = update.target.name in self._members
                 actions.extend(self._accept(update, now_s))
+                if is_view and not is_known:
+                    self._rumors.discard(update.target.name)
         return tuple(actions)
 
     def take_updates(self, receiver: str) -> tuple[MemberUpdate, ...]:
@@ -235,6 +274,8 @@
         self._dead_since_s.pop(name, None)
         if update.state is MemberState.SUSPECT:
             self._suspicions[name] = now_s + self._suspicion_s()
+            if len(self._members) < SELF_CHECK_LIMIT:
+                self.request_ping(name)
         if not update.is_present:
             self._dead_since_s[name] = now_s
             self._pending.pop(name, None)
@@ -274,6 +315,8 @@
             return
         self._raise_health_score()
         name = held.target.name
+        if held.state is MemberState.SUSPECT:
+            self.request_ping(name)
         if held.state is MemberState.LEAVING:
             # The statement "leaving" is kept; only the timer starts.
             self._suspicions.setdefault(name, now_s + self._suspicion_s())
--- /dev/null
+++ b/packages/core/tests/test_membership.py
@@ -0,0 +1,154 @@
+"""Failure detection accuses only the dead, and forgets no news."""
+
+import random
+
+import pytest
+from cornelbeam_core.members import MemberState, MemberUpdate
+from cornelbeam_core.membership import (
+    MemberChanged,
+    Membership,
+    MembershipSettings,
+    SelfReplaced,
+    SendPing,
+)
+from cornelbeam_standins.membership_run import GroupRun, make_target
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+UPDATES = st.lists(
+    st.builds(
+        lambda incarnation, state, refutation: MemberUpdate(
+            make_target(1, incarnation), state, refutation
+        ),
+        st.integers(1, 3),
+        st.sampled_from(MemberState),
+        st.integers(0, 2),
+    ),
+    max_size=12,
+)
+
+
+@pytest.fixture
+def pair():
+    member = Membership(make_target(0), MembershipSettings())
+    member.on_updates([MemberUpdate(make_target(1), MemberState.ALIVE)], 0)
+    return member
+
+
+class TestUpdates:
+    """Guards against old news that replaces or revives."""
+
+    @settings(derandomize=True, max_examples=300)
+    @given(UPDATES)
+    def test_order_of_news_does_not_matter(self, updates):
+        first = MemberUpdate(make_target(1, 1), MemberState.ALIVE)
+        held = []
+        backwards = list(reversed(updates))
+        for order in (updates, backwards, updates + backwards):
+            member = Membership(make_target(0), MembershipSettings())
+            member.on_updates([first, *order], 0)
+            held.append(member.find(first.target.name))
+        assert held[0] == held[1] == held[2]
+
+    def test_restart_replaces_the_old_entry_at_once(self, pair):
+        dead = MemberUpdate(make_target(1), MemberState.DEAD, 7)
+        pair.on_updates([dead], 1)
+        assert not list(pair.members())
+        pair.on_updates([MemberUpdate(make_target(1), MemberState.ALIVE, 6)], 2)
+        assert not list(pair.members())
+        new = MemberUpdate(make_target(1, 2), MemberState.ALIVE)
+        assert pair.on_updates([new], 3) == (MemberChanged(new, dead),)
+
+    def test_suspected_member_refutes(self, pair):
+        doubt = MemberUpdate(make_target(0), MemberState.SUSPECT, 4)
+        pair.on_updates([doubt], 1)
+        assert pair.own.refutation == 5
+        assert pair.own.supersedes(doubt)
+        assert pair.own in pair.take_updates(make_target(1).name)
+
+    def test_later_run_of_the_own_name_stops_this_one(self, pair):
+        later = MemberUpdate(make_target(0, 2), MemberState.ALIVE)
+        assert pair.on_updates([later], 1) == (SelfReplaced(2),)
+
+    def test_leaving_is_not_hidden_by_suspicion(self, pair):
+        leaving = MemberUpdate(make_target(1), MemberState.LEAVING)
+        doubt = MemberUpdate(make_target(1), MemberState.SUSPECT)
+        pair.on_updates([leaving, doubt], 1)
+        assert pair.find(make_target(1).name) == leaving
+
+    def test_dead_entries_are_bounded(self):
+        used = MembershipSettings(dead_limit=3, dead_keep_ms=1000)
+        member = Membership(make_target(0), used)
+        for index in range(1, 9):
+            target = make_target(index)
+            member.on_updates([MemberUpdate(target, MemberState.ALIVE)], 0)
+            member.on_updates([MemberUpdate(target, MemberState.DEAD)], 0)
+        member.tick(0.1, random.Random(1))
+        kept = [member.find(f'windows-langley-0000{at}') for at in range(1, 9)]
+        assert [bool(each) for each in kept].index(True) == 5
+        assert None not in kept[5:]
+        member.tick(5, random.Random(1))
+        assert member.find(make_target(8).name) is None
+
+
+class TestDetection:
+    """Guards against missed failures and false accusations."""
+
+    @pytest.mark.parametrize('size', [2, 4, 16])
+    def test_stopped_member_is_found_by_all(self, size):
+        group = GroupRun(size, seed=size)
+        group.run(10)
+        group.absent.add(1)
+        group.run(30)
+        assert group.holders(1, MemberState.DEAD) == size - 1
+        assert not group.totals.false_deaths([1])
+
+    def test_paused_observer_accuses_nobody(self):
+        group = GroupRun(4, seed=3)
+        group.run(10)
+        # Member 1 stops answering just before member 0 is paused, so that a
+        # ping is under way, and answers again when member 0 resumes.
+        group.absent.add(1)
+        group.run(11)
+        group.paused.update((0, 2, 3))
+        group.now_s = 500
+        group.absent.clear()
+        group.paused.clear()
+        group.run(520)
+        assert not group.totals.deaths
+        assert not group.totals.suspicions
+
+    def test_pause_does_not_end_a_suspicion(self, pair):
+        rng = random.Random(1)
+        doubt = MemberUpdate(make_target(1), MemberState.SUSPECT)
+        pair.tick(0, rng)
+        pair.on_updates([doubt], 0)
+        actions = pair.tick(100, rng)
+        assert not any(isinstance(each, MemberChanged) for each in actions)
+        assert pair.health_score == 1
+
+    def test_paused_member_comes_back(self):
+        group = GroupRun(8, seed=5)
+        group.run(10)
+        group.paused.add(2)
+        group.run(40)
+        assert group.holders(2, MemberState.DEAD) == 7
+        group.paused.clear()
+        group.run(70)
+        assert group.holders(2, MemberState.ALIVE) == 7
+        assert not group.totals.false_deaths([2])
+
+    def test_loss_of_every_tenth_message_kills_nobody(self):
+        group = GroupRun(8, seed=7, loss=0.1)
+        group.run(300)
+        assert not group.totals.false_deaths(())
+
+    def test_ack_of_another_run_does_not_count(self, pair):
+        rng = random.Random(1)
+        pings = [
+            each for each in pair.tick(0, rng) if isinstance(each, SendPing)
+        ]
+        pair.on_ack(pings[0].name, 99, (), 0.1)
+        for tick in range(1, 12):
+            pair.tick(tick / 10, rng)
+        assert pair.find(pings[0].name).state is MemberState.SUSPECT
--- /dev/null
+++ b/packages/standins/src/cornelbeam_standins/membership_run.py
@@ -0,0 +1,301 @@
+"""Membership of one service in virtual time, with its traffic in bytes.
+
+The members exchange the encoded frames of the peer protocol, each of which
+may be lost. Transit takes no time, as it is short against a tick. Run
+``python -m cornelbeam_standins.membership_run`` for the tables of
+``docs/membership.md``.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Final, final
+
+from cornelbeam_core.members import MemberState, MemberUpdate
+from cornelbeam_core.membership import (
+    MemberChanged,
+    Membership,
+    MembershipAction,
+    MembershipSettings,
+    SendIndirectPing,
+    SendPing,
+)
+from cornelbeam_core.targets import Target
+from cornelbeam_wire.codec import encode_frame
+from cornelbeam_wire.gen import messages
+
+TICK_S: Final = 0.1
+_STREAM_ID: Final = 101
+_REVISION: Final = 1_234_567
+
+
+@final
+@dataclass(slots=True)
+class RunTotals:
+    """What a run counted; times are seconds of virtual time.
+
+    ``deaths`` and ``suspicions`` are (time, observer, member) as they were
+    taken over by each observer, in order.
+    """
+
+    sent_bytes: Counter[int] = field(default_factory=Counter)
+    message_count: int = 0
+    deaths: list[tuple[float, int, int]] = field(default_factory=list)
+    suspicions: list[tuple[float, int, int]] = field(default_factory=list)
+
+    def false_deaths(self, stopped: Iterable[int]) -> int:
+        """Count the running members that were held dead by anyone."""
+        gone = set(stopped)
+        return len({name for _, _, name in self.deaths if name not in gone})
+
+
+@final
+class GroupRun:
+    """Members of one service that start out knowing each other."""
+
+    __slots__ = (
+        '_loss',
+        '_members',
+        '_rng',
+        'absent',
+        'now_s',
+        'paused',
+        'totals',
+    )
+
+    def __init__(
+        self,
+        size: int,
+        seed: int,
+        loss: float = 0,
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        """Start the members; ``loss`` is the share of lost messages."""
+        self._rng = random.Random(seed)
+        self._loss = loss
+        self.now_s: float = 0
+        self.absent: set[int] = set()
+        self.paused: set[int] = set()
+        self.totals = RunTotals()
+        used = settings or MembershipSettings()
+        self._members = [
+            Membership(make_target(index), used) for index in range(size)
+        ]
+        everyone = [each.own for each in self._members]
+        for member in self._members:
+            member.on_view(everyone, self.now_s)
+
+    def member(self, index: int) -> Membership:
+        """Give the membership of one daemon."""
+        return self._members[index]
+
+    def restart(self, index: int, incarnation: int) -> None:
+        """Replace a daemon by a new run that knows its first neighbour."""
+        fresh = Membership(
+            make_target(index, incarnation), MembershipSettings()
+        )
+        neighbour = self._members[(index + 1) % len(self._members)]
+        fresh.on_view(neighbour.view(), self.now_s)
+        self._members[index] = fresh
+        self.absent.discard(index)
+
+    def run(self, until_s: float) -> None:
+        """Tick all members that are neither absent nor paused."""
+        while self.now_s < until_s:
+            self.now_s = round(self.now_s + TICK_S, 3)
+            for index, member in enumerate(self._members):
+                if index in self.absent or index in self.paused:
+                    continue
+                self._perform(index, member.tick(self.now_s, self._rng))
+
+    def holders(self, index: int, state: MemberState) -> int:
+        """Count the running members that hold another one in a state."""
+        name = make_target(index).name
+        found = (
+            member.find(name)
+            for observer, member in enumerate(self._members)
+            if observer != index and observer not in self.absent
+        )
+        return sum(1 for held in found if held and held.state is state)
+
+    def _perform(
+        self,
+        index: int,
+        actions: Iterable[MembershipAction],
+    ) -> None:
+        for action in actions:
+            if isinstance(action, SendPing):
+                self._ping(index, index, action.name, action.updates)
+            elif isinstance(action, SendIndirectPing):
+                self._ping_indirectly(index, action)
+            elif isinstance(action, MemberChanged):
+                self._note(index, action.update)
+
+    def _ping(
+        self,
+        asker: int,
+        sender: int,
+        name: str,
+        updates: tuple[MemberUpdate, ...],
+    ) -> None:
+        receiver = _index_of(name)
+        ping = messages.Ping(
+            updates=list(_encode_updates(updates)),
+            revision=_REVISION,
+            service_name=self._members[sender].own.target.service,
+        )
+        if not self._is_delivered(sender, receiver, ping=ping):
+            return
+        target = self._members[receiver]
+        self._perform(receiver, target.on_updates(updates, self.now_s))
+        answer = target.take_updates(self._members[sender].own.target.name)
+        self._acknowledge(receiver, sender, receiver, answer)
+        if asker != sender:
+            self._acknowledge(sender, asker, receiver, answer)
+
+    def _acknowledge(
+        self,
+        sender: int,
+        receiver: int,
+        subject: int,
+        updates: tuple[MemberUpdate, ...],
+    ) -> None:
+        own = self._members[subject].own.target
+        ack = messages.Ack(
+            updates=list(_encode_updates(updates)),
+            revision=_REVISION,
+            name=own.name,
+            incarnation=own.incarnation,
+        )
+        if self._is_delivered(sender, receiver, ack=ack):
+            taken = self._members[receiver].on_ack(
+                own.name,
+                own.incarnation,
+                updates,
+                self.now_s,
+            )
+            self._perform(receiver, taken)
+
+    def _ping_indirectly(self, asker: int, action: SendIndirectPing) -> None:
+        via = int(action.via_address.rpartition(':')[2])
+        request = messages.IndirectPing(
+            name=action.name,
+            address=action.address,
+        )
+        if self._is_delivered(asker, via, indirect_ping=request):
+            updates = self._members[via].take_updates(action.name)
+            self._ping(asker, via, action.name, updates)
+
+    def _is_delivered(
+        self,
+        sender: int,
+        receiver: int,
+        **message: object,
+    ) -> bool:
+        frame = messages.Frame(stream_id=_STREAM_ID, **message)
+        self.totals.sent_bytes[sender] += len(encode_frame(frame))
+        self.totals.message_count += 1
+        if receiver in self.absent or receiver in self.paused:
+            return False
+        return self._rng.random() >= self._loss
+
+    def _note(self, observer: int, update: MemberUpdate) -> None:
+        entry = self.now_s, observer, _index_of(update.target.name)
+        if update.state is MemberState.DEAD:
+            self.totals.deaths.append(entry)
+        elif update.state is MemberState.SUSPECT:
+            self.totals.suspicions.append(entry)
+
+
+def make_target(index: int, incarnation: int = 1) -> Target:
+    """Make a target with names and labels of usual length."""
+    return Target(
+        f'windows-langley-{index:05}',
+        'windows',
+        'Langley',
+        f'10.20.30.40:{index}',
+        incarnation,
+        {'rack': f'langley-r{index % 40:02}', 'tier': 'standard'},
+    )
+
+
+def _index_of(name: str) -> int:
+    return int(name.rpartition('-')[2])
+
+
+def _encode_updates(
+    updates: Iterable[MemberUpdate],
+) -> Iterator[messages.MemberUpdate]:
+    for update in updates:
+        target = update.target
+        yield messages.MemberUpdate(
+            name=target.name,
+            service_name=target.service,
+            domain=target.domain,
+            address=target.address,
+            incarnation=target.incarnation,
+            state=int(update.state),
+            refutation=update.refutation,
+            labels=dict(target.labels),
+        )
+
+
+def _print_traffic(seed: int) -> None:
+    print('size, bytes/s per daemon at rest, with a restart per 10 s, max')
+    for size in (3, 4, 16, 64, 256):
+        group = GroupRun(size, seed)
+        group.run(60)
+        before = group.totals.sent_bytes.copy()
+        group.run(120)
+        quiet = (group.totals.sent_bytes - before).total() / size / 60
+        before = group.totals.sent_bytes.copy()
+        for step in range(6):
+            group.restart(step % size, incarnation=2 + step)
+            group.run(130 + 10 * step)
+        sent = group.totals.sent_bytes - before
+        busy = sent.total() / size / 60
+        top = max(sent.values()) / 60
+        print(f'{size}, {quiet:.0f}, {busy:.0f}, {top:.0f}')
+
+
+def _print_detection(seed: int, run_count: int) -> None:
+    print('size, first suspects s, first holds dead s, all hold dead s (max)')
+    for size in (3, 4, 16, 64, 256):
+        times: list[tuple[float, float, float]] = []
+        for run in range(run_count):
+            group = GroupRun(size, seed + run)
+            group.run(20)
+            group.absent.add(0)
+            group.run(60)
+            deaths = [each[0] for each in group.totals.deaths]
+            suspected_s = min(each[0] for each in group.totals.suspicions)
+            if group.holders(0, MemberState.DEAD) < size - 1:
+                raise AssertionError(f'a failure was missed, size {size}')
+            times.append((suspected_s, min(deaths), max(deaths)))
+        means = [
+            sum(each) / run_count - 20 for each in zip(*times, strict=True)
+        ]
+        worst = max(each[2] for each in times) - 20
+        text = ', '.join(f'{each:.1f}' for each in means)
+        print(f'{size}, {text} ({worst:.1f})')
+
+
+def _print_accusations(seed: int) -> None:
+    print('size, loss, suspicions per daemon-hour, members held dead')
+    for size in (4, 16, 64):
+        for loss in (0.01, 0.05, 0.1, 0.2):
+            group = GroupRun(size, seed, loss)
+            group.run(600)
+            totals = group.totals
+            hours = size * 600 / 3600
+            distinct = {(at_s, name) for at_s, _, name in totals.suspicions}
+            rate = len(distinct) / hours
+            dead_count = totals.false_deaths(())
+            print(f'{size}, {loss}, {rate:.1f}, {dead_count}')
+
+
+if __name__ == '__main__':
+    _print_traffic(seed=1)
+    _print_detection(seed=1, run_count=10)
+    _print_accusations(seed=1)
