Separate the ping schedule and shorten detection

Pinging a suspect again used to raise the health score and to hold up the rumor in small groups: with 3 members the first one held a stopped member dead after 7.0 s instead of 4.2 s.

--- a/packages/core/src/cornelbeam_core/membership.py
+++ b/packages/core/src/cornelbeam_core/membership.py
@@ -8,7 +8,6 @@
 import math
 import random
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
 from typing import Final, final
 
 from cornelbeam_core.members import (
@@ -24,6 +23,7 @@
     SendIndirectPing,
     SendPing,
 )
+from cornelbeam_core.ping_schedule import PendingPing, PingSchedule
 from cornelbeam_core.rumors import RumorQueue
 from cornelbeam_core.targets import Target
 
@@ -44,26 +44,6 @@
 SELF_CHECK_LIMIT: Final = 128
 
 
-@final
-@dataclass(slots=True)
-class _PendingPing:
-    incarnation: int
-    indirect_at_s: float
-    fail_at_s: float
-    is_indirect_sent: bool = False
-
-
-@final
-@dataclass(slots=True)
-class _Schedule:
-    """Whom to ping when."""
-
-    next_ping_s: float = -math.inf
-    last_tick_s: float = math.inf
-    ping_count: int = 0
-    order: list[str] = field(default_factory=list)
-
-
 @final
 class Membership:
     """Members of this daemon's own service, as it knows them.
@@ -92,13 +72,13 @@
         self._settings = settings
         self._self = MemberUpdate(self_target, MemberState.ALIVE)
         self._members: dict[str, MemberUpdate] = {}
-        self._pending: dict[str, _PendingPing] = {}
+        self._pending: dict[str, PendingPing] = {}
         # Time in seconds at which a suspicion becomes a declared death.
         self._suspicions: dict[str, float] = {}
         self._dead_since_s: dict[str, float] = {}
         self._rumors = RumorQueue(settings.transmit_factor)
         self._rumors.add(self._self)
-        self._schedule = _Schedule()
+        self._schedule = PingSchedule(settings.dead_ping_every)
         self._health_score = 0
 
     @property
@@ -227,7 +207,7 @@
     def request_ping(self, name: str) -> None:
         """Ping a member next, as its connection broke or went silent."""
         if name in self._members and name not in self._pending:
-            self._schedule.order.append(name)
+            self._schedule.add_next(name)
 
     def leave(self) -> None:
         """Announce that this daemon accepts no new work from now on."""
@@ -313,13 +293,16 @@
     ) -> Iterator[MembershipAction]:
         if not held.is_present:
             return
-        self._raise_health_score()
         name = held.target.name
         if held.state is MemberState.SUSPECT:
-            self.request_ping(name)
+            # After the next other member, so that the rumor spreads as well.
+            # The failure was expected and says nothing on this observer.
+            self._schedule.add_second(name)
+            return
         if held.state is MemberState.LEAVING:
             # The statement "leaving" is kept; only the timer starts.
             self._suspicions.setdefault(name, now_s + self._suspicion_s())
+            self._raise_health_score()
             return
         suspicion = MemberUpdate(
             held.target,
@@ -327,6 +310,7 @@
             held.refutation,
         )
         yield from self._accept(suspicion, now_s)
+        self._raise_health_score()
 
     def _clear_leaving(self, name: str) -> None:
         # A leaving member is not told of its suspicion and cannot refute it.
@@ -371,41 +355,24 @@
     ) -> Iterator[SendPing]:
         schedule = self._schedule
         schedule.next_ping_s = now_s + self._settings.ping_period_ms / MS_PER_S
-        schedule.ping_count += 1
-        name = self._choose_member(rng)
+        present = {held.target.name for held in self.members()}
+        name = schedule.choose(
+            present,
+            present - self._pending.keys(),
+            self._dead_since_s,
+            rng,
+        )
         if name is None:
             return
         held = self._members[name]
         scale = (self._health_score + 1) / MS_PER_S
-        self._pending[name] = _PendingPing(
+        self._pending[name] = PendingPing(
             held.target.incarnation,
             now_s + self._settings.ping_timeout_ms * scale,
             now_s + self._settings.ping_period_ms * scale,
         )
         yield SendPing(name, held.target.address, self.take_updates(name))
 
-    def _choose_member(self, rng: random.Random) -> str | None:
-        schedule = self._schedule
-        is_dead_due = schedule.ping_count % self._settings.dead_ping_every == 0
-        if is_dead_due and self._dead_since_s:
-            return rng.choice(sorted(self._dead_since_s))
-        for _ in range(len(schedule.order) + len(self._members) + 1):
-            if not schedule.order:
-                # A new random order per round bounds the time until each
-                # member is pinged, where random choice would not.
-                schedule.order = sorted(
-                    held.target.name for held in self.members()
-                )
-                rng.shuffle(schedule.order)
-            if not schedule.order:
-                return None
-            name = schedule.order.pop()
-            held = self._members.get(name)
-            if held is not None and held.is_present:
-                if name not in self._pending:
-                    return name
-        return None
-
     def _drop_old_dead(self, now_s: float) -> None:
         keep_s = self._settings.dead_keep_ms / MS_PER_S
         excess = len(self._dead_since_s) - self._settings.dead_limit
--- a/packages/standins/src/cornelbeam_standins/membership_run.py
+++ b/packages/standins/src/cornelbeam_standins/membership_run.py
@@ -241,6 +241,51 @@
         )
 
 
+def _print_sizes() -> None:
+    updates = [
+        Membership(make_target(at), MembershipSettings()).own
+        for at in range(16)
+    ]
+    members = list(_encode_updates(updates))
+    config = messages.ConfigObject(
+        kind='selector',
+        name='bookings-never-repeated',
+        version=12,
+        revision=_REVISION,
+        is_deleted=False,
+        spec=bytes(250),
+    )
+    frames = {
+        'ping': messages.Frame(
+            ping=messages.Ping([], _REVISION, 'windows'),
+        ),
+        'ping with one update': messages.Frame(
+            ping=messages.Ping(members[:1], _REVISION, 'windows'),
+        ),
+        'ack': messages.Frame(
+            ack=messages.Ack([], _REVISION, updates[0].target.name, 1),
+        ),
+        'view request': messages.Frame(
+            view_request=messages.ViewRequest('windows', '0' * 16),
+        ),
+        'view reply, unchanged': messages.Frame(
+            view_reply=messages.ViewReply('windows', True, [], '0' * 16),
+        ),
+        'view reply, 16 members': messages.Frame(
+            view_reply=messages.ViewReply('windows', False, members, '0' * 16),
+        ),
+        'config push, one object of 250 bytes': messages.Frame(
+            config_push=messages.ConfigPush(
+                [config], _REVISION - 1, _REVISION, False
+            ),
+        ),
+    }
+    print('message, bytes')
+    for name, frame in frames.items():
+        frame.stream_id = _STREAM_ID
+        print(f'{name}, {len(encode_frame(frame))}')
+
+
 def _print_traffic(seed: int) -> None:
     print('size, bytes/s per daemon at rest, with a restart per 10 s, max')
     for size in (3, 4, 16, 64, 256):
@@ -296,6 +341,7 @@
 
 
 if __name__ == '__main__':
+    _print_sizes()
     _print_traffic(seed=1)
     _print_detection(seed=1, run_count=10)
     _print_accusations(seed=1)
