Bound the search for contradictory selectors

Cause: the number of combinations grows with each overlapping selector.

All pairs are still compared; larger sets only while 5000 combinations and 100 findings are not exceeded.

--- a/packages/core/src/cornelbeam_core/contradictions.py
+++ b/packages/core/src/cornelbeam_core/contradictions.py
@@ -7,10 +7,15 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from typing import Self, TypeAlias, final
+from typing import Final, Self, TypeAlias, final
 
 from cornelbeam_core.selectors import ANY_SERVICE, SelectorSpec, is_below
 
+# The number of combinations can grow with each selector by a factor. Above
+# these bounds, larger sets are not searched, so that the check ends soon.
+_MAX_COMBINATION_COUNT: Final = 5000
+_MAX_FOUND_COUNT: Final = 100
+
 _Group: TypeAlias = tuple[list[SelectorSpec], str]
 
 
@@ -42,6 +47,16 @@
     # Empty stands for every method, as in a selector.
     methods: frozenset[str]
 
+    def describe(self, label: str) -> Contradiction:
+        """Name the members."""
+        names = tuple(spec.name for spec in self.members)
+        return Contradiction(names, label)
+
+    def contains_any(self, others: Iterable[Self]) -> bool:
+        """Tell whether one of the others is a part of this one."""
+        places = frozenset(self.places)
+        return any(places.issuperset(other.places) for other in others)
+
     def extend(self, spec: SelectorSpec, place: int, label: str) -> Self | None:
         """Add a selector; ``None`` when that shows nothing new."""
         allowed = self.allowed & frozenset(spec.target_labels[label])
@@ -68,8 +83,9 @@
     """Find the smallest sets of selectors that exclude each other.
 
     Only selectors of one priority apply together, so only those are
-    compared. Three or more that agree in pairs but not together are found as
-    well.
+    compared. All pairs are compared; three or more that agree in pairs but not
+    together are found as well, unless very many selectors overlap. Routing
+    detects the rest when a request meets them.
     """
     found: dict[Contradiction, None] = {}
     for group, label in _group_comparable(specs):
@@ -110,7 +126,7 @@
 
 def _search(group: list[SelectorSpec], label: str) -> Iterator[Contradiction]:
     """Look at pairs first, then at triples and so on."""
-    frontier = [
+    singles = [
         _Combination(
             (spec,),
             (place,),
@@ -119,22 +135,28 @@
         )
         for place, spec in enumerate(group)
     ]
-    excluded: list[frozenset[int]] = []
-    while frontier:
+    pairs = list(_extend_all(singles, group, label))
+    excluded = [pair for pair in pairs if not pair.allowed]
+    yield from (pair.describe(label) for pair in excluded)
+    frontier = [pair for pair in pairs if pair.allowed]
+    while frontier and _is_small(frontier, excluded):
         extended = list(_extend_all(frontier, group, label))
-        frontier = []
-        for combination in extended:
-            places = frozenset(combination.places)
-            if any(known <= places for known in excluded):
-                continue
-            if combination.allowed:
-                frontier.append(combination)
+        frontier = [larger for larger in extended if larger.allowed]
+        for larger in extended:
+            if larger.allowed or larger.contains_any(excluded):
                 continue
-            excluded.append(places)
-            yield Contradiction(
-                tuple(spec.name for spec in combination.members),
-                label,
-            )
+            excluded.append(larger)
+            yield larger.describe(label)
+            if len(excluded) > _MAX_FOUND_COUNT:
+                return
+
+
+def _is_small(
+    frontier: list[_Combination],
+    excluded: list[_Combination],
+) -> bool:
+    is_search_small = len(frontier) <= _MAX_COMBINATION_COUNT
+    return is_search_small and len(excluded) <= _MAX_FOUND_COUNT
 
 
 def _extend_all(
--- a/packages/core/tests/test_selectors.py
+++ b/packages/core/tests/test_selectors.py
@@ -174,6 +174,16 @@
         )
         assert found == [('b', 'c')]
 
+    def test_search_is_bounded_when_many_overlap(self):
+        rng = random.Random(1)
+        found = self.names(
+            *(
+                _selector(f's{number}', rng.sample('0123456789', k=6))
+                for number in range(40)
+            )
+        )
+        assert 0 < len(found) < 200
+
     def test_three_without_a_common_method(self):
         assert not self.names(
             _selector('a', '12', methods=('GET', 'PUT')),
