--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Mapping, Sequence
 from typing import Final, final
 
 from cornelbeam_core.budget import RetryBudget
@@ -22,7 +23,7 @@
 
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.backend_side import BackendSide
-from cornelbeam_daemon.bodies import RequestBody
+from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.http_server import HttpRequest, Responder, send_error
 from cornelbeam_daemon.logs import get_log
@@ -35,6 +36,7 @@
 _ATTEMPT_ID_BYTES: Final = 16
 _REQUEST_ID_BYTES: Final = 8
 _MAX_REQUEST_ID_CHARACTERS: Final = 64
+_MAX_DIGITS: Final = 18
 # Outcomes that say nothing about the health of the target.
 _REFUSALS: Final = frozenset(
     (
@@ -75,7 +77,8 @@
         self.hop_count = 0
         self.deadline_s = started_s
         self.attempt_count = 0
-        self.failed: set[str] = set()
+        # Targets tried, and whether only the connection to them was lost.
+        self.failed: dict[str, bool] = {}
         self.facts = RequestFacts('', '', '', {})
         self.route = Route((), {}, False, None)
 
@@ -161,40 +164,49 @@
         request = pending.request
         headers = request.headers
         try:
-            text = {
-                name.decode('ascii'): value.decode('latin-1')
-                for name, value in fields.pairs(headers)
-            }
             path = request.target.decode('ascii')
             method = request.method.decode('ascii')
+            host = (fields.find(headers, b'host') or b'').decode('ascii')
         except UnicodeDecodeError as error:
             raise _malformed('the head is not ASCII') from error
         if method == 'CONNECT' or not path.startswith(('/', '*')):
             raise _malformed('only origin-form targets are supported')
-        service = text.get('host', '').partition(':')[0].partition('.')[0]
+        service = host.partition(':')[0].partition('.')[0]
         if not service:
             raise _malformed('the Host header names no service')
-        pending.facts = RequestFacts(service.lower(), method, path, text)
-        pending.request_id = _read_request_id(text)
-        pending.hop_count = _read_number(text, fields.HOPS, 0) + 1
+        pending.facts = RequestFacts(
+            service.lower(),
+            method,
+            path,
+            fields.HeaderView(headers),
+        )
+        pending.request_id = _read_request_id(headers)
+        pending.hop_count = _read_number(headers, fields.HOPS, 0) + 1
         check_hop_count(pending.hop_count)
-        if _read_number(text, b'content-length', 0) > self._limits.body_bytes:
+        body_bytes = _read_number(headers, b'content-length', 0)
+        if body_bytes > self._limits.body_bytes:
             raise CornelbeamError(ErrorCode.BODY_TOO_LARGE, 'request head')
         pending.headers = fields.strip(headers)
         pending.route = self._table.route(pending.facts)
-        pending.deadline_s = pending.started_s + self._timeout_s(pending, text)
+        pending.deadline_s = pending.started_s + self._timeout_s(pending)
         check_deadline(pending.deadline_s, pending.started_s, 'routing')
 
-    def _timeout_s(self, pending: Pending, text: dict[str, str]) -> float:
+    def _timeout_s(self, pending: Pending) -> float:
         configured_ms = (
             pending.route.timeout_ms
             or self._table.timeout_ms(pending.facts.service)
             or self._limits.default_timeout_ms
         )
-        stated_ms = _read_number(text, fields.DEADLINE, configured_ms)
+        stated_ms = _read_number(
+            pending.request.headers,
+            fields.DEADLINE,
+            configured_ms,
+        )
         return min(stated_ms, configured_ms) / _MS_PER_S
 
     async def _serve(self, pending: Pending) -> Answer:
+        if not pending.body.is_whole:
+            await self._gather_body(pending)
         last_error: CornelbeamError | None = None
         while True:
             state = self._choose(pending)
@@ -217,20 +229,46 @@
                 decision = self._decide(pending, last_error, is_asked=True)
             if decision is not RetryDecision.RETRY:
                 raise last_error
-            pending.failed.add(state.target.name)
+            is_lost = last_error.code is ErrorCode.PEER_UNREACHABLE
+            pending.failed[state.target.name] = is_lost
+
+    async def _gather_body(self, pending: Pending) -> None:
+        """Wait for a body that is short, or whose request must not repeat.
+
+        A request that is handed over in parts has an unknown outcome when the
+        connection breaks in between, and a slow caller would hold a slot.
+        """
+        size_bytes = _read_number(
+            pending.request.headers,
+            b'content-length',
+            REPLAY_LIMIT_BYTES + 1,
+        )
+        is_short = size_bytes <= REPLAY_LIMIT_BYTES
+        if pending.route.is_repeatable and not is_short:
+            return
+        try:
+            async with asyncio.timeout_at(pending.deadline_s):
+                await pending.body.gather()
+        except TimeoutError as error:
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'request body',
+                detail='the body did not arrive in time',
+            ) from error
 
     def _choose(self, pending: Pending) -> TargetState | None:
         now_s = self._loop.time()
         route = pending.route
         states = self._table.states(pending.facts.service)
-        candidates: list[TargetState] | tuple[TargetState, ...] = states
-        if route.target_labels or pending.failed:
+        candidates: Sequence[TargetState] = states
+        if route.target_labels:
             candidates = [
                 state
                 for state in states
-                if state.target.name not in pending.failed
-                and route.is_eligible(state.target.labels)
+                if route.is_eligible(state.target.labels)
             ]
+        if pending.failed:
+            candidates = _prefer_untried(candidates, pending.failed)
         chosen = choose_target(self._policy, candidates, now_s, self._rng)
         if chosen is None or chosen.target.name == self._name:
             return chosen
@@ -240,11 +278,7 @@
             return chosen
         for state in candidates:
             if state.target.name == self._name:
-                is_better = estimate_cost(state, now_s) <= estimate_cost(
-                    chosen,
-                    now_s,
-                )
-                return state if is_better else chosen
+                return _cheaper(state, chosen, now_s)
         return chosen
 
     def _new_call(self, pending: Pending, state: TargetState) -> Call:
@@ -274,8 +308,7 @@
         outcome = CallOutcome.CANCELLED
         latency_s = None
         try:
-            async with asyncio.timeout_at(pending.deadline_s):
-                answer = await self._send(state, call)
+            answer = await self._send(state, call)
             latency_s = self._loop.time() - started_s
             outcome = CallOutcome.ANSWERED
         except TimeoutError as error:
@@ -310,8 +343,10 @@
 
     async def _send(self, state: TargetState, call: Call) -> Answer:
         if state.target.name == self._name:
+            # It keeps to the deadline by itself.
             return await self._backend_side.serve(call)
-        return await self._client.call(state.target, call)
+        async with asyncio.timeout_at(call.deadline_s):
+            return await self._client.call(state.target, call)
 
     async def _ask(
         self,
@@ -417,6 +452,31 @@
         send_error(responder, error)
 
 
+def _cheaper(
+    local: TargetState,
+    other: TargetState,
+    now_s: float,
+) -> TargetState:
+    default_s = local.latency_ewma_s or other.latency_ewma_s or 1
+    local_cost = estimate_cost(local, now_s, default_s)
+    if local_cost <= estimate_cost(other, now_s, default_s):
+        return local
+    return other
+
+
+def _prefer_untried(
+    candidates: Sequence[TargetState],
+    failed: Mapping[str, bool],
+) -> list[TargetState]:
+    untried = [state for state in candidates if state.target.name not in failed]
+    if untried:
+        return untried
+    # A new connection may reach a target whose old one went silent.
+    return [
+        state for state in candidates if failed.get(state.target.name, False)
+    ]
+
+
 def _check_length(headers: list[bytes], content: bytes) -> None:
     length = fields.find(headers, b'content-length')
     if length is not None and length != str(len(content)).encode():
@@ -427,18 +487,21 @@
         )
 
 
-def _read_request_id(text: dict[str, str]) -> str:
-    stated = text.get(fields.REQUEST_ID.decode(), '')
+def _read_request_id(headers: list[bytes]) -> str:
+    stated = fields.find(headers, fields.REQUEST_ID)
+    if stated is None:
+        return secrets.token_hex(_REQUEST_ID_BYTES)
     if stated.isalnum() and len(stated) <= _MAX_REQUEST_ID_CHARACTERS:
-        return stated
+        return stated.decode('ascii')
     return secrets.token_hex(_REQUEST_ID_BYTES)
 
 
-def _read_number(text: dict[str, str], name: bytes, default: int) -> int:
-    stated = text.get(name.decode())
+def _read_number(headers: list[bytes], name: bytes, default: int) -> int:
+    stated = fields.find(headers, name)
     if stated is None:
         return default
-    if not stated.isascii() or not stated.isdecimal():
+    # The length keeps a caller from making this process parse huge numbers.
+    if not stated.isdigit() or len(stated) > _MAX_DIGITS:
         raise _malformed(f'{name.decode()} is not a number')
     return int(stated)
 
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -15,7 +15,8 @@
 from cornelbeam_core.directory import ServiceDirectory
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.introducers import WriteIntroducers
-from cornelbeam_core.membership import Membership, MembershipSettings
+from cornelbeam_core.membership import Membership
+from cornelbeam_core.membership_actions import MembershipSettings
 from cornelbeam_core.targets import Target
 from cornelbeam_platform.client import ObjectApiClient
 from cornelbeam_settings import DaemonSettings, ListenerSettings
@@ -73,12 +74,17 @@
             'peer': _bind(settings.peer_listener),
             'admin': _bind(settings.admin_listener),
         }
-        own = _own_target(settings, self.address('peer'))
+        own = _own_target(
+            settings,
+            settings.peer_listener.announced_address or self.address('peer'),
+        )
         self.own = own
         self.metrics = Metrics(CollectorRegistry())
         self.table = RoutingTable(own.name, own.domain)
         self._rng = random.Random()
         self._stop = asyncio.Event()
+        self._admin_stop = asyncio.Event()
+        self._admin_ended = asyncio.Event()
         self._accepted: set[PeerConnection] = set()
         self._callers: set[HttpServerConnection] = set()
         self._identity = Identity(
@@ -151,8 +157,6 @@
 
     async def run(self) -> None:
         """Serve until a stop is asked for and all work is done."""
-        from cornelbeam_daemon.admin import serve_admin  # noqa: PLC0415
-
         loop = asyncio.get_running_loop()
         caller_server = await loop.create_server(
             lambda: HttpServerConnection(
@@ -181,18 +185,28 @@
             group.start_soon(self._silence.run)
             group.start_soon(self._relay_when_chosen, client, group)
             group.start_soon(self._write_introducers, client)
-            group.start_soon(serve_admin, self)
+            group.start_soon(self._serve_admin)
             self._apply_members()
             _log.info('serving', target=self.own.name)
             await self._stop.wait()
             await self._drain(caller_server)
             peer_server.close()
+            self._admin_stop.set()
+            await self._admin_ended.wait()
             group.cancel_scope.cancel()
         self._pool.close()
         for connection in tuple(self._accepted):
             connection.close()
         _log.info('stopped', target=self.own.name)
 
+    async def _serve_admin(self) -> None:
+        from cornelbeam_daemon.admin import serve_admin  # noqa: PLC0415
+
+        try:
+            await serve_admin(self, self._admin_stop)
+        finally:
+            self._admin_ended.set()
+
     async def _drain(self, caller_server: asyncio.Server) -> None:
         """Refuse new work, finish what is in flight, then go."""
         _log.info('leaving', in_flight=self.backend_side.work_count)
@@ -342,10 +356,15 @@
 
 
 def _bind(listener: ListenerSettings) -> socket.socket:
-    return socket.create_server(
+    listening = socket.create_server(
         (listener.host, listener.port),
         backlog=LISTEN_BACKLOG,
     )
+    # Accepted sockets inherit it. asyncio sets it only on sockets made with
+    # an explicit protocol number; without it, an answer in several writes
+    # waits about 40 ms for the caller's delayed acknowledgement.
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listening
 
 
 def _own_target(settings: DaemonSettings, address: str) -> Target:
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -13,6 +13,7 @@
     ip_host,
     name,
     number,
+    optional_address,
     path_text,
     service_list,
     service_name,
@@ -62,6 +63,19 @@
     ] = 0
 
 
+class PeerListenerSettings(ListenerSettings, frozen=True):
+    """Where other daemons connect, and the address they are told."""
+
+    announced_address: Annotated[
+        str,
+        optional_address(
+            'Address (ip:port) announced to other daemons when they reach'
+            ' this one at another address than it listens at; empty announces'
+            ' the listening address.',
+        ),
+    ] = ''
+
+
 class BackendServerSettings(Section, frozen=True):
     """The backend server beside the daemon."""
 
@@ -277,6 +291,7 @@
     selection: Annotated[
         Literal[
             'power_of_two',
+            'power_of_three',
             'least_outstanding',
             'weighted_reports',
             'subset',
@@ -307,7 +322,7 @@
         text('Where callers connect, by HTTP.'),
     ]
     peer_listener: Annotated[
-        ListenerSettings,
+        PeerListenerSettings,
         text(
             'Where other daemons connect. The address is announced to them,'
             ' so it names one interface.',
--- a/packages/standins/src/cornelbeam_standins/processes.py
+++ b/packages/standins/src/cornelbeam_standins/processes.py
@@ -87,6 +87,11 @@
             raise ProcessError(self._describe('printed nothing'))
         return output.readline().decode()
 
+    def read_output(self) -> str:
+        """Read standard output to its end, for a process that ends itself."""
+        output = self._process.stdout
+        return '' if output is None else output.read().decode()
+
     def pause(self) -> None:
         """Send SIGSTOP."""
         self._process.send_signal(signal.SIGSTOP)
@@ -134,13 +139,18 @@
     return ManagedProcess(name, [sys.executable, '-c', code, *arguments])
 
 
-def start_standin(*arguments: str) -> ManagedProcess:
-    """Start a stand-in and wait until it listens."""
-    process = start_module(
+def spawn_standin(*arguments: str) -> ManagedProcess:
+    """Start a stand-in without waiting until it listens."""
+    return start_module(
         arguments[0],
         'cornelbeam_standins.cli',
         *arguments,
     )
+
+
+def start_standin(*arguments: str) -> ManagedProcess:
+    """Start a stand-in and wait until it listens."""
+    process = spawn_standin(*arguments)
     try:
         process.wait_listening()
     except ProcessError:
