--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -60,6 +60,7 @@
         'failed',
         'headers',
         'hop_count',
+        'lost',
         'request',
         'request_id',
         'route',
@@ -77,6 +78,8 @@
         self.deadline_s = started_s
         self.attempt_count = 0
         self.failed: set[str] = set()
+        # Those of the failed whose connection was lost; a new one may work.
+        self.lost: set[str] = set()
         self.facts = RequestFacts('', '', '', {})
         self.route = Route((), {}, False, None)
 
@@ -226,6 +229,8 @@
             if decision is not RetryDecision.RETRY:
                 raise last_error
             pending.failed.add(state.target.name)
+            if last_error.code is ErrorCode.PEER_UNREACHABLE:
+                pending.lost.add(state.target.name)
 
     def _choose(self, pending: Pending) -> TargetState | None:
         now_s = self._loop.time()
@@ -239,6 +244,14 @@
                 if state.target.name not in pending.failed
                 and route.is_eligible(state.target.labels)
             ]
+            # A silent connection says nothing about its target, which may be
+            # the only one that is left.
+            candidates = candidates or [
+                state
+                for state in states
+                if state.target.name in pending.lost
+                and route.is_eligible(state.target.labels)
+            ]
         chosen = choose_target(self._policy, candidates, now_s, self._rng)
         if chosen is None or chosen.target.name == self._name:
             return chosen
