--- a/packages/core/src/cornelbeam_core/selection.py
+++ b/packages/core/src/cornelbeam_core/selection.py
@@ -16,12 +16,14 @@
 # milliseconds, so an old report says little.
 REPORT_HALF_LIFE_S: Final = 0.05
 LATENCY_GAIN: Final = 0.2
-# A target that is avoided for its latency is tried again now and then: unused
-# for this time, it counts as twice as fast.
+# A target that is avoided for its latency is tried again now and then: with
+# each such time unused it counts as twice as fast.
 LATENCY_HALF_LIFE_S: Final = 3.0
 # One way between failure domains takes about 1 ms, two ways for each call.
 REMOTE_DOMAIN_COST_S: Final = 0.002
 SUBSET_SIZE: Final = 3
+_SAMPLE_COUNT: Final = 3
+_COST_JITTER: Final = 0.1
 # A target that reported to be leaving is tried again after this time, in case
 # it came back and the news of that is late.
 LEAVING_MEMORY_S: Final = 2.0
@@ -38,8 +40,9 @@
 
     ``affinity`` ranks the targets for this caller in the ``subset`` policy
     (see ``compute_affinity``). ``answered_at_s`` is the time of the last
-    answer, or of the first call in flight if that is later, and
-    ``others_in_flight`` the calls of other callers in the last report.
+    answer, or of the first call in flight if that is later,
+    ``others_in_flight`` the calls of other callers in the last report, and
+    ``last_latency_s`` the latency that was counted last.
     """
 
     target: Target
@@ -53,12 +56,13 @@
     affinity: int = 0
     answered_at_s: float = 0
     others_in_flight: int = 0
+    last_latency_s: float = 0
 
     def note_start(self, now_s: float) -> None:
         """Count a call that is sent."""
         if not self.in_flight:
-            idle_s = max(0, now_s - self.answered_at_s)
-            self.latency_ewma_s /= 1 + idle_s / LATENCY_HALF_LIFE_S
+            idle_s = now_s - self.answered_at_s
+            self.latency_ewma_s *= 2 ** (-idle_s / LATENCY_HALF_LIFE_S)
             self.answered_at_s = now_s
         self.in_flight += 1
 
@@ -68,6 +72,7 @@
         self.answered_at_s = now_s
         if latency_s is None:
             return
+        self.last_latency_s = latency_s
         if not self.latency_ewma_s:
             self.latency_ewma_s = latency_s
             return
@@ -168,7 +173,7 @@
     if own_count:
         latency_s = max(latency_s or default_latency_s, silent_s)
     elif latency_s:
-        latency_s /= 1 + silent_s / LATENCY_HALF_LIFE_S
+        latency_s *= 2 ** (-silent_s / LATENCY_HALF_LIFE_S)
     else:
         latency_s = default_latency_s
     if not state.is_same_domain:
@@ -209,6 +214,30 @@
     return first
 
 
+@policy('power_of_three')
+def choose_power_of_three(
+    candidates: Sequence[TargetState],
+    now_s: float,
+    rng: random.Random,
+) -> TargetState:
+    """Take the cheapest of three random targets.
+
+    With three or four targets, two of which are slow, a random pair is often
+    a slow one; three leave that case out. Costs vary at random by a tenth, so
+    that callers with equal reports don't all pick the same target.
+    """
+    if len(candidates) > _SAMPLE_COUNT:
+        candidates = rng.sample(candidates, _SAMPLE_COUNT)
+    default_s = max(state.latency_ewma_s for state in candidates) or 1
+    return min(
+        candidates,
+        key=lambda state: (
+            estimate_cost(state, now_s, default_s)
+            * (1 + _COST_JITTER * rng.random())
+        ),
+    )
+
+
 @policy('least_outstanding')
 def choose_least_outstanding(
     candidates: Sequence[TargetState],
--- a/packages/daemon/src/cornelbeam_daemon/admin.py
+++ b/packages/daemon/src/cornelbeam_daemon/admin.py
@@ -166,8 +166,12 @@
     return {'is_leaving': True}
 
 
-async def serve_admin(daemon: 'Daemon') -> None:
-    """Serve the admin endpoint until ``admin_stop`` is set."""
+async def serve_admin(daemon: 'Daemon', stop: asyncio.Event) -> None:
+    """Serve the admin endpoint until ``stop`` is set.
+
+    hypercorn fails with ``InvalidStateError`` when it is cancelled while a
+    connection is open, so it is told to end instead.
+    """
     config = Config()
     config.bind = [f'fd://{daemon.sockets["admin"].fileno()}']
     config.include_server_header = False
@@ -175,7 +179,7 @@
     config.graceful_timeout = GRACEFUL_TIMEOUT_S
     app: Any = _make_app(daemon)
     try:
-        await serve(app, config, shutdown_trigger=daemon.admin_stop.wait)
+        await serve(app, config, shutdown_trigger=stop.wait)
     except asyncio.InvalidStateError:
         # Hypercorn 0.18 raises it when a connection is still open at the end
         # of its graceful timeout; the server has stopped by then.
--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -162,14 +162,9 @@
         if not is_recorded(self._call):
             return content
         parts = [content]
-        size_bytes = len(content)
         try:
             async with asyncio.timeout(_COLLECT_LIMIT_S):
-                while not answer.body.is_ended:
-                    if size_bytes > _KEPT_ANSWER_BYTES:
-                        break
-                    parts.append(await answer.body.read())
-                    size_bytes += len(parts[-1])
+                await _collect_rest(answer, parts)
         except TimeoutError:
             _log.debug('answer streams', request=self._call.request_id)
         return b''.join(parts)
@@ -309,6 +304,13 @@
             self._served.pop(attempt_id)
 
 
+async def _collect_rest(answer: Answer, parts: list[bytes]) -> None:
+    size_bytes = sum(map(len, parts))
+    while not answer.body.is_ended and size_bytes <= _KEPT_ANSWER_BYTES:
+        parts.append(await answer.body.read())
+        size_bytes += len(parts[-1])
+
+
 async def _send_parts(
     stream: Stream,
     content: bytes,
