Start a hedge without a task for every call

Change: the first attempt runs in the task of the request, a timer starts the second, and a winning second interrupts the first.

--- a/packages/daemon/src/cornelbeam_daemon/hedging.py
+++ b/packages/daemon/src/cornelbeam_daemon/hedging.py
@@ -69,21 +69,29 @@
         delay_s: float,
         make_second: Callable[[], Attempt | None],
     ) -> Answer:
-        """Give the first whole head of an answer; the other is cancelled.
+        """Give the first head of an answer; the other attempt is cancelled.
 
-        Raises the error of the first attempt when both fail.
+        Raises the error of the first attempt when both fail. The first runs
+        in the task of the request: most calls end before the delay is over,
+        and a task for each would cost more than the rest of this method.
         """
-        tasks = [self._loop.create_task(first)]
+        second = _Second(make_second, self._is_allowed)
+        timer = self._loop.call_later(delay_s, second.start)
         try:
-            done, _ = await asyncio.wait(tasks, timeout=delay_s)
-            if not done and self._is_allowed():
-                second = make_second()
-                if second is not None:
-                    tasks.append(self._loop.create_task(second))
-            return await _first_answer(tasks)
+            return await first
+        except CornelbeamError:
+            answer = await second.wait()
+            if answer is None:
+                raise
+            return answer
+        except asyncio.CancelledError:
+            answer = second.take_winner()
+            if answer is None:
+                raise
+            return answer
         finally:
-            for task in tasks:
-                _discard(task)
+            timer.cancel()
+            second.discard()
 
     def _is_allowed(self) -> bool:
         is_allowed = self._budget.try_take_hedge(self._loop.time())
@@ -91,34 +99,80 @@
         return is_allowed
 
 
-async def _first_answer(tasks: list[asyncio.Task[Answer]]) -> Answer:
-    left = set(tasks)
-    while left:
-        done, left = await asyncio.wait(
-            left,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for task in done:
-            if not task.cancelled() and task.exception() is None:
-                # The loser is discarded by the caller of this function.
-                tasks.remove(task)
-                return task.result()
-    return tasks[0].result()
+@final
+class _Second:
+    """The second attempt, which interrupts the first one when it wins."""
+
+    __slots__ = (
+        '_first_task',
+        '_has_interrupted',
+        '_is_allowed',
+        '_make',
+        '_task',
+    )
+
+    def __init__(
+        self,
+        make: Callable[[], Attempt | None],
+        is_allowed: Callable[[], bool],
+    ) -> None:
+        self._make = make
+        self._is_allowed = is_allowed
+        self._first_task = asyncio.current_task()
+        self._task: asyncio.Task[Answer] | None = None
+        self._has_interrupted = False
+
+    def start(self) -> None:
+        """Start when the delay is over and the budget allows it."""
+        if not self._is_allowed():
+            return
+        attempt = self._make()
+        if attempt is not None:
+            self._task = asyncio.get_running_loop().create_task(attempt)
+            self._task.add_done_callback(self._interrupt_first)
+
+    async def wait(self) -> Answer | None:
+        """Give the answer of a second attempt that runs, if it gets one."""
+        task = self._task
+        if task is None:
+            return None
+        self._first_task = None
+        await asyncio.wait((task,))
+        if task.cancelled() or task.exception() is not None:
+            return None
+        self._task = None
+        return task.result()
 
+    def take_winner(self) -> Answer | None:
+        """Give the answer that interrupted the first attempt.
 
-def _discard(task: asyncio.Task[Answer]) -> None:
-    if task.done():
-        _close_answer(task)
-        return
-    task.add_done_callback(_close_answer)
-    task.cancel()
+        Nothing when the request itself was cancelled as well.
+        """
+        task = self._task
+        if task is None or not self._has_interrupted:
+            return None
+        if self._first_task is not None and self._first_task.uncancel():
+            return None
+        self._task = None
+        return task.result()
+
+    def discard(self) -> None:
+        """Cancel a second attempt that lost, or close its answer."""
+        task = self._task
+        self._first_task = None
+        if task is None:
+            return
+        task.add_done_callback(_close_answer)
+        task.cancel()
+
+    def _interrupt_first(self, task: asyncio.Task[Answer]) -> None:
+        if task.cancelled() or task.exception() is not None:
+            return
+        if self._first_task is not None:
+            self._has_interrupted = True
+            self._first_task.cancel()
 
 
 def _close_answer(task: asyncio.Task[Answer]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is None:
+    if not task.cancelled() and task.exception() is None:
         task.result().close()
-    elif not isinstance(error, CornelbeamError):
-        raise error
--- a/packages/standins/src/cornelbeam_standins/budget_bench.py
+++ b/packages/standins/src/cornelbeam_standins/budget_bench.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final, final
 
-import defopt  # type: ignore[import-untyped]
+import defopt
 from cornelbeam_core.budget import RetryBudget, TokenBucket
 
 from cornelbeam_standins.policy_fakes import EventQueue
