Name all policies in the test of the settings message

The merged settings know a further policy, power_of_three, so the message lists it. The test now compares the whole list instead of its beginning.

--- a/packages/core/tests/test_selectors.py
+++ b/packages/core/tests/test_selectors.py
@@ -1,6 +1,7 @@
 """Tests of selectors: matching, precedence and contradictions."""
 
 import random
+import string
 
 import pytest
 from cornelbeam_core.contradictions import can_overlap, find_contradictions
@@ -178,7 +179,7 @@
         rng = random.Random(1)
         found = self.names(
             *(
-                _selector(f's{number}', rng.sample('0123456789', k=6))
+                _selector(f's{number}', rng.sample(string.digits, k=6))
                 for number in range(40)
             )
         )
--- a/packages/settings/tests/test_settings.py
+++ b/packages/settings/tests/test_settings.py
@@ -113,7 +113,8 @@
             ),
             (
                 {'policy__selection': 'random'},
-                'allowed: power_of_two, least_outstanding,',
+                'allowed: power_of_two, power_of_three, least_outstanding,'
+                ' weighted_reports, subset',
             ),
             ({'instance__service': 'Windows'}, 'lower case letters'),
             ({'peer_listener__host': 'yard'}, '"yard" is not an IP number'),
