--- a/packages/core/tests/test_selectors.py
+++ b/packages/core/tests/test_selectors.py
@@ -1,6 +1,7 @@
 """Tests of selectors: matching, precedence and contradictions."""
 
 import random
+import string
 
 import pytest
 from cornelbeam_core.contradictions import can_overlap, find_contradictions
@@ -174,6 +175,16 @@
         )
         assert found == [('b', 'c')]
 
+    def test_search_is_bounded_when_many_overlap(self):
+        rng = random.Random(1)
+        found = self.names(
+            *(
+                _selector(f's{number}', rng.sample(string.digits, k=6))
+                for number in range(40)
+            )
+        )
+        assert 0 < len(found) < 200
+
     def test_three_without_a_common_method(self):
         assert not self.names(
             _selector('a', '12', methods=('GET', 'PUT')),
