--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -73,13 +73,13 @@
 
 
 def verdicts(load):
-    """Count the verdicts of a workload and show what was refused."""
+    """Count the verdicts of a workload and show what was not whole."""
     print(
         Counter(
-            (each.verdict.value, each.code, each.ran) for each in load.records
-        )
+            (each.method, each.verdict.value, each.code, each.ran)
+            for each in load.records
+        ),
     )
-    print('slowest', max(each.latency_s for each in load.records))
     return {each.verdict for each in load.records}
 
 
