Let a rule against repeating hold at every priority

Cause: a selector of higher priority hid a matching selector with repeat never, so moving payments to other targets would have made a PUT payment repeatable by its method, against invariant I6. apply only warned. Ruled out: refusing such a change, which would make harmless selectors of a higher priority impossible. Change: never holds whatever the priority. A wrong settings file also ends the daemon with status 2 and a message, where it printed a traceback.

--- a/packages/core/src/cornelbeam_core/selectors.py
+++ b/packages/core/src/cornelbeam_core/selectors.py
@@ -6,12 +6,12 @@
 The selectors that match a request are narrowed to those of the highest
 priority. Selectors of equal priority apply together: their label requirements
 are intersected, ``NEVER`` overrides ``ALLOWED`` overrides ``BY_METHOD``, and
-the shortest timeout applies.
+the shortest timeout applies. ``NEVER`` holds whatever the priority.
 """
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, Self, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
@@ -142,23 +142,37 @@
         Raises ``contradictory_selectors`` when the selectors that apply
         allow no common value of a label.
         """
-        applied = self._find_applied(facts)
-        key = (facts.method, *map(id, applied))
+        applied, is_forbidden = self._find_applied(facts)
+        key = (facts.method, is_forbidden, *map(id, applied))
         route = self._routes.get(key)
         if route is None:
             route = combine(applied, facts.method)
+            if is_forbidden:
+                route = replace(route, is_repeatable=False)
             if len(self._routes) < _MAX_ROUTE_COUNT:
                 self._routes[key] = route
         return route
 
-    def _find_applied(self, facts: RequestFacts) -> list[SelectorSpec]:
+    def _find_applied(
+        self,
+        facts: RequestFacts,
+    ) -> tuple[list[SelectorSpec], bool]:
+        """Find the selectors that apply, and whether any forbids repeating.
+
+        A rule against repeating holds at every priority: a selector that
+        only moves requests to other targets must not let a payment run twice.
+        """
         applied: list[SelectorSpec] = []
+        is_forbidden = False
         for spec in self._by_service.get(facts.service, self._for_any):
-            if applied and spec.priority != applied[0].priority:
-                break
+            is_below = applied and spec.priority != applied[0].priority
+            if is_below and spec.repeat is not RepeatRule.NEVER:
+                continue
             if spec.matches_within_service(facts):
-                applied.append(spec)
-        return applied
+                is_forbidden = is_forbidden or spec.repeat is RepeatRule.NEVER
+                if not is_below:
+                    applied.append(spec)
+        return applied, is_forbidden
 
 
 def combine(applied: Iterable[SelectorSpec], method: str) -> Route:
--- a/packages/daemon/src/cornelbeam_daemon/cli.py
+++ b/packages/daemon/src/cornelbeam_daemon/cli.py
@@ -8,7 +8,11 @@
 import anyio
 import defopt
 from cornelbeam_core.errors import CornelbeamError
-from cornelbeam_settings import DaemonSettings, load_settings
+from cornelbeam_settings import (
+    DaemonSettings,
+    SettingsError,
+    load_settings,
+)
 
 from cornelbeam_daemon.daemon import Daemon, read_secret
 from cornelbeam_daemon.logs import set_up_logs
@@ -33,7 +37,7 @@
     try:
         loaded = load_settings(settings)
         secret = read_secret(loaded.fleet.secret_file)
-    except (CornelbeamError, OSError) as error:
+    except (CornelbeamError, SettingsError, OSError) as error:
         sys.stderr.write(f'cornelbeam-daemon: {error}\n')
         return EXIT_UNUSABLE
     set_up_logs(loaded.log.level, loaded.log.is_json)
--- a/packages/operator/src/cornelbeam_operator/checks.py
+++ b/packages/operator/src/cornelbeam_operator/checks.py
@@ -7,10 +7,8 @@
 
 from cornelbeam_core.contradictions import (
     Contradiction,
-    can_overlap,
     find_contradictions,
 )
-from cornelbeam_core.requests import RepeatRule
 from cornelbeam_core.selectors import ANY_SERVICE, SelectorSpec
 from cornelbeam_platform.kinds import LabelsSpec, SelectorObjectSpec, Spec
 
@@ -111,7 +109,6 @@
         if change.desired.kind == 'selector' and selector is not None:
             yield from _doubt_service(selector, after.services)
             yield from _doubt_labels(selector, known)
-            yield from _doubt_repeats(selector, after.selectors.values())
 
 
 def order_writes(
@@ -185,26 +182,6 @@
         yield f'{reference}: label "{label}" has no effect, daemons set it'
 
 
-def _doubt_repeats(
-    selector: SelectorSpec,
-    others: Iterable[SelectorSpec],
-) -> Iterator[str]:
-    """Find rules against repeating that a higher priority hides."""
-    for other in others:
-        low, high = sorted(
-            (selector, other),
-            key=lambda each: each.priority,
-        )
-        if low.priority == high.priority or not can_overlap(low, high):
-            continue
-        if low.repeat is RepeatRule.NEVER and high.repeat is not low.repeat:
-            yield (
-                f'selector {high.name} hides {low.name} for the requests that'
-                f' both match, so that these may repeat; set repeat to "never"'
-                f' in {high.name} as well, or give both one priority'
-            )
-
-
 def _nearest(text: str, known: Iterable[str]) -> str:
     nearest = difflib.get_close_matches(text, known, n=1)
     return f', did you mean "{nearest[0]}"?' if nearest else ''
--- a/packages/standins/src/cornelbeam_standins/choice_bench.py
+++ b/packages/standins/src/cornelbeam_standins/choice_bench.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-import defopt  # type: ignore[import-untyped]
+import defopt
 from cornelbeam_core.selection import (
     POLICIES,
     TargetState,
