Serve callers only after the first configuration, and repeat nothing before

Cause: a restarted daemon accepted callers before it knew the selectors and the failure domains out of service. A PUT that a selector forbids to repeat could have been sent twice in that time, and a restarted daemon in a failure domain out of service would have taken new work of its own callers. Ruled out: refusing all requests until the store answers, since the fleet has to serve while the store is down. Change: callers are accepted once a peer or the store has given the configuration, at the latest after 5 s; until it is known nothing is repeatable. A daemon that knows introducers gives them up to 2 s before it asks the store.

--- a/packages/daemon/src/cornelbeam_daemon/config_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/config_part.py
@@ -47,6 +47,7 @@
         '_spread',
         '_tasks',
         'state',
+        'synced',
     )
 
     def __init__(
@@ -58,6 +59,7 @@
     ) -> None:
         """Push to ``peers``; ``on_change`` is called after each change."""
         self.state = ConfigurationState()
+        self.synced = asyncio.Event()
         self._spread = ConfigurationSpread(self.state)
         self._messenger = messenger
         self._peers = peers
@@ -78,6 +80,8 @@
         )
         self._note(changed)
         self._act(actions)
+        if batch.up_to_revision and not batch.has_more:
+            self._mark_synced()
 
     def on_peer_revision(self, address: str, revision: int) -> None:
         """Pull what a peer has and this daemon lacks."""
@@ -107,8 +111,10 @@
         _relay_log.info('watching the store', revision=self.state.revision)
         while True:
             since_revision = self.state.revision
+            # The first watch tells at once whether there is anything.
+            timeout_ms = WATCH_TIMEOUT_MS if self.synced.is_set() else 0
             try:
-                listed = await client.watch(since_revision, WATCH_TIMEOUT_MS)
+                listed = await client.watch(since_revision, timeout_ms)
             except CornelbeamError as error:
                 _relay_log.warning('the store is unavailable', why=str(error))
                 await anyio.sleep(STORE_RETRY_S * self._rng.uniform(0.5, 1.5))
@@ -137,6 +143,12 @@
         )
         self._note(changed)
         self._act(actions)
+        self._mark_synced()
+
+    def _mark_synced(self) -> None:
+        if not self.synced.is_set():
+            self.synced.set()
+            self._on_change()
 
     def _note(self, changed: BatchResult) -> None:
         if not changed.accepted:
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -54,6 +54,11 @@
 LEDGER_KEEP_S: Final = 30.0
 LEDGER_EXPIRE_PERIOD_S: Final = 1.0
 RELAY_CHECK_PERIOD_S: Final = 0.5
+# Callers wait this long for the first configuration.
+CONFIG_WAIT_S: Final = 5.0
+# A daemon that knows introducers asks them before it asks the store, so that
+# a failure domain that starts at once does not stampede the store.
+START_SPREAD_S: Final = 2.0
 # Idle connections of callers stay open this long after a stop was asked for,
 # so that a request that crosses with the stop is still answered.
 LINGER_S: Final = 1.0
@@ -172,15 +177,6 @@
     async def run(self) -> None:
         """Serve until a stop is asked for and all work is done."""
         loop = asyncio.get_running_loop()
-        caller_server = await loop.create_server(
-            lambda: HttpServerConnection(
-                self.caller_side.handle,
-                self.settings.limits.head_bytes,
-                self._callers,
-            ),
-            sock=self.sockets['caller'],
-            backlog=LISTEN_BACKLOG,
-        )
         peer_server = await loop.create_server(
             self._accept_peer,
             sock=self.sockets['peer'],
@@ -202,6 +198,7 @@
             group.start_soon(self._write_introducers, client)
             group.start_soon(self._serve_admin)
             self._apply_members()
+            caller_server = await self._serve_callers()
             _log.info('serving', target=self.own.name)
             await self._stop.wait()
             await self._drain(caller_server)
@@ -222,6 +219,26 @@
         finally:
             self._admin_ended.set()
 
+    async def _serve_callers(self) -> asyncio.Server:
+        """Accept callers once the configuration is known.
+
+        When neither a peer nor the store answers for a while, requests are
+        served all the same, but none is repeated.
+        """
+        with anyio.move_on_after(CONFIG_WAIT_S):
+            await self.config.synced.wait()
+        if not self.config.synced.is_set():
+            _log.warning('serving without configuration')
+        return await asyncio.get_running_loop().create_server(
+            lambda: HttpServerConnection(
+                self.caller_side.handle,
+                self.settings.limits.head_bytes,
+                self._callers,
+            ),
+            sock=self.sockets['caller'],
+            backlog=LISTEN_BACKLOG,
+        )
+
     async def _drain(self, caller_server: asyncio.Server) -> None:
         """Refuse new work, finish what is in flight, then go."""
         _log.info('leaving', in_flight=self.backend_side.work_count)
@@ -290,7 +307,10 @@
             self.config.on_push(frame.config_push, sender)
 
     def _apply_configuration(self) -> None:
-        self.table.replace_configuration(self.config.state.objects())
+        self.table.replace_configuration(
+            self.config.state.objects(),
+            is_synced=self.config.synced.is_set(),
+        )
 
     def _apply_members(self) -> None:
         is_changed = False
@@ -322,6 +342,9 @@
         group: TaskGroup,
     ) -> None:
         scope: anyio.CancelScope | None = None
+        if self.settings.fleet.introducers:
+            with anyio.move_on_after(self._rng.uniform(0, START_SPREAD_S)):
+                await self.config.synced.wait()
         while True:
             is_relay = self.fleet.is_relay()
             if is_relay and scope is None:
--- a/packages/daemon/src/cornelbeam_daemon/routing_table.py
+++ b/packages/daemon/src/cornelbeam_daemon/routing_table.py
@@ -38,6 +38,7 @@
     __slots__ = (
         '_domains_out',
         '_index',
+        '_is_synced',
         '_labels',
         '_name',
         '_own_domain',
@@ -51,6 +52,7 @@
         self._name = name
         self._own_domain = domain
         self._domains_out: frozenset[str] = frozenset()
+        self._is_synced = False
         self._index = SelectorIndex.compile(())
         self._labels: dict[str, dict[str, str]] = {}
         self._timeouts_ms: dict[str, int] = {}
@@ -67,8 +69,12 @@
         return domain not in self._domains_out
 
     def route(self, facts: RequestFacts) -> Route:
-        """Give the route of a request; see ``SelectorIndex.route``."""
-        return self._index.route(facts)
+        """Give the route of a request; see ``SelectorIndex.route``.
+
+        Before the configuration is known, nothing may be repeated.
+        """
+        route = self._index.route(facts)
+        return route if self._is_synced else replace(route, is_repeatable=False)
 
     def timeout_ms(self, service: str) -> int | None:
         """Give the time for requests of a service, if one is configured."""
@@ -94,12 +100,18 @@
             'service': target.service,
         }
 
-    def replace_configuration(self, objects: Iterable[ConfigObject]) -> None:
+    def replace_configuration(
+        self,
+        objects: Iterable[ConfigObject],
+        *,
+        is_synced: bool,
+    ) -> None:
         """Rebuild the index after a change of the configuration.
 
         An object that cannot be parsed is left out: a newer operators'
         command may know kinds or keys that this daemon does not.
         """
+        self._is_synced = is_synced
         selectors: list[SelectorSpec] = []
         domains_out: set[str] = set()
         self._labels = {}
--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -59,6 +59,7 @@
 
     async def body():
         table = RoutingTable('edge-1', 'north')
+        table.replace_configuration((), is_synced=True)
         table.replace_targets(
             'bookings',
             [
