Drop the fields named by every Connection header

Cause: only the first Connection header was read, so a field named in a second one passed to the backend server or the caller. A Connection header could also remove Host, which changes the service the backend server sees. Ruled out: the parser, which gives each field separately. Before: test_forged_fields failed for requests (x-b passed, host was missing). After: passes; it comes with the tests of requests below.

--- a/packages/daemon/src/cornelbeam_daemon/headers.py
+++ b/packages/daemon/src/cornelbeam_daemon/headers.py
@@ -18,6 +18,9 @@
         b'expect',
     )
 )
+# A Connection header must not remove these: without them the request would
+# reach another host, or its end would be found differently.
+_END_TO_END: Final = frozenset((b'host', b'content-length'))
 CONTROL_PREFIX: Final = b'cornelbeam-'
 DEADLINE: Final = b'cornelbeam-deadline-ms'
 HOPS: Final = b'cornelbeam-hops'
@@ -65,11 +68,11 @@
     be able to forge control fields, and backend servers must not see them.
     """
     dropped = _HOP_BY_HOP
-    named = find(headers, b'connection')
-    if named is not None:
-        dropped = dropped.union(
-            token.strip().lower() for token in named.split(b',')
-        )
+    for index in range(0, len(headers), 2):
+        if headers[index] == b'connection':
+            named = headers[index + 1].lower().split(b',')
+            tokens = {token.strip() for token in named}
+            dropped = dropped.union(tokens - _END_TO_END)
     kept: list[bytes] = []
     for index in range(0, len(headers), 2):
         name = headers[index]
