Accept only the asterisk itself as an asterisk-form target

Cause: a target such as *a passed, as the check looked at its first character. Before: test_refused[GET *a] failed, the request ran. After: refused with 400.

--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -169,7 +169,7 @@
             host = (fields.find(headers, b'host') or b'').decode('ascii')
         except UnicodeDecodeError as error:
             raise _malformed('the head is not ASCII') from error
-        if method == 'CONNECT' or not path.startswith(('/', '*')):
+        if method == 'CONNECT' or not (path.startswith('/') or path == '*'):
             raise _malformed('only origin-form targets are supported')
         service = host.partition(':')[0].partition('.')[0]
         if not service:
