Expire queued calls with a short deadline in time

Cause: the timer for expired calls was not set again when a call with an earlier deadline joined the queue. A local call then waited up to queue_ms past its deadline, as only this timer ends it. Ruled out: AdmissionLimit, which gives the earliest expiry correctly.

--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -322,7 +322,7 @@
 
     def _set_expiry_timer(self) -> None:
         expires_at_s = self._admission.next_expiry_s()
-        if expires_at_s is None or self._expiry_timer is not None:
+        if expires_at_s is None:
             return
         self._expiry_timer = self._loop.call_at(expires_at_s, self._expire)
 
@@ -360,3 +360,8 @@
     if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return CallOutcome.FAILED
     return CallOutcome.ANSWERED if is_whole else CallOutcome.CANCELLED
+        if self._expiry_timer is not None:
+            if self._expiry_timer.when() <= expires_at_s:
+                return
+            # A call with a shorter deadline joined the queue.
+            self._expiry_timer.cancel()
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -25,7 +25,12 @@
 from cornelbeam_daemon.backend_side import BackendSide
 from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
 from cornelbeam_daemon.calls import Answer, Call
-from cornelbeam_daemon.http_server import HttpRequest, Responder, send_error
+from cornelbeam_daemon.http_server import (
+    BODILESS,
+    HttpRequest,
+    Responder,
+    send_error,
+)
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.metrics import CALLER_SIDE, Metrics, answer_code
 from cornelbeam_daemon.peer_client import PeerClient
@@ -415,7 +420,10 @@
         headers.append(pending.request_id.encode())
         try:
             content = answer.body.take_ready()
-            if answer.body.is_ended and pending.request.method != b'HEAD':
+            is_bodiless = (
+                pending.request.method == b'HEAD' or answer.status in BODILESS
+            )
+            if answer.body.is_ended and not is_bodiless:
                 _check_length(headers, content)
                 responder.send_whole(answer.status, headers, content)
                 return
