--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -187,6 +187,11 @@
 
     async def _admit(self, call: Call, now_s: float) -> None:
         ticket: asyncio.Future[Admission] = self._loop.create_future()
+                retry_after_ms=(
+                    self._admission.retry_after_ms()
+                    if recorded is RecordResult.FULL
+                    else 0
+                ),
         admission = self._admission.try_admit(
             call.caller,
             now_s,
