Report unknown when a body breaks off after the hand-over

Cause: when a caller's streamed body failed (malformed chunk, over the limit, disconnect), the error of the body was given as the outcome of the call, with run state not run.

--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -113,7 +113,16 @@
                 part = await reader.read()
             await stream.send_body(b'', is_last=True)
         except CornelbeamError as error:
-            self.fail(error)
+            # The backend server may have acted on the part that was sent.
+            self.fail(
+                CornelbeamError(
+                    error.code,
+                    'request body',
+                    error.peer,
+                    error.detail,
+                    run_state=RunState.UNKNOWN,
+                ),
+            )
 
     def _start_answer(self, start: messages.AnswerStart) -> None:
         stream = self.stream
