Do not wait for a call that was cancelled

Cause: an outcome query that arrives right after a cancellation found the call still in work, took over its stream and waited for an answer until the deadline. Also, a call cancelled before the first step of its task never closed its stream nor left the table of calls, since that was done inside the task. Ruled out: the ledger, which notes unknown as soon as the task ends.

--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -42,6 +42,7 @@
         '_body',
         '_call',
         '_on_end',
+        'is_cancelled',
         'stream',
         'task',
     )
@@ -75,10 +76,14 @@
             request_id=start.request_id,
             body=RequestBody(self._body),
         )
+        self.is_cancelled = False
         self.stream: Stream | None = stream
         self._attached = asyncio.Event()
         self._attached.set()
         self.task = loop.create_task(self._run())
+        # Not in the task: one that is cancelled before its first step would
+        # leave its stream open.
+        self.task.add_done_callback(self._end)
 
     def on_frame(self, frame: messages.Frame) -> None:
         """Take a part of the body or a cancellation."""
@@ -87,6 +92,7 @@
             if frame.body_part.is_last:
                 self._body.finish()
         elif frame.cancel is not None:
+            self.is_cancelled = True
             self.task.cancel()
 
     def on_lost(self) -> None:
@@ -118,11 +124,10 @@
         except CornelbeamError as error:
             await self._send_refusal(error, is_started=answer is not None)
         finally:
-            self._end(answer)
+            if answer is not None:
+                answer.close()
 
-    def _end(self, answer: Answer | None) -> None:
-        if answer is not None:
-            answer.close()
+    def _end(self, task: 'asyncio.Task[None]') -> None:
         if self.stream is not None:
             self.stream.close()
         self._on_end(self._call.attempt_id)
@@ -275,7 +280,12 @@
             )
         served = self._served.get(query.attempt_id)
         kept = ledger.kept_answer(query.attempt_id)
-        is_in_work = run_state is RunState.RUNNING and served is not None
+        # A cancelled call brings no answer to wait for.
+        is_in_work = (
+            run_state is RunState.RUNNING
+            and served is not None
+            and not served.is_cancelled
+        )
         stream.send(
             outcome_reply=messages.OutcomeReply(
                 run_state=int(run_state),
