Keep exchanges on a connection to the backend server apart

Causes, each with its test in test_backend_answers.py: - An early answer made the connection reusable while the request body was still being sent; the rest of it went in front of the next request. - Bytes after an answer, or on an idle connection, were kept for the next one; a body after a HEAD answer was written to the caller. - A reset or an abort of our own ended an answer without length as if whole. - Trailer fields became header fields; a head had no limit. - A connection released while reading was paused stayed paused. - A closed idle connection failed an idempotent request at the only target; it is now sent once more over a new connection. One that must not repeat is not sent over a connection whose end is already waiting to be read. - A switch of protocol (101) ended in an unhandled exception. - A call whose deadline passed while it queued or connected was handed over. - A peer's body of another length than announced left the connection in use. Ruled out: the parser, which rejects conflicting lengths and codings by itself.

--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client of the backend server beside the daemon."""
 
 import asyncio
+import select
 from typing import Final, final
 
 import httptools
@@ -20,7 +21,9 @@
 FRESH_S: Final = 1.0
 _MIN_FINAL_STATUS: Final = 200
 _CLOSED: Final = 'the backend server closed the connection'
-_BODILESS: Final = frozenset((204, 304))
+# The head of an answer fits into one frame between daemons beside a body part.
+HEAD_LIMIT_BYTES: Final = 65_536
+_LINE_EXTRA_BYTES: Final = 4
 
 
 @final
@@ -46,6 +49,12 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[bytes] = []
+        self._head_bytes = 0
+        self._line_bytes = 0
+        self._sender: asyncio.Task[None] | None = None
+        # Nothing may arrive before a request or after its answer.
+        self._is_answered = True
+        self._is_aborted = False
         self._body: BodyBuffer | None = None
         self._head: asyncio.Future[BackendAnswer] | None = None
         self._is_head_request = False
@@ -54,20 +63,44 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self.is_reusable = False
         self.is_closed = False
+        self.is_reused = False
+        self.is_untouched = True
         self.idle_since_s: float = 0
 
+    @property
+    def is_stale(self) -> bool:
+        """Tell whether the server had closed it before it read the request.
+
+        That is likely, not certain, when a connection that was used before
+        ends without one byte of an answer.
+        """
+        return self.is_closed and self.is_reused and self.is_untouched
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
 
     def data_received(self, received: bytes) -> None:
-        """Parse a part of the answer."""
+        """Parse a part of the answer.
+
+        Bytes that no request asked for would be taken for the answer to the
+        next one, so the connection closes.
+        """
+        if self._is_answered:
+            self.close()
+            return
+        self.is_untouched = False
         try:
             self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self._fail(ErrorCode.BACKEND_FAILED, 'it changes the protocol')
+            self.close()
         except httptools.HttpParserError as error:
-            self._fail(ErrorCode.BACKEND_FAILED, f'malformed answer: {error}')
+            self._fail(_code_of(self._body), f'malformed answer: {error}')
             self.close()
+        else:
+            self._count_unfinished(received)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange that waits for an answer."""
@@ -76,7 +109,7 @@
         self.resume_writing()
         if self._body is None:
             self._fail(ErrorCode.BACKEND_FAILED, _CLOSED)
-        elif self._is_length_by_close():
+        elif exc is None and not self._is_aborted and self._ends_by_close():
             # RFC 9112, section 6.3: without a length the body ends here.
             self._body.finish()
         else:
@@ -96,31 +129,38 @@
 
     def on_message_begin(self) -> None:
         """Start an answer."""
+        if self._is_answered:
+            self.is_reusable = False
+            return
         self._headers = []
+        self._head_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take one header field."""
-        self._headers += (name.lower(), value)
+        """Take one header field; trailer fields are dropped."""
+        if self._body is None:
+            self._headers += (name.lower(), value)
+            self._count_head(len(name) + len(value) + _LINE_EXTRA_BYTES)
 
     def on_headers_complete(self) -> None:
         """Give the head to whoever waits; informational answers are dropped."""
         status = self._parser.get_status_code()
-        if status < _MIN_FINAL_STATUS or self._head is None:
+        if status < _MIN_FINAL_STATUS or self._is_answered:
             return
+        assert self._head is not None  # noqa: S101
         self._body = BodyBuffer(self._consumed)
         if not self._head.done():
             self._head.set_result(
                 BackendAnswer(status, self._headers, self._body),
             )
-        if self._is_head_request or status in _BODILESS:
+        if self._is_head_request:
             # The parser would wait for the body that the length announces,
             # so the connection is not used again.
+            self._is_answered = True
             self._body.finish()
-            self.is_reusable = False
 
     def on_body(self, content: bytes) -> None:
         """Buffer a part of the body; stop reading when there is a lot."""
-        if self._body is None:
+        if self._body is None or self._is_answered:
             return
         self._body.feed(content)
         if self._body.size_bytes > BUFFER_LIMIT_BYTES and self._transport:
@@ -129,9 +169,11 @@
 
     def on_message_complete(self) -> None:
         """Mark the body as whole."""
-        if self._body is not None and not self._body.is_complete:
-            self.is_reusable = self._parser.should_keep_alive()
-            self._body.finish()
+        if self._body is None or self._is_answered:
+            return
+        self._is_answered = True
+        self.is_reusable = self._parser.should_keep_alive()
+        self._body.finish()
 
     async def exchange(
         self,
@@ -142,53 +184,103 @@
         is_complete: bool,
         is_chunked: bool,
         is_head_request: bool,
+        length_bytes: int | None = None,
     ) -> BackendAnswer:
         """Send a request and wait for the head of the answer.
 
-        Raises ``backend_failed`` with run state ``UNKNOWN`` when the
-        connection breaks after the first byte was sent.
+        ``length_bytes`` is the announced length of the body. Raises
+        ``backend_failed`` with run state ``UNKNOWN`` when the connection
+        breaks after the first byte was sent.
         """
         self._parser = httptools.HttpResponseParser(self)
         self._body = None
         self._head = self._loop.create_future()
         self._is_head_request = is_head_request
+        self._is_answered = False
+        self._line_bytes = 0
         self.is_reusable = False
+        self.is_untouched = True
         assert self._transport is not None  # noqa: S101
+        sent_bytes = len(first_part)
         if is_chunked and first_part:
             first_part = _chunk(first_part)
         self._transport.write(head + first_part)
-        if is_complete:
-            if is_chunked:
-                self._transport.write(b'0\r\n\r\n')
-            return await self._head
-        sender = asyncio.ensure_future(self._send_body(reader, is_chunked))
-        try:
-            return await self._head
-        finally:
-            if not self._head.done() or self._head.cancelled():
-                sender.cancel()
+        if is_complete and is_chunked:
+            self._transport.write(b'0\r\n\r\n')
+        elif not is_complete:
+            left_bytes = None
+            if length_bytes is not None:
+                left_bytes = length_bytes - sent_bytes
+            self._sender = self._loop.create_task(
+                self._send_body(reader, is_chunked, left_bytes),
+            )
+        elif length_bytes not in {None, sent_bytes}:
+            self._break_body('its length is not the announced one')
+        return await self._head
 
     def close(self) -> None:
         """Close at once, which also cancels the request."""
         self.is_reusable = False
+        self._is_aborted = True
+        if self._sender is not None:
+            self._sender.cancel()
         if self._transport is not None:
             self._transport.abort()
 
-    async def _send_body(self, reader: BodyReader, is_chunked: bool) -> None:
+    def may_be_kept(self) -> bool:
+        """Tell whether another request may follow.
+
+        A request body that is not sent to its end would be continued in front
+        of the next request, and a paused connection may hold unread bytes.
+        """
+        is_sent = self._sender is None or self._sender.done()
+        return (
+            self.is_reusable
+            and is_sent
+            and not self.is_closed
+            and not self._is_read_paused
+        )
+
+    def has_input(self) -> bool:
+        """Tell whether bytes or the end of the connection wait to be read."""
+        if self._transport is None:
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info('socket'), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def _send_body(
+        self,
+        reader: BodyReader,
+        is_chunked: bool,
+        left_bytes: int | None,
+    ) -> None:
         try:
             part = await reader.read()
             while part and not self.is_closed:
+                if left_bytes is not None:
+                    left_bytes -= len(part)
                 self._write(_chunk(part) if is_chunked else part)
                 await self._drain()
                 part = await reader.read()
-        except CornelbeamError:
-            # The caller broke off: the backend server must not take the
-            # partial body for a whole one.
-            self.close()
+        except CornelbeamError as error:
+            # The backend server must not take the partial body for a whole
+            # one, and may have acted on the part.
+            self._break_body(error.detail, error.code)
             return
-        if is_chunked:
+        if left_bytes:
+            self._break_body('its length is not the announced one')
+        elif is_chunked:
             self._write(b'0\r\n\r\n')
 
+    def _break_body(
+        self,
+        detail: str,
+        code: ErrorCode = ErrorCode.PROTOCOL_VIOLATION,
+    ) -> None:
+        self._fail(code, detail, 'request body')
+        self.close()
+
     def _write(self, content: bytes) -> None:
         if self._transport is not None and not self.is_closed:
             self._transport.write(content)
@@ -203,16 +295,39 @@
             self._is_read_paused = False
             self._transport.resume_reading()
 
-    def _is_length_by_close(self) -> bool:
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        if self._head_bytes > HEAD_LIMIT_BYTES:
+            self._fail(_code_of(self._body), 'the head is too large')
+            self.close()
+
+    def _count_unfinished(self, received: bytes) -> None:
+        """Count what the parser holds back until its line is complete."""
+        if self._body is not None:
+            return
+        rest_bytes = len(received) - received.rfind(b'\n') - 1
+        if rest_bytes == len(received):
+            rest_bytes += self._line_bytes
+        self._line_bytes = rest_bytes
+        if self._head_bytes + rest_bytes > HEAD_LIMIT_BYTES:
+            self._fail(ErrorCode.BACKEND_FAILED, 'the head is too large')
+            self.close()
+
+    def _ends_by_close(self) -> bool:
         return (
             fields.find(self._headers, b'content-length') is None
             and fields.find(self._headers, b'transfer-encoding') is None
         )
 
-    def _fail(self, code: ErrorCode, detail: str) -> None:
+    def _fail(
+        self,
+        code: ErrorCode,
+        detail: str,
+        step: str = 'backend answer',
+    ) -> None:
         error = CornelbeamError(
             code,
-            'backend answer',
+            step,
             detail=detail,
             run_state=RunState.UNKNOWN,
         )
@@ -236,23 +351,34 @@
         self._idle: list[BackendConnection] = []
         self._in_use: set[BackendConnection] = set()
 
-    async def acquire(self, *, is_fresh: bool = False) -> BackendConnection:
+    async def acquire(
+        self,
+        *,
+        is_fresh: bool = False,
+        is_new: bool = False,
+    ) -> BackendConnection:
         """Give an idle connection or open one.
 
-        ``is_fresh`` passes over connections that were idle for long.
+        ``is_fresh`` passes over connections that were idle for long or that
+        the server has closed since; ``is_new`` opens one in any case.
 
         Raises ``backend_unreachable``: nothing was sent, so the request was
         not run.
         """
         now_s = asyncio.get_running_loop().time()
-        while self._idle:
+        while self._idle and not is_new:
             connection = self._idle.pop()
             if is_fresh and now_s - connection.idle_since_s > FRESH_S:
                 # The others are older: connections are reused last in, first
                 # out.
                 self._idle.append(connection)
                 break
-            if not connection.is_closed:
+            if connection.is_closed:
+                continue
+            if is_fresh and connection.has_input():
+                connection.close()
+            else:
+                connection.is_reused = True
                 self._in_use.add(connection)
                 return connection
         if len(self._in_use) >= self._limit:
@@ -272,7 +398,7 @@
     def release(self, connection: BackendConnection) -> None:
         """Take a connection back; one with an unfinished answer is closed."""
         self._in_use.discard(connection)
-        if connection.is_reusable and not connection.is_closed:
+        if connection.may_be_kept():
             connection.idle_since_s = asyncio.get_running_loop().time()
             self._idle.append(connection)
         else:
@@ -285,6 +411,12 @@
         self._idle.clear()
 
 
+def _code_of(body: BodyBuffer | None) -> ErrorCode:
+    if body is None:
+        return ErrorCode.BACKEND_FAILED
+    return ErrorCode.ANSWER_TRUNCATED
+
+
 def _chunk(part: bytes) -> bytes:
     return b'%x\r\n%b\r\n' % (len(part), part)
 
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -124,7 +124,11 @@
         handed_over_s = self._loop.time()
         try:
             async with asyncio.timeout_at(call.deadline_s):
-                head = await self._hand_over(call, connection)
+                head = await self._try_reused(call, connection)
+                if head is None:
+                    self._client.release(connection)
+                    connection = await self._connect_again()
+                    head = await self._hand_over(call, connection)
         except TimeoutError as error:
             self._break_off(call, connection, CallOutcome.TIMED_OUT)
             raise CornelbeamError(
@@ -183,15 +187,15 @@
                 'attempt ledger',
                 self.name,
                 run_state=recorded.run_state,
-            )
-
-    async def _admit(self, call: Call, now_s: float) -> None:
-        ticket: asyncio.Future[Admission] = self._loop.create_future()
                 retry_after_ms=(
                     self._admission.retry_after_ms()
                     if recorded is RecordResult.FULL
                     else 0
                 ),
+            )
+
+    async def _admit(self, call: Call, now_s: float) -> None:
+        ticket: asyncio.Future[Admission] = self._loop.create_future()
         admission = self._admission.try_admit(
             call.caller,
             now_s,
@@ -224,14 +228,44 @@
 
     async def _connect(self, call: Call) -> BackendConnection:
         try:
-            return await self._client.acquire(
-                is_fresh=not call.is_repeatable,
-            )
+            # It may have waited in the queue until now.
+            check_deadline(call.deadline_s, self._loop.time(), 'admission')
+            async with asyncio.timeout_at(call.deadline_s):
+                return await self._client.acquire(is_fresh=is_recorded(call))
+        except TimeoutError as error:
+            self._note_run_state(call, RunState.NOT_RUN)
+            self._finish(0, CallOutcome.FAILED)
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'backend connection',
+                self.name,
+            ) from error
         except BaseException:
             self._note_run_state(call, RunState.NOT_RUN)
             self._finish(0, CallOutcome.FAILED)
             raise
 
+    async def _try_reused(
+        self,
+        call: Call,
+        connection: BackendConnection,
+    ) -> BackendAnswer | None:
+        """Hand over; None if the server had closed the idle connection."""
+        try:
+            return await self._hand_over(call, connection)
+        except CornelbeamError:
+            if _may_send_again(call, connection):
+                return None
+            raise
+
+    async def _connect_again(self) -> BackendConnection:
+        try:
+            return await self._client.acquire(is_new=True)
+        except CornelbeamError as error:
+            # The first connection took the request.
+            error.run_state = RunState.UNKNOWN
+            raise
+
     async def _hand_over(
         self,
         call: Call,
@@ -241,11 +275,12 @@
         first_part, is_whole = reader.take_first()
         headers = call.headers
         is_chunked = False
-        if fields.find(headers, b'content-length') is None:
+        length = fields.find(headers, b'content-length')
+        if length is None:
             is_chunked = not is_whole
             if is_whole and (first_part or call.method in _BODY_METHODS):
-                length = str(len(first_part)).encode()
-                headers = [*headers, b'content-length', length]
+                size = str(len(first_part)).encode()
+                headers = [*headers, b'content-length', size]
             elif is_chunked:
                 headers = [*headers, b'transfer-encoding', b'chunked']
         left_ms = remaining_ms(call.deadline_s, self._loop.time())
@@ -268,6 +303,7 @@
             is_complete=is_whole,
             is_chunked=is_chunked,
             is_head_request=call.method == b'HEAD',
+            length_bytes=None if length is None else int(length),
         )
 
     def _break_off(
@@ -329,6 +365,11 @@
         expires_at_s = self._admission.next_expiry_s()
         if expires_at_s is None:
             return
+        if self._expiry_timer is not None:
+            if self._expiry_timer.when() <= expires_at_s:
+                return
+            # A call with a shorter deadline joined the queue.
+            self._expiry_timer.cancel()
         self._expiry_timer = self._loop.call_at(expires_at_s, self._expire)
 
     def _expire(self) -> None:
@@ -359,14 +400,20 @@
     )
 
 
+def _may_send_again(call: Call, connection: BackendConnection) -> bool:
+    # A backend server closes idle connections when it likes. That must not
+    # fail a request that may run twice, least of all at the only target.
+    return (
+        connection.is_stale
+        and call.is_repeatable
+        and is_idempotent_method(call.method.decode())
+        and call.body.is_replayable
+    )
+
+
 def _judge(head: BackendAnswer, is_whole: bool) -> CallOutcome:
     if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
         return CallOutcome.SHED
     if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return CallOutcome.FAILED
     return CallOutcome.ANSWERED if is_whole else CallOutcome.CANCELLED
-        if self._expiry_timer is not None:
-            if self._expiry_timer.when() <= expires_at_s:
-                return
-            # A call with a shorter deadline joined the queue.
-            self._expiry_timer.cancel()
