Bound what callers may send, and answer each request once

Causes, each with its test in test_http_requests.py: - Several Host headers, other transfer codings than chunked and HTTP/2.0 passed. - Trailer fields became header fields of the request. - Heads were counted without line separators (many short lines) and twice when they came in pieces; trailers and unfinished lines were not counted. - limits.body_bytes did not hold for chunked bodies. - A head or an idle connection had no time limit, nor had an unread answer. - A request for an upgrade got two answers; it is now answered as without. - 100 Continue was written into an answer that was not finished. - After an exception in the handler the next answer took its place. - Pipelined requests were answered without waiting for the caller to read. - A connection with work at a planned stop stayed open after its answer. - Answers to HEAD, 204 and 304 could carry bytes; step and peer of a refusal could carry line ends; 304 with a length was answered with 502. - A refusal was lost when the socket closed with unread input. Ruled out: the parser, see the cases of test_refused that passed before.

--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -162,6 +162,7 @@
             lambda: HttpServerConnection(
                 self.caller_side.handle,
                 self.settings.limits.head_bytes,
+                self.settings.limits.body_bytes,
                 self._callers,
             ),
             sock=self.sockets['caller'],
--- /dev/null
+++ b/packages/daemon/tests/conftest.py
@@ -0,0 +1,274 @@
+"""Caller side, backend side and a scripted backend server in one process."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import anyio
+import pytest
+from cornelbeam_core.admission import AdmissionLimit, AdmissionSettings
+from cornelbeam_core.attempts import AttemptLedger
+from cornelbeam_core.targets import Target
+from cornelbeam_daemon.backend_client import BackendClient
+from cornelbeam_daemon.backend_side import BackendSide
+from cornelbeam_daemon.caller_side import CallerSide
+from cornelbeam_daemon.http_server import HttpServerConnection
+from cornelbeam_daemon.metrics import Metrics
+from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_daemon.peer_server import PeerServer
+from cornelbeam_daemon.routing_table import RoutingTable
+from cornelbeam_settings import LimitsSettings
+from cornelbeam_wire import Identity, PeerConnection, PeerPool
+from prometheus_client import CollectorRegistry
+
+HOST = '127.0.0.1'
+SECRET = b'pit'
+WAIT_LIMIT_S = 4
+LIMITS = LimitsSettings(head_bytes=4096, body_bytes=300_000, queue_ms=60_000)
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+Script = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter],
+    Awaitable[None],
+]
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """Read a head and its body; raises IncompleteReadError at the end."""
+    head = await reader.readuntil(b'\r\n\r\n')
+    content = b''
+    lower = head.lower()
+    if b'content-length: ' in lower:
+        length = lower.split(b'content-length: ')[1].split(b'\r\n')[0]
+        content = await reader.readexactly(int(length))
+    elif b'transfer-encoding: chunked' in lower:
+        size = int(await reader.readuntil(b'\r\n'), 16)
+        while size:
+            content += (await reader.readexactly(size + 2))[:-2]
+            size = int(await reader.readuntil(b'\r\n'), 16)
+        await reader.readuntil(b'\r\n')
+    return head, content
+
+
+class Backend:
+    """Backend server that answers each connection by a script."""
+
+    def __init__(self) -> None:
+        """Answer every request with ``OK``."""
+        self.answer = OK
+        self.script: Script = self.answer_all
+        self.requests: list[tuple[bytes, bytes]] = []
+        self.connection_count = 0
+        self.open_count = 0
+
+    def was_asked(self) -> bool:
+        """Tell whether a request has arrived."""
+        return bool(self.requests)
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Run the script on one connection."""
+        self.connection_count += 1
+        self.open_count += 1
+        try:
+            with contextlib.suppress(
+                OSError,
+                asyncio.IncompleteReadError,
+                asyncio.LimitOverrunError,
+            ):
+                await self.script(reader, writer)
+        finally:
+            self.open_count -= 1
+            writer.close()
+
+    async def answer_all(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer whole requests until the connection ends."""
+        while True:
+            self.requests.append(await read_message(reader))
+            writer.write(self.answer)
+
+    async def answer_once(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one request and close."""
+        self.requests.append(await read_message(reader))
+        writer.write(self.answer)
+
+    async def hang(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Read a request and never answer."""
+        self.requests.append(await read_message(reader))
+        await reader.read()
+
+
+class Bed:
+    """One caller side in front of one backend side."""
+
+    def __init__(self, *, is_remote: bool) -> None:
+        """Connect the parts; ``start`` binds the sockets."""
+        self.is_remote = is_remote
+        self.backend = Backend()
+        self.admission = AdmissionLimit(
+            AdmissionSettings(queue_ms=LIMITS.queue_ms, queue_count=4),
+        )
+        self.ledger = AttemptLedger(1, 100, 30)
+        self.is_in_service = True
+        self.callers: set[HttpServerConnection] = set()
+        self.peers: set[PeerConnection] = set()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def start(self) -> None:
+        """Listen for callers and peers."""
+        metrics = Metrics(CollectorRegistry())
+        port = await self._listen_backend()
+        self.client = BackendClient(HOST, port, 240)
+        self.backend_side = BackendSide(
+            'yard-1',
+            self.admission,
+            self.ledger,
+            self.client,
+            metrics,
+            lambda: self.is_in_service,
+        )
+        self.peer_server = PeerServer(self.backend_side, self.peers)
+        self.peer_address = f'{HOST}:{await self._listen(self._accept_peer)}'
+        self.pool = PeerPool(_identity('edge-1'), lambda *_: None)
+        table = RoutingTable('edge-1' if self.is_remote else 'yard-1', 'north')
+        target = Target('yard-1', 'windows', 'north', self.peer_address, 1, {})
+        table.replace_targets('windows', [target])
+        self.caller_side = CallerSide(
+            'edge-1' if self.is_remote else 'yard-1',
+            table,
+            PeerClient(self.pool),
+            self.backend_side,
+            LIMITS,
+            'power_of_two',
+            metrics,
+        )
+        self.port = await self._listen(self._accept_caller)
+
+    async def close(self) -> None:
+        """Check that nothing is left over, then close."""
+        try:
+            await self.wait_idle()
+        finally:
+            await self._close_sockets()
+
+    async def _close_sockets(self) -> None:
+        self.client.close()
+        self.pool.close()
+        await self._stack.aclose()
+        await self.wait(lambda: not self.backend.open_count)
+
+    async def wait_idle(self) -> None:
+        """Wait until no slot, queue place, work or attempt is left."""
+        await self.wait(lambda: not any(self.left_over()))
+
+    def left_over(self) -> list[int]:
+        """Count what is in use."""
+        return [
+            self.admission.in_flight,
+            self.admission.queue_length,
+            self.backend_side.work_count,
+            self.caller_side.in_flight,
+            len(tuple(self.ledger.running())),
+            len(self.peer_server._served),
+            sum(peer.open_count for peer in self.peers),
+            sum(peer.open_count for peer in self.pool.connections()),
+        ]
+
+    async def wait(self, is_reached: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        with anyio.fail_after(WAIT_LIMIT_S):
+            while not is_reached():
+                await asyncio.sleep(0.002)
+
+    async def open(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect as a caller."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        self._stack.callback(writer.close)
+        return reader, writer
+
+    async def ask(self, *pieces: bytes) -> bytes:
+        """Send pieces, close the sending side late, read to the end."""
+        reader, writer = await self.open()
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+        with anyio.fail_after(WAIT_LIMIT_S):
+            return await reader.read()
+
+    def _accept_caller(self) -> HttpServerConnection:
+        return HttpServerConnection(
+            self.caller_side.handle,
+            LIMITS.head_bytes,
+            LIMITS.body_bytes,
+            self.callers,
+        )
+
+    def _accept_peer(self) -> PeerConnection:
+        connection = PeerConnection(
+            _identity('yard-1'),
+            self._accept_stream,
+            self.peers.discard,
+            is_opener=False,
+        )
+        self.peers.add(connection)
+        return connection
+
+    def _accept_stream(self, stream, frame):
+        if frame.call_start is not None:
+            return self.peer_server.start_call(stream, frame.call_start)
+        if frame.outcome_query is not None:
+            return self.peer_server.answer_query(stream, frame.outcome_query)
+        return None
+
+    async def _listen_backend(self) -> int:
+        server = await asyncio.start_server(self.backend.serve, HOST, 0)
+        self._stack.callback(server.close)
+        return server.sockets[0].getsockname()[1]
+
+    async def _listen(self, factory) -> int:
+        server = await asyncio.get_running_loop().create_server(
+            factory,
+            HOST,
+            0,
+        )
+        self._stack.callback(server.close)
+        return server.sockets[0].getsockname()[1]
+
+
+def _identity(name: str) -> Identity:
+    return Identity(name, 'windows', 'north', 1, '', SECRET)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """The daemon runs on asyncio only."""
+    return 'asyncio'
+
+
+@pytest.fixture(params=['one hop', 'two hops'])
+async def bed(request, anyio_backend) -> AsyncIterator[Bed]:
+    """A running bed; after the test nothing may be left in use."""
+    running = Bed(is_remote=request.param == 'two hops')
+    await running.start()
+    try:
+        yield running
+    finally:
+        await running.close()
