Bind the proof between daemons to its side and both nonces

Cause: each side proved the other's nonce with its own name only. A stranger without the secret could open two connections to a daemon, hand the nonce of the first in on the second, and give the daemon's own proof back on the first: it was then taken for a daemon of the fleet. Service, domain and address were not proven at all. Change: the proof covers the side (opener or not), both nonces and all that is stated; the nonce must be the one of the greeting. The protocol version is 2. Ruled out: replay of a recorded proof, which failed before, too.

--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -132,7 +132,8 @@
         self.received_bytes = 0
         self._acceptor = acceptor
         self._on_closed = on_closed
-        self._handshake = Handshake(identity)
+        self._handshake = Handshake(identity, is_opener=is_opener)
+        self._timer: asyncio.TimerHandle | None = None
         self._decoder = FrameDecoder()
         self._streams: dict[int, Stream] = {}
         self._next_id = 1 if is_opener else 2
--- a/packages/wire/src/cornelbeam_wire/identity.py
+++ b/packages/wire/src/cornelbeam_wire/identity.py
@@ -9,7 +9,8 @@
 from cornelbeam_wire.codec import violation
 from cornelbeam_wire.gen.messages import Hello
 
-PROTOCOL_VERSION: Final = 1
+# 2: the proof names both nonces and the side that gives it.
+PROTOCOL_VERSION: Final = 2
 _NONCE_BYTES: Final = 16
 
 
@@ -31,16 +32,19 @@
     """Mutual proof of the fleet's secret over one connection.
 
     Each side sends a ``Hello`` with a nonce and, once it has the other's
-    nonce, a second ``Hello`` whose proof is the HMAC-SHA256 of that nonce
-    and of its own name and incarnation. A recorded proof is useless on
-    another connection because its nonce differs.
+    nonce, a second ``Hello`` whose proof is the HMAC-SHA256 of its side of
+    the connection, both nonces and all that it states about itself. A
+    recorded proof is useless on another connection because its nonce
+    differs. The side keeps a daemon from being made to prove on one
+    connection what is then given back to it on another.
     """
 
-    __slots__ = ('_identity', '_nonce', '_peer_nonce', 'peer')
+    __slots__ = ('_identity', '_is_opener', '_nonce', '_peer_nonce', 'peer')
 
-    def __init__(self, identity: Identity) -> None:
+    def __init__(self, identity: Identity, *, is_opener: bool) -> None:
         """Choose a nonce."""
         self._identity = identity
+        self._is_opener = is_opener
         self._nonce = secrets.token_bytes(_NONCE_BYTES)
         self._peer_nonce = b''
         self.peer: Hello | None = None
@@ -58,26 +62,33 @@
         if hello.protocol_version != PROTOCOL_VERSION:
             raise violation(f'protocol version {hello.protocol_version}')
         if not hello.proof:
-            self._peer_nonce = hello.nonce
-            return self._hello(
-                _prove(
-                    self._identity.secret,
-                    hello.nonce,
-                    self._identity.name,
-                    self._identity.incarnation,
-                ),
-            )
+            return self._prove_to(hello)
+        if hello.nonce != self._peer_nonce:
+            raise violation('the nonce of the proof was not announced')
         expected = _prove(
             self._identity.secret,
+            hello,
             self._nonce,
-            hello.name,
-            hello.incarnation,
+            is_opener=not self._is_opener,
         )
         if not hmac.compare_digest(expected, hello.proof):
             raise violation('the peer does not know the secret of the fleet')
         self.peer = hello
         return None
 
+    def _prove_to(self, greeting: Hello) -> Hello:
+        if self._peer_nonce or len(greeting.nonce) != _NONCE_BYTES:
+            raise violation('unexpected greeting')
+        self._peer_nonce = greeting.nonce
+        hello = self._hello(b'')
+        hello.proof = _prove(
+            self._identity.secret,
+            hello,
+            self._peer_nonce,
+            is_opener=self._is_opener,
+        )
+        return hello
+
     def _hello(self, proof: bytes) -> Hello:
         identity = self._identity
         return Hello(
@@ -92,6 +103,22 @@
         )
 
 
-def _prove(secret: bytes, nonce: bytes, name: str, incarnation: int) -> bytes:
-    text = f'{name}\n{incarnation}'.encode()
-    return hmac.digest(secret, nonce + text, hashlib.sha256)
+def _prove(
+    secret: bytes,
+    hello: Hello,
+    other_nonce: bytes,
+    *,
+    is_opener: bool,
+) -> bytes:
+    stated = (
+        is_opener,
+        hello.nonce,
+        other_nonce,
+        hello.name,
+        hello.service_name,
+        hello.domain,
+        hello.incarnation,
+        hello.address,
+    )
+    # The representation quotes each value, so that no two lists look alike.
+    return hmac.digest(secret, repr(stated).encode(), hashlib.sha256)
