Hold peers to their credit and to a time for the handshake

Causes: a receiver did not count what it was sent, so a peer could fill its memory; credit beyond the window made a sender fill its own memory; a connection without a handshake stayed open for ever. Ruled out: the senders of this code, which keep to credit plus one part.

--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -13,6 +13,8 @@
 STREAM_CREDIT_BYTES: Final = 256 * 1024
 MAX_BODY_PART_BYTES: Final = 64 * 1024
 _MAX_OPEN_STREAMS: Final = 4096
+# Whoever does not prove to belong to the fleet must not hold a connection.
+HANDSHAKE_TIMEOUT_S: Final = 5.0
 
 
 class StreamReceiver(Protocol):
@@ -30,6 +32,7 @@
     """One exchange on a connection: a call, a query or a control message."""
 
     __slots__ = (
+        '_allowed_bytes',
         '_credit_bytes',
         '_credit_waiter',
         'connection',
@@ -45,6 +48,7 @@
         self.receiver: StreamReceiver | None = None
         self.is_open = True
         self._credit_bytes = STREAM_CREDIT_BYTES
+        self._allowed_bytes = STREAM_CREDIT_BYTES
         self._credit_waiter: asyncio.Future[None] | None = None
 
     def send(self, **message: Any) -> None:
@@ -76,13 +80,40 @@
 
     def grant(self, size_bytes: int) -> None:
         """Tell the sender that body bytes were consumed."""
+        self._allowed_bytes += size_bytes
         self.send(credit=Credit(size_bytes=size_bytes))
 
     def add_credit(self, size_bytes: int) -> None:
-        """Take credit that the receiver granted."""
-        self._credit_bytes += size_bytes
+        """Take credit that the receiver granted.
+
+        More than the initial credit is never outstanding, whatever the
+        receiver grants. Raises ``protocol_violation`` for less than a byte.
+        """
+        if size_bytes <= 0:
+            raise violation(f'credit of {size_bytes} bytes')
+        self._credit_bytes = min(
+            STREAM_CREDIT_BYTES,
+            self._credit_bytes + size_bytes,
+        )
         self._wake()
 
+    def count_received(self, frame: Frame) -> None:
+        """Hold the sender to its credit.
+
+        A part is sent while any credit is left, so the last one may exceed
+        it. Raises ``protocol_violation`` beyond that: the parts wait in
+        memory.
+        """
+        if frame.body_part is not None:
+            self._allowed_bytes -= len(frame.body_part.content)
+        elif frame.call_start is not None:
+            self._allowed_bytes -= len(frame.call_start.body)
+        elif frame.answer_start is not None:
+            if not frame.answer_start.is_complete:
+                self._allowed_bytes -= len(frame.answer_start.body)
+        if self._allowed_bytes < -MAX_BODY_PART_BYTES:
+            raise violation('a stream exceeds its credit')
+
     def close(self) -> None:
         """Forget the stream; later frames for it are dropped."""
         self.connection.forget(self)
@@ -155,6 +186,10 @@
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
         self.last_received_s = self._time()
+        self._timer = asyncio.get_running_loop().call_later(
+            HANDSHAKE_TIMEOUT_S,
+            self._end_handshake,
+        )
         self.write(Frame(stream_id=0, hello=self._handshake.greet()))
 
     def data_received(self, received: bytes) -> None:
@@ -199,7 +234,11 @@
         self._streams.pop(stream.stream_id, None)
 
     def write(self, frame: Frame) -> None:
-        """Write one frame; nothing happens on a closed connection."""
+        """Write one frame; nothing happens on a closed connection.
+
+        Raises ``protocol_violation`` for a frame that is too large; nothing
+        of it is sent.
+        """
         if self._transport is None or self.is_closed:
             return
         encoded = encode_frame(frame)
@@ -225,6 +264,7 @@
         elif frame.credit is not None:
             stream.add_credit(frame.credit.size_bytes)
         elif stream.receiver is not None:
+            stream.count_received(frame)
             stream.receiver.on_frame(frame)
 
     def _shake_hands(self, frame: Frame) -> None:
@@ -237,6 +277,10 @@
         if self.peer is not None and not self.ready.done():
             self.ready.set_result(self.peer)
 
+    def _end_handshake(self) -> None:
+        if self.peer is None:
+            self.close()
+
     def _accept(self, frame: Frame) -> None:
         # Late frames of a stream that is closed here have our own parity or
         # carry no opening message; the acceptor ignores the latter.
@@ -245,6 +289,7 @@
         if len(self._streams) >= _MAX_OPEN_STREAMS:
             raise violation('too many open streams')
         stream = Stream(self, frame.stream_id)
+        stream.count_received(frame)
         receiver = self._acceptor(stream, frame)
         if receiver is None or not stream.is_open:
             return
@@ -255,6 +300,8 @@
         if self.is_closed:
             return
         self.is_closed = True
+        if self._timer is not None:
+            self._timer.cancel()
         if not self.ready.done():
             self.ready.set_exception(violation('closed during the handshake'))
         # An unread exception of a connection nobody waits for is expected.
