--- a/packages/daemon/src/cornelbeam_daemon/exchange.py
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -61,10 +61,10 @@
         stream = connection.open_stream(exchange)
         sent_bytes = connection.sent_bytes
         received_bytes = connection.received_bytes
-        stream.send(**message)
         name = _name_of(message)
-        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         try:
+            stream.send(**message)
+            self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 frame = await exchange.reply
         except TimeoutError as error:
@@ -86,7 +86,12 @@
         except CornelbeamError:
             return
         sent_bytes = connection.sent_bytes
-        stream.send(**message)
+        try:
+            stream.send(**message)
+        except CornelbeamError:
+            # Too large for a frame; nothing was sent.
+            stream.close()
+            return
         name = _name_of(message)
         self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         stream.close()
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -164,26 +164,16 @@
             first_part, is_whole = b'', False
             reader = call.body.reader()
         remote.stream.spend(len(first_part))
-        remote.stream.send(
-            call_start=messages.CallStart(
-                attempt_id=call.attempt_id,
-                target_incarnation=call.target_incarnation,
-                service_name=call.service,
-                method=call.method,
-                path=call.path,
-                headers=call.headers,
-                remaining_ms=remaining_ms(
-                    call.deadline_s,
-                    asyncio.get_running_loop().time(),
-                ),
-                is_repeatable=call.is_repeatable,
-                caller=call.caller,
-                hop_count=call.hop_count,
-                body=first_part,
-                is_complete=is_whole,
-                request_id=call.request_id,
-            ),
-        )
+        try:
+            _send_start(remote.stream, call, first_part, is_complete=is_whole)
+        except CornelbeamError as error:
+            remote.stream.close()
+            raise CornelbeamError(
+                ErrorCode.HEAD_TOO_LARGE,
+                'peer connection',
+                target.name,
+                'the head does not fit into one frame between daemons',
+            ) from error
         if not is_whole:
             remote.send_rest(reader)
         try:
@@ -262,3 +252,32 @@
                 # No cancellation: the outcome may be asked for again.
                 remote.stream.close()
         return RunState.RAN, answer
+
+
+def _send_start(
+    stream: Stream,
+    call: Call,
+    first_part: bytes,
+    *,
+    is_complete: bool,
+) -> None:
+    stream.send(
+        call_start=messages.CallStart(
+            attempt_id=call.attempt_id,
+            target_incarnation=call.target_incarnation,
+            service_name=call.service,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            remaining_ms=remaining_ms(
+                call.deadline_s,
+                asyncio.get_running_loop().time(),
+            ),
+            is_repeatable=call.is_repeatable,
+            caller=call.caller,
+            hop_count=call.hop_count,
+            body=first_part,
+            is_complete=is_complete,
+            request_id=call.request_id,
+        ),
+    )
