Refuse malformed heads and late body parts of other daemons

Cause: header fields, method and path from a peer were written to the backend server or the caller as they came; a line end would add fields or messages. Parts after the end of a body were added to it. Change: both are violations of the protocol and end that peer's connection.

--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Final, final
 
-from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 
 BUFFER_LIMIT_BYTES: Final = 256 * 1024
 # A request body up to this size can be sent again to another target.
@@ -47,7 +47,18 @@
         return self.is_complete and not self._parts
 
     def feed(self, content: bytes) -> None:
-        """Add a part."""
+        """Add a part.
+
+        Raises ``protocol_violation`` for one after the end: the consumer has
+        been told the size of the whole.
+        """
+        if content and self.is_complete:
+            raise CornelbeamError(
+                ErrorCode.PROTOCOL_VIOLATION,
+                'body',
+                detail='a part after the end',
+                run_state=RunState.UNKNOWN,
+            )
         if content:
             self._parts.append(content)
             self.size_bytes += len(content)
--- a/packages/daemon/src/cornelbeam_daemon/headers.py
+++ b/packages/daemon/src/cornelbeam_daemon/headers.py
@@ -1,5 +1,6 @@
 """Header fields as a flat list: names and values alternate."""
 
+import re
 from collections.abc import Iterator, Mapping
 from typing import Final, final
 
@@ -21,6 +22,7 @@
 # A Connection header must not remove these: without them the request would
 # reach another host, or its end would be found differently.
 _END_TO_END: Final = frozenset((b'host', b'content-length'))
+_LINE_BREAKS: Final = re.compile(rb'[\r\n\0]')
 CONTROL_PREFIX: Final = b'cornelbeam-'
 DEADLINE: Final = b'cornelbeam-deadline-ms'
 HOPS: Final = b'cornelbeam-hops'
@@ -81,6 +83,18 @@
     return kept
 
 
+def are_sound(headers: list[bytes], *others: bytes) -> bool:
+    """Tell whether fields and other parts of a head form the head they seem.
+
+    They come from another daemon; a line end in one of them would add fields
+    or a whole message, and another length would shift the next message.
+    """
+    if len(headers) % 2 or _LINE_BREAKS.search(b''.join((*headers, *others))):
+        return False
+    length = find(headers, b'content-length') or b'0'
+    return length.isdigit() and b'transfer-encoding' not in headers[::2]
+
+
 def render(first_line: bytes, headers: list[bytes]) -> bytes:
     """Render a message head."""
     lines = [first_line]
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -12,8 +12,10 @@
     PeerPool,
     Stream,
 )
+from cornelbeam_wire.codec import violation
 from cornelbeam_wire.gen import messages
 
+from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import BodyBuffer, BodyReader
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.convert import load_from_wire, refusal_from_wire
@@ -22,6 +24,8 @@
 ASK_PERIOD_S: Final = 0.25
 # A daemon that refuses connections this often in a row is gone.
 ASK_LIMIT: Final = 3
+_MIN_STATUS: Final = 200
+_MAX_STATUS: Final = 999
 
 
 @final
@@ -128,6 +132,9 @@
         stream = self.stream
         if stream is None or self.head.done():
             return
+        is_final = _MIN_STATUS <= start.status <= _MAX_STATUS
+        if not (is_final and fields.are_sound(start.headers)):
+            raise violation('malformed head of an answer')
         body = BodyBuffer(None if start.is_complete else stream.grant)
         body.feed(start.body)
         if start.is_complete:
--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -12,9 +12,10 @@
     decode_frame,
     encode_frame,
 )
-from cornelbeam_wire.codec import LENGTH_BYTES
+from cornelbeam_wire.codec import LENGTH_BYTES, violation
 from cornelbeam_wire.gen import messages
 
+from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.backend_side import BackendSide, is_recorded
 from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 from cornelbeam_daemon.calls import Answer, Call
@@ -245,7 +246,13 @@
         stream: Stream,
         start: messages.CallStart,
     ) -> ServedCall:
-        """Begin to serve a call."""
+        """Begin to serve a call.
+
+        Raises ``protocol_violation`` for a head that is not one; the peer
+        loses its connection.
+        """
+        if not fields.are_sound(start.headers, start.method, start.path):
+            raise violation('malformed head of a call')
         served = ServedCall(
             self._backend_side,
             stream,
