--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -26,7 +26,12 @@
 from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.hedging import Attempt, Hedger
-from cornelbeam_daemon.http_server import HttpRequest, Responder, send_error
+from cornelbeam_daemon.http_server import (
+    BODILESS,
+    HttpRequest,
+    Responder,
+    send_error,
+)
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.metrics import CALLER_SIDE, Metrics, answer_code
 from cornelbeam_daemon.peer_client import PeerClient
@@ -183,7 +188,7 @@
             host = (fields.find(headers, b'host') or b'').decode('ascii')
         except UnicodeDecodeError as error:
             raise _malformed('the head is not ASCII') from error
-        if method == 'CONNECT' or not path.startswith(('/', '*')):
+        if method == 'CONNECT' or not (path.startswith('/') or path == '*'):
             raise _malformed('only origin-form targets are supported')
         service = host.partition(':')[0].partition('.')[0]
         if not service:
@@ -484,7 +489,10 @@
         headers.append(pending.request_id.encode())
         try:
             content = answer.body.take_ready()
-            if answer.body.is_ended and pending.request.method != b'HEAD':
+            is_bodiless = (
+                pending.request.method == b'HEAD' or answer.status in BODILESS
+            )
+            if answer.body.is_ended and not is_bodiless:
                 _check_length(headers, content)
                 responder.send_whole(answer.status, headers, content)
                 return
