--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 BIN := $(VENV)/bin
 
 
-.PHONY: install messages test golden check format lint types imports demo
+.PHONY: install messages test golden check format lint types imports demo bench
 
 install: $(VENV)/.installed
 
@@ -50,3 +50,7 @@
 
 demo: install
 	$(BIN)/python -m cornelbeam_standins.demo
+
+# Writes docs/measurements.md; takes some ten minutes.
+bench: install
+	$(BIN)/python -m cornelbeam_standins.record_measurements
