--- a/packages/daemon/src/cornelbeam_daemon/config_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/config_part.py
@@ -42,6 +42,7 @@
         '_loop',
         '_messenger',
         '_on_change',
+        '_on_synced',
         '_peers',
         '_rng',
         '_spread',
@@ -54,16 +55,22 @@
         self,
         messenger: Messenger,
         peers: Callable[[], list[str]],
-        on_change: Callable[[], None],
+        on_change: Callable[[tuple[ConfigObject, ...]], None],
+        on_synced: Callable[[], None],
         rng: random.Random,
     ) -> None:
-        """Push to ``peers``; ``on_change`` is called after each change."""
+        """Push to ``peers``; ``on_change`` gets the objects now in force.
+
+        ``on_synced`` is called once, when the configuration of the fleet is
+        known.
+        """
         self.state = ConfigurationState()
         self.synced = asyncio.Event()
         self._spread = ConfigurationSpread(self.state)
         self._messenger = messenger
         self._peers = peers
         self._on_change = on_change
+        self._on_synced = on_synced
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -148,7 +155,7 @@
     def _mark_synced(self) -> None:
         if not self.synced.is_set():
             self.synced.set()
-            self._on_change()
+            self._on_synced()
 
     def _note(self, changed: BatchResult) -> None:
         if not changed.accepted:
@@ -158,7 +165,7 @@
             revision=self.state.revision,
             count=len(changed.accepted),
         )
-        self._on_change()
+        self._on_change(changed.accepted)
 
     def _act(self, actions: tuple[ConfigAction, ...]) -> None:
         for action in actions:
--- a/packages/daemon/src/cornelbeam_daemon/convert.py
+++ b/packages/daemon/src/cornelbeam_daemon/convert.py
@@ -142,13 +142,14 @@
     )
 
 
-def view_to_wire(answer: ViewAnswer) -> messages.ViewReply:
+def view_to_wire(answer: ViewAnswer, revision: int) -> messages.ViewReply:
     """Convert the answer to a request for a view."""
     return messages.ViewReply(
         service_name=answer.service,
         is_unchanged=answer.is_unchanged,
         members=[member_to_wire(update) for update in answer.members],
         digest=answer.digest,
+        revision=revision,
     )
 
 
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -142,7 +142,8 @@
         self.config = ConfigPart(
             self._messenger,
             lambda: self.fleet.peers(),
-            self._apply_configuration,
+            self.table.apply_configuration,
+            self.table.mark_synced,
             self._rng,
         )
         self.fleet = FleetPart(
@@ -307,12 +308,6 @@
         elif frame.config_push is not None:
             self.config.on_push(frame.config_push, sender)
 
-    def _apply_configuration(self) -> None:
-        self.table.replace_configuration(
-            self.config.state.objects(),
-            is_synced=self.config.synced.is_set(),
-        )
-
     def _apply_members(self) -> None:
         is_changed = False
         for service in self.fleet.services():
--- a/packages/daemon/src/cornelbeam_daemon/fleet_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -227,6 +227,7 @@
         """Answer a request for the members of a service."""
         peer = stream.connection.peer
         assert peer is not None  # noqa: S101
+        self._note_revision(peer.name, peer.address, request.revision)
         service = request.service_name
         if service != self.own.service:  # noqa: WPS504 - three cases
             answer = self.contacts.answer(service, self._loop.time())
@@ -244,7 +245,9 @@
                 self.membership.view(),
                 peer.name,
             )
-        self._messenger.reply(stream, view_reply=view_to_wire(answer))
+        self._messenger.reply(
+            stream, view_reply=view_to_wire(answer, self._config.revision)
+        )
 
     def note_lost(self, name: str) -> None:
         """Ping a member soon whose connection broke."""
@@ -451,7 +454,7 @@
         )
         if answer is not None:
             self._take(
-                self.membership.on_updates(
+                self.membership.on_view(
                     answer.members,
                     self._loop.time(),
                 ),
@@ -469,12 +472,14 @@
                 view_request=messages.ViewRequest(
                     service_name=service,
                     digest=digest,
+                    revision=self._config.revision,
                 ),
             )
         except CornelbeamError:
             return None
         if frame.view_reply is None:
             return None
+        self.on_revision(address, frame.view_reply.revision)
         return view_from_wire(frame.view_reply)
 
 
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final, final
 
+from cornelbeam_core.attempts import judge_outcome
 from cornelbeam_core.deadlines import remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.targets import LoadReport, Target
@@ -251,7 +252,12 @@
         try:
             reply = await remote.reply
             if not reply.is_answer_kept:
-                return RunState(reply.run_state), None
+                run_state = judge_outcome(
+                    RunState(reply.run_state),
+                    asyncio.get_running_loop().time(),
+                    call.deadline_s,
+                )
+                return run_state, None
             answer = await remote.head
             is_handed_on = True
         finally:
--- a/packages/daemon/tests/test_routing_table.py
+++ b/packages/daemon/tests/test_routing_table.py
@@ -1,4 +1,6 @@
-"""What the routing table tells requests."""
+"""Tests of the routing table."""
+
+import random
 
 import msgspec
 import pytest
@@ -7,61 +9,111 @@
 from cornelbeam_core.targets import Target
 from cornelbeam_daemon.routing_table import RoutingTable
 
-READ = RequestFacts('windows', 'GET', '/', {})
-TARGETS = [
-    Target(f'windows-{domain}', 'windows', domain, f'{domain}:1', 1, {})
-    for domain in ('north', 'south')
-]
+TARGETS = tuple(
+    Target(f'yard-{index}', 'windows', f'domain-{index % 2}', 'a:1', 1, {})
+    for index in range(4)
+)
+SPECS = {
+    'labels': ({'labels': {'tier': 'gold'}}, {'labels': {}}, {'bad': 1}),
+    'failure-domain': ({'is_in_service': False}, {'is_in_service': True}),
+    'service': ({'timeout_ms': 30}, {}),
+    'selector': ({'timeout_ms': 20}, {'timeout_ms': 10, 'priority': 1}),
+}
+NAMES = {
+    'labels': ('yard-0', 'yard-3', 'absent'),
+    'failure-domain': ('domain-0', 'domain-1'),
+    'service': ('windows', 'photos'),
+    'selector': ('first', 'second'),
+}
 
 
-@pytest.fixture
-def table():
-    """Give a table with one target in each of two failure domains."""
-    table = RoutingTable('edge-1', 'north')
+def make_table():
+    table = RoutingTable('yard-0', 'domain-0')
     table.replace_targets('windows', TARGETS)
     return table
 
 
-def held(kind, name, spec):
-    return ConfigObject(kind, name, 1, 1, False, msgspec.json.encode(spec))
+def draw_object(rng, revision):
+    kind = rng.choice(sorted(SPECS))
+    return ConfigObject(
+        kind,
+        rng.choice(NAMES[kind]),
+        revision,
+        revision,
+        not rng.randrange(4),
+        msgspec.json.encode(rng.choice(SPECS[kind])),
+    )
+
+
+def describe(table):
+    route = table.route(RequestFacts('windows', 'GET', '/', {}))
+    return (
+        [state.target for state in table.states('windows')],
+        {name: table.timeout_ms(name) for name in NAMES['service']},
+        (route.selector_names, route.timeout_ms),
+        table.is_own_domain_in_service,
+    )
+
+
+class TestIncrementalConfiguration:
+    """Guards against a change that leaves something older in force."""
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_same_as_all_objects_at_once(self, seed):
+        rng = random.Random(seed)
+        table = make_table()
+        held = {}
+        for revision in range(1, 40):
+            changed = draw_object(rng, revision)
+            held[changed.kind, changed.name] = changed
+            table.apply_configuration((changed,))
+            fresh = make_table()
+            fresh.apply_configuration(
+                each for each in held.values() if not each.is_deleted
+            )
+            assert describe(table) == describe(fresh)
 
+    def test_only_touched_services_are_rebuilt(self):
+        table = make_table()
+        before = table.states('windows')
+        stranger = ConfigObject(
+            'labels', 'absent', 1, 1, False, b'{"labels": {}}'
+        )
+        table.apply_configuration((stranger,))
+        assert table.states('windows') is before
 
-class TestConfiguration:
-    """Guards against requests that are routed by less than is in force."""
+    def test_unusable_object_does_not_hide_the_others(self):
+        table = make_table()
+        labels = {'labels': {'tier': 'gold'}}
+        table.apply_configuration(
+            (
+                ConfigObject('selector', 'newer', 1, 1, False, b'{"key": 1}'),
+                ConfigObject(
+                    'labels', 'yard-1', 1, 2, False, msgspec.json.encode(labels)
+                ),
+            )
+        )
+        assert table.states('windows')[1].target.labels['tier'] == 'gold'
 
-    def test_nothing_repeats_before_the_configuration_is_known(self, table):
-        assert not table.route(READ).is_repeatable
-        table.replace_configuration((), is_synced=True)
-        assert table.route(READ).is_repeatable
 
-    def test_domain_out_of_service_and_back(self, table):
-        switch = {'is_in_service': False}
-        taken_out = held('failure-domain', 'south', switch)
-        table.replace_configuration([taken_out], is_synced=True)
-        names = [state.target.name for state in table.states('windows')]
-        assert names == ['windows-north']
-        assert table.is_own_domain_in_service
-        table.replace_configuration((), is_synced=True)
-        assert len(table.states('windows')) == 2
+class TestStart:
+    """Guards against a repeat before the rules against it are known."""
 
-    def test_unusable_object_does_not_hide_the_others(self, table):
-        objects = [
-            held('selector', 'newer', {'unknown_key': 1}),
-            held('labels', 'windows-south', {'labels': {'tier': 'gold'}}),
-        ]
-        table.replace_configuration(objects, is_synced=True)
-        south = table.states('windows')[1].target
-        assert south.labels['tier'] == 'gold'
-        assert south.labels['domain'] == 'south'
+    def test_nothing_repeats_before_the_configuration_is_known(self):
+        table = make_table()
+        read = RequestFacts('windows', 'GET', '/', {})
+        assert not table.route(read).is_repeatable
+        table.mark_synced()
+        assert table.route(read).is_repeatable
 
 
 class TestTargets:
     """Guards against state that a replaced instance inherits."""
 
-    def test_new_incarnation_starts_afresh(self, table):
-        old = table.states('windows')[0]
-        old.latency_ewma_s = 9
-        replaced = Target('windows-north', 'windows', 'north', 'x:1', 2, {})
-        assert table.replace_targets('windows', [replaced, TARGETS[1]])
+    def test_new_incarnation_starts_afresh(self):
+        table = make_table()
+        table.states('windows')[0].latency_ewma_s = 9
+        replaced = Target('yard-0', 'windows', 'domain-0', 'b:1', 2, {})
+        assert table.replace_targets('windows', [replaced, *TARGETS[1:]])
         assert not table.states('windows')[0].latency_ewma_s
-        assert not table.replace_targets('windows', [replaced, TARGETS[1]])
+        assert not table.replace_targets('windows', [replaced, *TARGETS[1:]])
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -168,6 +168,7 @@
         self._decoder = FrameDecoder()
         self._streams: dict[int, Stream] = {}
         self._next_id = 1 if is_opener else 2
+        self._last_accepted_id = 0
         self._transport: asyncio.Transport | None = None
         self._time = asyncio.get_running_loop().time
 
@@ -286,6 +287,11 @@
         # carry no opening message; the acceptor ignores the latter.
         if frame.stream_id % 2 == self._next_id % 2:
             return
+        # Deadlines are relative, so a repeated opening frame could run its
+        # attempt again after the ledger has dropped the entry.
+        if frame.stream_id <= self._last_accepted_id:
+            return
+        self._last_accepted_id = frame.stream_id
         if len(self._streams) >= _MAX_OPEN_STREAMS:
             raise violation('too many open streams')
         stream = Stream(self, frame.stream_id)
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -1759,18 +1759,21 @@
     Attributes:
      - service_name
      - digest
+     - revision
 
     """
 
     __slots__ = (
         'service_name',
         'digest',
+        'revision',
     )
 
 
-    def __init__(self, service_name=None, digest=None,):
+    def __init__(self, service_name=None, digest=None, revision=None,):
         self.service_name = service_name
         self.digest = digest
+        self.revision = revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1791,6 +1794,11 @@
                     self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1809,6 +1817,10 @@
             oprot.writeFieldBegin('digest', TType.STRING, 2)
             oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1817,6 +1829,8 @@
             raise TProtocolException(message='Required field service_name is unset!')
         if self.digest is None:
             raise TProtocolException(message='Required field digest is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
         return
 
     def __repr__(self):
@@ -1845,6 +1859,7 @@
      - is_unchanged
      - members
      - digest
+     - revision
 
     """
 
@@ -1853,14 +1868,16 @@
         'is_unchanged',
         'members',
         'digest',
+        'revision',
     )
 
 
-    def __init__(self, service_name=None, is_unchanged=None, members=None, digest=None,):
+    def __init__(self, service_name=None, is_unchanged=None, members=None, digest=None, revision=None,):
         self.service_name = service_name
         self.is_unchanged = is_unchanged
         self.members = members
         self.digest = digest
+        self.revision = revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1897,6 +1914,11 @@
                     self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1926,6 +1948,10 @@
             oprot.writeFieldBegin('digest', TType.STRING, 4)
             oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 5)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1938,6 +1964,8 @@
             raise TProtocolException(message='Required field members is unset!')
         if self.digest is None:
             raise TProtocolException(message='Required field digest is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
         return
 
     def __repr__(self):
@@ -2887,6 +2915,7 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'digest', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
 )
 all_structs.append(ViewReply)
 ViewReply.thrift_spec = (
@@ -2895,6 +2924,7 @@
     (2, TType.BOOL, 'is_unchanged', None, None, ),  # 2
     (3, TType.LIST, 'members', (TType.STRUCT, [MemberUpdate, None], False), None, ),  # 3
     (4, TType.STRING, 'digest', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'revision', None, None, ),  # 5
 )
 all_structs.append(ConfigObject)
 ConfigObject.thrift_spec = (
