End a suspicion by unclear answers; refuse calls past their deadline

Cause: under suspicion, service times between 2.5 and 4 times the baseline neither confirmed nor cleared it, so a server that stayed three times slower was held at the cold limit for good. A call past its deadline was run when there was room. Both new tests failed before.

--- a/packages/core/src/cornelbeam_core/admission.py
+++ b/packages/core/src/cornelbeam_core/admission.py
@@ -84,8 +84,8 @@
     A stall makes the calls in flight slow, a cold server also those that
     start later. After a streak of bad calls the limit is therefore held at
     the cold limit until a call that started under suspicion ends: if it is
-    bad too, the server is cold and its baseline is learned anew, if enough
-    of them are good, the old limit returns.
+    bad too, or several are slow, the server counts as cold and its baseline
+    is learned anew; if enough of them are good, the old limit returns.
     """
 
     __slots__ = (
@@ -101,6 +101,7 @@
         '_service_time_s',
         '_settings',
         '_suspected_at_s',
+        '_unclear_count',
         '_window',
         'in_flight',
     )
@@ -118,6 +119,7 @@
         self._bad_streak: float = 0
         self._bad_since_s: float = 0
         self._good_count = 0
+        self._unclear_count = 0
         self._suspected_at_s: float | None = None
         self._reached_at_s = float('-inf')
         self._window: deque[float] = deque(
@@ -147,12 +149,14 @@
 
         ``ticket`` names a waiting call when it leaves the queue.
         """
+        if deadline_s <= now_s:
+            return Admission.REFUSE
         if self.in_flight < self.limit and not self._queue_length:
             self._start(now_s)
             return Admission.RUN
         self._reached_at_s = now_s
         settings = self._settings
-        if self._queue_length >= settings.queue_count or deadline_s <= now_s:
+        if self._queue_length >= settings.queue_count:
             return Admission.REFUSE
         expires_at_s = min(deadline_s, now_s + settings.queue_ms / _MS_PER_S)
         self._queues.setdefault(caller, deque()).append(
@@ -299,6 +303,7 @@
         if self._bad_streak >= 1:
             self._bad_streak = 0
             self._good_count = 0
+            self._unclear_count = 0
             self._suspected_at_s = now_s
 
     def _note_answer(self, started_at_s: float, service_time_s: float) -> None:
@@ -317,6 +322,11 @@
 
     def _clear_suspicion(self, service_time_s: float) -> None:
         if self._is_above(service_time_s, self._settings.slow_factor):
+            # Slow but not cold: several of these mean that the baseline no
+            # longer holds, else the suspicion would never end.
+            self._unclear_count += 1
+            if self._unclear_count >= self._settings.cold_streak_count:
+                self._become_cold()
             return
         self._good_count += 1
         if self._good_count >= self._cold_limit():
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -124,6 +124,14 @@
         serve(admission, now_s, 10 * _FAST_S, rounds=150)
         assert admission.limit == 20
 
+    def test_unclear_answers_do_not_hold_the_cold_limit(self):
+        admission, now_s = make_warm()
+        fill(admission, now_s)
+        for _ in range(20):
+            admission.finish(now_s + 0.2, 0.2, CallOutcome.ANSWERED)
+        serve(admission, now_s + 1, 3 * _FAST_S, rounds=150)
+        assert admission.limit == 20
+
 
 class TestSlowness:
     """Guards against a limit that stays high on a server that slows down."""
@@ -173,6 +181,11 @@
             assert released.ticket == ticket
             assert released.admission is Admission.REFUSE
 
+    def test_call_past_its_deadline_does_not_run(self):
+        admission = AdmissionLimit()
+        assert admission.try_admit('a', 1, 1) is Admission.REFUSE
+        assert not admission.in_flight
+
     def test_cancelled_call_leaves(self):
         admission = AdmissionLimit()
         fill(admission, 0)
