--- a/packages/daemon/src/cornelbeam_daemon/fleet_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -421,7 +421,9 @@
         self._note_revision(ack.name, address, ack.revision)
 
     def _note_revision(self, name: str, address: str, revision: int) -> None:
-        self.revisions[name] = revision
+        # Callers of the service ask for views, too; only members are kept.
+        if self.membership.find(name) is not None:
+            self.revisions[name] = revision
         self.on_revision(address, revision)
 
     async def _refresh_view(self, request: RequestView) -> None:
--- a/packages/standins/src/cornelbeam_standins/membership_run.py
+++ b/packages/standins/src/cornelbeam_standins/membership_run.py
@@ -266,13 +266,15 @@
             ack=messages.Ack([], _REVISION, updates[0].target.name, 1),
         ),
         'view request': messages.Frame(
-            view_request=messages.ViewRequest('windows', '0' * 16),
+            view_request=messages.ViewRequest('windows', '0' * 16, 1),
         ),
         'view reply, unchanged': messages.Frame(
-            view_reply=messages.ViewReply('windows', True, [], '0' * 16),
+            view_reply=messages.ViewReply('windows', True, [], '0' * 16, 1),
         ),
         'view reply, 16 members': messages.Frame(
-            view_reply=messages.ViewReply('windows', False, members, '0' * 16),
+            view_reply=messages.ViewReply(
+                'windows', False, members, '0' * 16, 1
+            ),
         ),
         'config push, one object of 250 bytes': messages.Frame(
             config_push=messages.ConfigPush(
