Split the caller side by concern and stop failing fast from attracting calls

Reading it showed that every answer counted as a success with its latency, so a backend server that answers 503 at once looked like the fastest target and was never ejected. Ruled out: the ejector, which counts failures when it is told of them. Change: pending.py reads the head, target_choice.py chooses and learns, and caller_side.py serves and retries. A server error counts as a failure without latency, and a 503 of the backend server to a repeatable request is tried elsewhere within the budget. Before: 200 reads over one target that fails fast and one that works gave 503 for about half of them (the new test failed). After: 200 of 200 are answered and the failing target gets fewer than 30 calls.

--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -1,29 +1,24 @@
 """Caller side: routes requests, owns retries, passes answers on."""
 
 import asyncio
-import random
 import secrets
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Final, final
 
 from cornelbeam_core.budget import RetryBudget
-from cornelbeam_core.deadlines import check_deadline, check_hop_count
-from cornelbeam_core.ejection import OutlierEjector
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
-from cornelbeam_core.outcomes import CallOutcome
-from cornelbeam_core.requests import RequestFacts, is_idempotent_method
-from cornelbeam_core.retry import AttemptResult, RetryDecision, decide_retry
-from cornelbeam_core.selection import (
-    TargetState,
-    choose_target,
-    estimate_cost,
+from cornelbeam_core.retry import (
+    AttemptResult,
+    RetryDecision,
+    RetrySettings,
+    decide_retry,
 )
-from cornelbeam_core.selectors import Route
+from cornelbeam_core.selection import TargetState
 from cornelbeam_settings import LimitsSettings
 
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.backend_side import BackendSide
-from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.hedging import Attempt, Hedger
 from cornelbeam_daemon.http_server import (
@@ -35,70 +30,13 @@
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.metrics import CALLER_SIDE, Metrics, answer_code
 from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_daemon.pending import Pending, gather_body, read_head
 from cornelbeam_daemon.routing_table import RoutingTable, no_target_error
+from cornelbeam_daemon.target_choice import TargetChooser
 
 _log = get_log('caller')
-_MS_PER_S: Final = 1000
 _ATTEMPT_ID_BYTES: Final = 16
-_REQUEST_ID_BYTES: Final = 8
-_MAX_REQUEST_ID_CHARACTERS: Final = 64
-_MAX_DIGITS: Final = 18
-# Outcomes that say nothing about the health of the target.
-_REFUSALS: Final = frozenset(
-    (
-        ErrorCode.OVERLOADED,
-        ErrorCode.TARGET_LEAVING,
-        ErrorCode.DOMAIN_OUT_OF_SERVICE,
-        ErrorCode.WRONG_INCARNATION,
-        ErrorCode.ATTEMPT_FORBIDDEN,
-    ),
-)
-
-
-@final
-class Pending:
-    """A request on its way through the caller side."""
-
-    __slots__ = (
-        'attempt_count',
-        'body',
-        'deadline_s',
-        'facts',
-        'failed',
-        'has_unclear_attempt',
-        'headers',
-        'hop_count',
-        'request',
-        'request_id',
-        'route',
-        'started_s',
-    )
-
-    def __init__(self, request: HttpRequest, started_s: float) -> None:
-        """Start with nothing known but the request."""
-        self.request = request
-        self.started_s = started_s
-        self.body = RequestBody(request.body)
-        self.headers: list[bytes] = []
-        self.request_id = ''
-        self.hop_count = 0
-        self.deadline_s = started_s
-        self.attempt_count = 0
-        # Targets tried, and whether only the connection to them was lost.
-        self.failed: dict[str, bool] = {}
-        self.has_unclear_attempt = False
-        self.facts = RequestFacts('', '', '', {})
-        self.route = Route((), {}, False, None)
-
-    def note_run_state(self, run_state: RunState) -> None:
-        """Remember an attempt that may have run."""
-        if run_state is not RunState.NOT_RUN:
-            self.has_unclear_attempt = True
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Tell whether the method is idempotent."""
-        return is_idempotent_method(self.facts.method)
+MAX_ATTEMPT_COUNT: Final = RetrySettings().max_attempt_count
 
 
 @final
@@ -108,15 +46,13 @@
     __slots__ = (
         '_backend_side',
         '_budget',
+        '_chooser',
         '_client',
-        '_ejector',
         '_hedger',
         '_limits',
         '_loop',
         '_metrics',
         '_name',
-        '_policy',
-        '_rng',
         '_table',
         'in_flight',
     )
@@ -137,15 +73,13 @@
         self._client = client
         self._backend_side = backend_side
         self._limits = limits
-        self._policy = policy
         self._metrics = metrics
         self._budget = RetryBudget(
             limits.retry_ratio,
             limits.retry_min_per_s,
         )
         self._hedger = Hedger(self._budget, metrics)
-        self._ejector = OutlierEjector()
-        self._rng = random.Random()
+        self._chooser = TargetChooser(name, table, backend_side, policy)
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0
 
@@ -155,7 +89,7 @@
 
     def forget_absent(self) -> None:
         """Drop the history of targets that are gone."""
-        self._ejector.retain(self._table.all_states())
+        self._chooser.forget_absent()
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request."""
@@ -163,7 +97,7 @@
         self.in_flight += 1
         code = ErrorCode.OUTCOME_UNKNOWN.value
         try:
-            self._read_head(pending)
+            read_head(pending, self._table, self._limits)
             answer = await self._serve(pending)
             code = answer_code(answer.status)
             await self._pass_on(pending, answer, responder)
@@ -179,53 +113,9 @@
                 self._loop.time() - pending.started_s,
             )
 
-    def _read_head(self, pending: Pending) -> None:
-        request = pending.request
-        headers = request.headers
-        try:
-            path = request.target.decode('ascii')
-            method = request.method.decode('ascii')
-            host = (fields.find(headers, b'host') or b'').decode('ascii')
-        except UnicodeDecodeError as error:
-            raise _malformed('the head is not ASCII') from error
-        if method == 'CONNECT' or not (path.startswith('/') or path == '*'):
-            raise _malformed('only origin-form targets are supported')
-        service = host.partition(':')[0].partition('.')[0]
-        if not service:
-            raise _malformed('the Host header names no service')
-        pending.facts = RequestFacts(
-            service.lower(),
-            method,
-            path,
-            fields.HeaderView(headers),
-        )
-        pending.request_id = _read_request_id(headers)
-        pending.hop_count = _read_number(headers, fields.HOPS, 0) + 1
-        check_hop_count(pending.hop_count)
-        body_bytes = _read_number(headers, b'content-length', 0)
-        if body_bytes > self._limits.body_bytes:
-            raise CornelbeamError(ErrorCode.BODY_TOO_LARGE, 'request head')
-        pending.headers = fields.strip(headers)
-        pending.route = self._table.route(pending.facts)
-        pending.deadline_s = pending.started_s + self._timeout_s(pending)
-        check_deadline(pending.deadline_s, pending.started_s, 'routing')
-
-    def _timeout_s(self, pending: Pending) -> float:
-        configured_ms = (
-            pending.route.timeout_ms
-            or self._table.timeout_ms(pending.facts.service)
-            or self._limits.default_timeout_ms
-        )
-        stated_ms = _read_number(
-            pending.request.headers,
-            fields.DEADLINE,
-            configured_ms,
-        )
-        return min(stated_ms, configured_ms) / _MS_PER_S
-
     async def _serve(self, pending: Pending) -> Answer:
         if not pending.body.is_whole:
-            await self._gather_body(pending)
+            await gather_body(pending)
         last_error: CornelbeamError | None = None
         while True:
             state = self._choose(pending, pending.failed)
@@ -237,14 +127,21 @@
             pending.attempt_count += 1
             call = self._new_call(pending, state)
             try:
-                return await self._attempt_hedged(pending, state, call)
+                answer = await self._attempt_hedged(pending, state, call)
             except CornelbeamError as error:
                 last_error = error
+            else:
+                if not self._is_shed_retried(pending, answer):
+                    return answer
+                answer.close()
+                pending.note_run_state(RunState.RAN)
+                pending.failed[state.target.name] = False
+                continue
             decision = self._decide(pending, last_error, is_asked=False)
             if decision is RetryDecision.ASK_OUTCOME:
-                answer = await self._ask(pending, state, call, last_error)
-                if answer is not None:
-                    return answer
+                late = await self._ask(pending, state, call, last_error)
+                if late is not None:
+                    return late
                 decision = self._decide(pending, last_error, is_asked=True)
             pending.note_run_state(last_error.run_state)
             if decision is not RetryDecision.RETRY:
@@ -252,6 +149,26 @@
             is_lost = last_error.code is ErrorCode.PEER_UNREACHABLE
             pending.failed[state.target.name] = is_lost
 
+    def _is_shed_retried(self, pending: Pending, answer: Answer) -> bool:
+        """Tell whether to try elsewhere what a backend server shed.
+
+        Its own 503 is passed on when the request must not repeat, when no
+        other target is left or when the budget is spent.
+        """
+        if answer.status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return False
+        is_repeatable = pending.route.is_repeatable and pending.is_idempotent
+        if not is_repeatable or not pending.body.is_whole:
+            return False
+        if pending.attempt_count >= MAX_ATTEMPT_COUNT:
+            return False
+        states = self._table.states(pending.facts.service)
+        if len(states) <= len(pending.failed) + 1:
+            return False
+        is_sent = self._budget.try_take(self._loop.time())
+        self._metrics.count_retry(False, is_sent)
+        return is_sent
+
     async def _attempt_hedged(
         self,
         pending: Pending,
@@ -301,58 +218,16 @@
             pending.note_run_state(error.run_state)
             raise
 
-    async def _gather_body(self, pending: Pending) -> None:
-        """Wait for a body that is short, or whose request must not repeat.
-
-        A request that is handed over in parts has an unknown outcome when the
-        connection breaks in between, and a slow caller would hold a slot.
-        """
-        size_bytes = _read_number(
-            pending.request.headers,
-            b'content-length',
-            REPLAY_LIMIT_BYTES + 1,
-        )
-        is_short = size_bytes <= REPLAY_LIMIT_BYTES
-        if pending.route.is_repeatable and not is_short:
-            return
-        try:
-            async with asyncio.timeout_at(pending.deadline_s):
-                await pending.body.gather()
-        except TimeoutError as error:
-            raise CornelbeamError(
-                ErrorCode.DEADLINE_PASSED,
-                'request body',
-                detail='the body did not arrive in time',
-            ) from error
-
     def _choose(
         self,
         pending: Pending,
         tried: Mapping[str, bool],
     ) -> TargetState | None:
-        now_s = self._loop.time()
-        route = pending.route
-        states = self._table.states(pending.facts.service)
-        candidates: Sequence[TargetState] = states
-        if route.target_labels:
-            candidates = [
-                state
-                for state in states
-                if route.is_eligible(state.target.labels)
-            ]
-        if tried:
-            candidates = _prefer_untried(candidates, tried)
-        chosen = choose_target(self._policy, candidates, now_s, self._rng)
-        if chosen is None or chosen.target.name == self._name:
-            return chosen
-        # Serving locally saves a hop, as long as the call would run at once
-        # and the local backend server is not the slower choice.
-        if not self._backend_side.has_room():
-            return chosen
-        for state in candidates:
-            if state.target.name == self._name:
-                return _cheaper(state, chosen, now_s)
-        return chosen
+        return self._chooser.choose(
+            pending.facts.service,
+            pending.route,
+            tried,
+        )
 
     def _new_call(self, pending: Pending, state: TargetState) -> Call:
         return Call(
@@ -378,15 +253,10 @@
     ) -> Answer:
         started_s = self._loop.time()
         state.note_start(started_s)
-        outcome = CallOutcome.CANCELLED
-        latency_s = None
         try:
             answer = await self._send(state, call)
-            latency_s = self._loop.time() - started_s
-            outcome = CallOutcome.ANSWERED
         except TimeoutError as error:
-            outcome = CallOutcome.TIMED_OUT
-            latency_s = self._loop.time() - started_s
+            self._chooser.note_timeout(state, self._loop.time() - started_s)
             raise CornelbeamError(
                 ErrorCode.DEADLINE_PASSED,
                 'answer',
@@ -394,27 +264,19 @@
                 run_state=RunState.UNKNOWN,
             ) from error
         except CornelbeamError as error:
-            is_refusal = error.code in _REFUSALS
-            outcome = CallOutcome.SHED if is_refusal else CallOutcome.FAILED
+            self._chooser.note_error(state, error)
             raise
-        finally:
-            self._note_end(state, outcome, latency_s)
-        if answer.load is not None:
-            state.note_report(answer.load, started_s + latency_s)
+        except BaseException:
+            self._chooser.note_cancelled(state)
+            raise
+        latency_s = self._loop.time() - started_s
+        self._chooser.note_answer(state, answer, latency_s)
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return answer
         self._hedger.note_latency(pending.facts.service, latency_s)
         self._budget.note_success(started_s)
         return answer
 
-    def _note_end(
-        self,
-        state: TargetState,
-        outcome: CallOutcome,
-        latency_s: float | None,
-    ) -> None:
-        now_s = self._loop.time()
-        state.note_end(now_s, latency_s)
-        self._ejector.note_result(state, outcome, now_s)
-
     async def _send(self, state: TargetState, call: Call) -> Answer:
         if state.target.name == self._name:
             # It keeps to the deadline by itself.
@@ -475,8 +337,10 @@
         )
         if decision is RetryDecision.RETRY and not pending.body.is_replayable:
             return RetryDecision.GIVE_UP
-        if decision is not RetryDecision.ASK_OUTCOME:
-            self._metrics.count_retry(False, decision is RetryDecision.RETRY)
+        if decision is RetryDecision.RETRY:
+            self._metrics.count_retry(False, True)
+        elif self._budget.tokens(self._loop.time()) < 1:
+            self._metrics.count_retry(False, False)
         return decision
 
     async def _pass_on(
@@ -532,31 +396,6 @@
         send_error(responder, error)
 
 
-def _cheaper(
-    local: TargetState,
-    other: TargetState,
-    now_s: float,
-) -> TargetState:
-    default_s = local.latency_ewma_s or other.latency_ewma_s or 1
-    local_cost = estimate_cost(local, now_s, default_s)
-    if local_cost <= estimate_cost(other, now_s, default_s):
-        return local
-    return other
-
-
-def _prefer_untried(
-    candidates: Sequence[TargetState],
-    failed: Mapping[str, bool],
-) -> list[TargetState]:
-    untried = [state for state in candidates if state.target.name not in failed]
-    if untried:
-        return untried
-    # A new connection may reach a target whose old one went silent.
-    return [
-        state for state in candidates if failed.get(state.target.name, False)
-    ]
-
-
 def _check_length(headers: list[bytes], content: bytes) -> None:
     length = fields.find(headers, b'content-length')
     if length is not None and length != str(len(content)).encode():
@@ -565,30 +404,3 @@
             'answer',
             run_state=RunState.RAN,
         )
-
-
-def _read_request_id(headers: list[bytes]) -> str:
-    stated = fields.find(headers, fields.REQUEST_ID)
-    if stated is None:
-        return secrets.token_hex(_REQUEST_ID_BYTES)
-    if stated.isalnum() and len(stated) <= _MAX_REQUEST_ID_CHARACTERS:
-        return stated.decode('ascii')
-    return secrets.token_hex(_REQUEST_ID_BYTES)
-
-
-def _read_number(headers: list[bytes], name: bytes, default: int) -> int:
-    stated = fields.find(headers, name)
-    if stated is None:
-        return default
-    # The length keeps a caller from making this process parse huge numbers.
-    if not stated.isdigit() or len(stated) > _MAX_DIGITS:
-        raise _malformed(f'{name.decode()} is not a number')
-    return int(stated)
-
-
-def _malformed(detail: str) -> CornelbeamError:
-    return CornelbeamError(
-        ErrorCode.MALFORMED_REQUEST,
-        'request head',
-        detail=detail,
-    )
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/pending.py
@@ -0,0 +1,177 @@
+"""A request on its way through the caller side."""
+
+import asyncio
+import secrets
+from typing import Final, final
+
+from cornelbeam_core.deadlines import check_deadline, check_hop_count
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.requests import RequestFacts, is_idempotent_method
+from cornelbeam_core.selectors import Route
+from cornelbeam_settings import LimitsSettings
+
+from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
+from cornelbeam_daemon.http_server import HttpRequest
+from cornelbeam_daemon.routing_table import RoutingTable
+
+_MS_PER_S: Final = 1000
+_REQUEST_ID_BYTES: Final = 8
+_MAX_REQUEST_ID_CHARACTERS: Final = 64
+_MAX_DIGITS: Final = 18
+
+
+@final
+class Pending:
+    """A request on its way through the caller side."""
+
+    __slots__ = (
+        'attempt_count',
+        'body',
+        'deadline_s',
+        'facts',
+        'failed',
+        'has_unclear_attempt',
+        'headers',
+        'hop_count',
+        'request',
+        'request_id',
+        'route',
+        'started_s',
+    )
+
+    def __init__(self, request: HttpRequest, started_s: float) -> None:
+        """Start with nothing known but the request."""
+        self.request = request
+        self.started_s = started_s
+        self.body = RequestBody(request.body)
+        self.headers: list[bytes] = []
+        self.request_id = ''
+        self.hop_count = 0
+        self.deadline_s = started_s
+        self.attempt_count = 0
+        # Targets tried, and whether only the connection to them was lost.
+        self.failed: dict[str, bool] = {}
+        self.has_unclear_attempt = False
+        self.facts = RequestFacts('', '', '', {})
+        self.route = Route((), {}, False, None)
+
+    def note_run_state(self, run_state: RunState) -> None:
+        """Remember an attempt that may have run."""
+        if run_state is not RunState.NOT_RUN:
+            self.has_unclear_attempt = True
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether the method is idempotent."""
+        return is_idempotent_method(self.facts.method)
+
+
+def read_head(
+    pending: Pending,
+    table: RoutingTable,
+    limits: LimitsSettings,
+) -> None:
+    """Check the head of a request and find its route and deadline.
+
+    Raises ``CornelbeamError`` with run state ``NOT_RUN``.
+    """
+    request = pending.request
+    headers = request.headers
+    try:
+        path = request.target.decode('ascii')
+        method = request.method.decode('ascii')
+        host = (fields.find(headers, b'host') or b'').decode('ascii')
+    except UnicodeDecodeError as error:
+        raise _malformed('the head is not ASCII') from error
+    if method == 'CONNECT' or not (path.startswith('/') or path == '*'):
+        raise _malformed('only origin-form targets are supported')
+    service = host.partition(':')[0].partition('.')[0]
+    if not service:
+        raise _malformed('the Host header names no service')
+    pending.facts = RequestFacts(
+        service.lower(),
+        method,
+        path,
+        fields.HeaderView(headers),
+    )
+    pending.request_id = _read_request_id(headers)
+    pending.hop_count = _read_number(headers, fields.HOPS, 0) + 1
+    check_hop_count(pending.hop_count)
+    body_bytes = _read_number(headers, b'content-length', 0)
+    if body_bytes > limits.body_bytes:
+        raise CornelbeamError(ErrorCode.BODY_TOO_LARGE, 'request head')
+    pending.headers = fields.strip(headers)
+    pending.route = table.route(pending.facts)
+    pending.deadline_s = pending.started_s + _timeout_s(pending, table, limits)
+    check_deadline(pending.deadline_s, pending.started_s, 'routing')
+
+
+def _timeout_s(
+    pending: Pending,
+    table: RoutingTable,
+    limits: LimitsSettings,
+) -> float:
+    configured_ms = (
+        pending.route.timeout_ms
+        or table.timeout_ms(pending.facts.service)
+        or limits.default_timeout_ms
+    )
+    stated_ms = _read_number(
+        pending.request.headers,
+        fields.DEADLINE,
+        configured_ms,
+    )
+    return min(stated_ms, configured_ms) / _MS_PER_S
+
+
+async def gather_body(pending: Pending) -> None:
+    """Wait for a body that is short, or whose request must not repeat.
+
+    A request that is handed over in parts has an unknown outcome when the
+    connection breaks in between, and a slow caller would hold a slot.
+    """
+    size_bytes = _read_number(
+        pending.request.headers,
+        b'content-length',
+        REPLAY_LIMIT_BYTES + 1,
+    )
+    is_short = size_bytes <= REPLAY_LIMIT_BYTES
+    if pending.route.is_repeatable and not is_short:
+        return
+    try:
+        async with asyncio.timeout_at(pending.deadline_s):
+            await pending.body.gather()
+    except TimeoutError as error:
+        raise CornelbeamError(
+            ErrorCode.DEADLINE_PASSED,
+            'request body',
+            detail='the body did not arrive in time',
+        ) from error
+
+
+def _read_request_id(headers: list[bytes]) -> str:
+    stated = fields.find(headers, fields.REQUEST_ID)
+    if stated is None:
+        return secrets.token_hex(_REQUEST_ID_BYTES)
+    if stated.isalnum() and len(stated) <= _MAX_REQUEST_ID_CHARACTERS:
+        return stated.decode('ascii')
+    return secrets.token_hex(_REQUEST_ID_BYTES)
+
+
+def _read_number(headers: list[bytes], name: bytes, default: int) -> int:
+    stated = fields.find(headers, name)
+    if stated is None:
+        return default
+    # The length keeps a caller from making this process parse huge numbers.
+    if not stated.isdigit() or len(stated) > _MAX_DIGITS:
+        raise _malformed(f'{name.decode()} is not a number')
+    return int(stated)
+
+
+def _malformed(detail: str) -> CornelbeamError:
+    return CornelbeamError(
+        ErrorCode.MALFORMED_REQUEST,
+        'request head',
+        detail=detail,
+    )
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/target_choice.py
@@ -0,0 +1,171 @@
+"""Choice of a target for a call, and what its result says about the target."""
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from http import HTTPStatus
+from typing import Final, final
+
+from cornelbeam_core.ejection import OutlierEjector
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_core.outcomes import CallOutcome
+from cornelbeam_core.selection import (
+    TargetState,
+    choose_target,
+    estimate_cost,
+)
+from cornelbeam_core.selectors import Route
+
+from cornelbeam_daemon.backend_side import BackendSide
+from cornelbeam_daemon.calls import Answer
+from cornelbeam_daemon.routing_table import RoutingTable
+
+# Outcomes that say nothing about the health of the target.
+_REFUSALS: Final = frozenset(
+    (
+        ErrorCode.OVERLOADED,
+        ErrorCode.TARGET_LEAVING,
+        ErrorCode.DOMAIN_OUT_OF_SERVICE,
+        ErrorCode.WRONG_INCARNATION,
+        ErrorCode.ATTEMPT_FORBIDDEN,
+    ),
+)
+
+
+@final
+class TargetChooser:
+    """Chooses targets and learns from the results of calls."""
+
+    __slots__ = (
+        '_backend_side',
+        '_ejector',
+        '_loop',
+        '_name',
+        '_policy',
+        '_rng',
+        '_table',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        table: RoutingTable,
+        backend_side: BackendSide,
+        policy: str,
+    ) -> None:
+        """Choose among the targets of ``table`` for the daemon ``name``."""
+        self._name = name
+        self._table = table
+        self._backend_side = backend_side
+        self._policy = policy
+        self._ejector = OutlierEjector()
+        self._rng = random.Random()
+        self._loop = asyncio.get_running_loop()
+
+    def forget_absent(self) -> None:
+        """Drop the history of targets that are gone."""
+        self._ejector.retain(self._table.all_states())
+
+    def choose(
+        self,
+        service: str,
+        route: Route,
+        tried: Mapping[str, bool],
+    ) -> TargetState | None:
+        """Choose a target, preferring those that were not tried.
+
+        ``tried`` tells for each target whether only the connection to it was
+        lost. None when no target may serve the request.
+        """
+        now_s = self._loop.time()
+        states = self._table.states(service)
+        candidates: Sequence[TargetState] = states
+        if route.target_labels:
+            candidates = [
+                state
+                for state in states
+                if route.is_eligible(state.target.labels)
+            ]
+        if tried:
+            candidates = _prefer_untried(candidates, tried)
+        chosen = choose_target(self._policy, candidates, now_s, self._rng)
+        if chosen is None or chosen.target.name == self._name:
+            return chosen
+        # Serving locally saves a hop, as long as the call would run at once
+        # and the local backend server is not the slower choice.
+        if not self._backend_side.has_room():
+            return chosen
+        for state in candidates:
+            if state.target.name == self._name:
+                return _cheaper(state, chosen, now_s)
+        return chosen
+
+    def note_answer(
+        self,
+        state: TargetState,
+        answer: Answer,
+        latency_s: float,
+    ) -> None:
+        """Count the head of an answer.
+
+        The latency of a server error says nothing: a backend server that
+        fails fast would look like the fastest one.
+        """
+        now_s = self._loop.time()
+        if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            state.note_end(now_s, None)
+            self._ejector.note_result(state, CallOutcome.FAILED, now_s)
+        else:
+            state.note_end(now_s, latency_s)
+            self._ejector.note_result(state, CallOutcome.ANSWERED, now_s)
+        if answer.load is not None:
+            state.note_report(answer.load, now_s)
+
+    def note_error(self, state: TargetState, error: CornelbeamError) -> None:
+        """Count an attempt that brought no answer."""
+        is_refusal = error.code in _REFUSALS
+        outcome = CallOutcome.SHED if is_refusal else CallOutcome.FAILED
+        self._note_end(state, outcome, None)
+
+    def note_timeout(self, state: TargetState, latency_s: float) -> None:
+        """Count an attempt whose deadline passed."""
+        self._note_end(state, CallOutcome.TIMED_OUT, latency_s)
+
+    def note_cancelled(self, state: TargetState) -> None:
+        """Count an attempt that nobody waits for any more."""
+        self._note_end(state, CallOutcome.CANCELLED, None)
+
+    def _note_end(
+        self,
+        state: TargetState,
+        outcome: CallOutcome,
+        latency_s: float | None,
+    ) -> None:
+        now_s = self._loop.time()
+        state.note_end(now_s, latency_s)
+        self._ejector.note_result(state, outcome, now_s)
+
+
+def _cheaper(
+    local: TargetState,
+    other: TargetState,
+    now_s: float,
+) -> TargetState:
+    default_s = local.latency_ewma_s or other.latency_ewma_s or 1
+    local_cost = estimate_cost(local, now_s, default_s)
+    if local_cost <= estimate_cost(other, now_s, default_s):
+        return local
+    return other
+
+
+def _prefer_untried(
+    candidates: Sequence[TargetState],
+    failed: Mapping[str, bool],
+) -> list[TargetState]:
+    untried = [state for state in candidates if state.target.name not in failed]
+    if untried:
+        return untried
+    # A new connection may reach a target whose old one went silent.
+    return [
+        state for state in candidates if failed.get(state.target.name, False)
+    ]
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -146,6 +146,7 @@
         self.peer_address = f'{HOST}:{await self._listen(self._accept_peer)}'
         self.pool = PeerPool(_identity('edge-1'), lambda *_: None)
         table = RoutingTable('edge-1' if self.is_remote else 'yard-1', 'north')
+        table.mark_synced()
         target = Target('yard-1', 'windows', 'north', self.peer_address, 1, {})
         table.replace_targets('windows', [target])
         self.caller_side = CallerSide(
--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -1,5 +1,6 @@
 """What callers are told after attempts that brought no answer."""
 
+from collections import Counter
 from types import SimpleNamespace
 
 import anyio
@@ -9,6 +10,7 @@
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import BodyBuffer
 from cornelbeam_daemon.caller_side import CallerSide
+from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_server import HttpRequest
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.routing_table import RoutingTable
@@ -32,6 +34,22 @@
         return self.asked, None
 
 
+class FailingFast:
+    """Answers 503 at once for one target and 200, slower, for the other."""
+
+    def __init__(self):
+        self.calls = Counter()
+
+    async def call(self, target, call):
+        self.calls[target.name] += 1
+        is_failing = target.name == 'bookings-1'
+        if not is_failing:
+            await anyio.sleep(0)
+        body = BodyBuffer()
+        body.finish()
+        return Answer(503 if is_failing else 200, [], body, None, bool)
+
+
 class Responder:
     """Keeps the head of the answer."""
 
@@ -54,8 +72,11 @@
     return CornelbeamError(ErrorCode.OVERLOADED, 'admission')
 
 
-def send(method, client):
-    """Send one request through a caller side with two remote targets."""
+def send(method, client, count=1):
+    """Send requests through a caller side with two remote targets.
+
+    Gives the status and the run state told of each.
+    """
 
     async def body():
         table = RoutingTable('edge-1', 'north')
@@ -76,30 +97,41 @@
             'power_of_two',
             Metrics(CollectorRegistry()),
         )
-        request = HttpRequest(BodyBuffer())
-        request.body.finish()
-        request.method = method
-        request.target = b'/x'
-        request.headers = [b'host', b'bookings']
-        responder = Responder()
-        await side.handle(request, responder)
-        return fields.find(responder.headers, b'cornelbeam-ran')
+        return [await send_one(side, method) for _ in range(count)]
 
     return anyio.run(body)
 
 
+async def send_one(side, method):
+    """Send one request without a body."""
+    request = HttpRequest(BodyBuffer())
+    request.body.finish()
+    request.method = method
+    request.target = b'/x'
+    request.headers = [b'host', b'bookings']
+    responder = Responder()
+    await side.handle(request, responder)
+    ran = fields.find(responder.headers, b'cornelbeam-ran')
+    return responder.status, ran
+
+
+def told(method, client):
+    """Give the run state that a caller is told of one request."""
+    return send(method, client)[0][1]
+
+
 class TestRunState:
     """Guards against "not run" for a request that may have run (I5)."""
 
     def test_refusal_after_an_unclear_attempt_is_unknown(self):
         client = Client([lost(), refused(), refused()])
-        assert send(b'GET', client) == b'unknown'
+        assert told(b'GET', client) == b'unknown'
         assert len(client.attempts) > 1
 
     @pytest.mark.parametrize('method', [b'GET', b'POST'])
     def test_refusals_alone_are_not_run(self, method):
         client = Client([refused(), refused(), refused()])
-        assert send(method, client) == b'no'
+        assert told(method, client) == b'no'
 
 
 class TestAtMostOnce:
@@ -111,13 +143,29 @@
     )
     def test_no_second_attempt_without_evidence(self, asked):
         client = Client([lost()], asked)
-        assert send(b'POST', client) in {b'unknown', b'yes'}
+        assert told(b'POST', client) in {b'unknown', b'yes'}
         assert len(client.attempts) == 1
 
     def test_second_attempt_after_evidence_has_its_own_identifier(self):
         client = Client([lost(), refused(), refused()], RunState.NOT_RUN)
-        assert send(b'POST', client) == b'no'
+        assert told(b'POST', client) == b'no'
         names = {name for name, _ in client.attempts}
         identifiers = {attempt_id for _, attempt_id in client.attempts}
         assert len(names) == 2
         assert len(identifiers) == len(client.attempts)
+
+
+class TestFailingFast:
+    """Guards against a server that fails fast and so attracts the calls."""
+
+    def test_reads_are_retried_and_the_target_is_left_out(self):
+        client = FailingFast()
+        answers = send(b'GET', client, 200)
+        assert {status for status, _ in answers} == {200}
+        assert client.calls['bookings-1'] < 30
+
+    def test_its_refusal_of_a_booking_is_passed_on(self):
+        client = FailingFast()
+        answers = send(b'POST', client, 200)
+        assert sum(client.calls.values()) == len(answers)
+        assert client.calls['bookings-1'] < 30
--- a/packages/daemon/tests/test_http_requests.py
+++ b/packages/daemon/tests/test_http_requests.py
@@ -6,7 +6,7 @@
 import asyncio
 
 import pytest
-from cornelbeam_daemon import http_server
+from cornelbeam_daemon import caller_side, http_server
 
 pytestmark = pytest.mark.anyio
 HEAD = b'POST /a HTTP/1.1\r\nhost: windows.mesh\r\n'
@@ -268,11 +268,7 @@
             raise ValueError('fault')
 
         monkeypatch.setattr(type(bed.caller_side), '_serve', fail)
-        monkeypatch.setattr(
-            type(bed.caller_side),
-            '_read_head',
-            lambda *_: None,
-        )
+        monkeypatch.setattr(caller_side, 'read_head', lambda *_: None)
         assert not await bed.ask(GET + b'\r\n' + GET + LAST)
 
     async def test_planned_stop(self, bed) -> None:
