Free the slot of an answer that waits for an outcome query

Cause: after its connection was lost, a call that must not repeat held its slot until its deadline, though its whole answer was kept in the ledger. A failure that nobody asked for ended as an unhandled exception of its task. Ruled out: the ledger, which had noted the run. Before: test_lost_with_answer failed, in flight was 1 after 4 s. After: passes.

--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -147,6 +147,8 @@
             start.is_complete = False
         elif start.is_complete:
             self._keep(start)
+            # Its content is copied: the slot must not wait for a stream.
+            answer.close()
         stream = await self._wait_for_stream()
         stream.send(answer_start=start)
         if start.is_complete:
@@ -196,7 +198,11 @@
             return
         if is_started and self.stream is None:
             return
-        stream = await self._wait_for_stream()
+        try:
+            stream = await self._wait_for_stream()
+        except CornelbeamError:
+            # Nobody asked until the deadline.
+            return
         stream.send(refusal=refusal_to_wire(error, self._backend_side.load))
         _log.debug(
             'call refused',
