Test what other daemons send

Purpose: malformed heads, bodies of another length, parts after the end, lost connections and line ends in refusals reach neither callers nor backend servers and cost the sender its connection only.

--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -11,7 +11,9 @@
 from cornelbeam_core.targets import Target
 from cornelbeam_daemon.backend_client import BackendClient
 from cornelbeam_daemon.backend_side import BackendSide
+from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 from cornelbeam_daemon.caller_side import CallerSide
+from cornelbeam_daemon.calls import Call
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_client import PeerClient
@@ -272,3 +274,40 @@
         yield running
     finally:
         await running.close()
+
+
+@pytest.fixture
+async def remote(anyio_backend) -> AsyncIterator[Bed]:
+    """A bed with two hops; after the test nothing may be left in use."""
+    running = Bed(is_remote=True)
+    await running.start()
+    try:
+        yield running
+    finally:
+        await running.close()
+
+
+@pytest.fixture
+def make_call() -> Callable[[str, bytes], Call]:
+    """Function that makes a call as it arrives from another daemon."""
+    return _make_call
+
+
+def _make_call(caller: str, path: bytes) -> Call:
+    """Make a call as it arrives from another daemon."""
+    body = BodyBuffer()
+    body.finish()
+    return Call(
+        attempt_id=path,
+        target_incarnation=1,
+        service='windows',
+        method=b'GET',
+        path=path,
+        headers=[],
+        deadline_s=asyncio.get_running_loop().time() + 60,
+        is_repeatable=True,
+        caller=caller,
+        hop_count=1,
+        request_id='',
+        body=RequestBody(body),
+    )
--- a/packages/daemon/tests/test_overload.py
+++ b/packages/daemon/tests/test_overload.py
@@ -9,8 +9,6 @@
 import pytest
 from cornelbeam_core.admission import AdmissionSettings
 from cornelbeam_core.attempts import AttemptLedger
-from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
-from cornelbeam_daemon.calls import Call
 
 pytestmark = pytest.mark.anyio
 GET = b'GET /a HTTP/1.1\r\nhost: windows.mesh\r\nconnection: close\r\n'
@@ -61,26 +59,6 @@
     return tasks
 
 
-def make_call(caller: str, path: bytes) -> Call:
-    """Make a call as it arrives from another daemon."""
-    body = BodyBuffer()
-    body.finish()
-    return Call(
-        attempt_id=path,
-        target_incarnation=1,
-        service='windows',
-        method=b'GET',
-        path=path,
-        headers=[],
-        deadline_s=asyncio.get_running_loop().time() + 60,
-        is_repeatable=True,
-        caller=caller,
-        hop_count=1,
-        request_id='',
-        body=RequestBody(body),
-    )
-
-
 def is_used(bed, call_count: int) -> bool:
     """Tell whether this many calls run or wait at the backend side."""
     admission = bed.admission
@@ -111,7 +89,7 @@
         gate.opened.set()
         await asyncio.gather(*waiting)
 
-    async def test_turns(self, bed, gate: Gate) -> None:
+    async def test_turns(self, bed, gate: Gate, make_call) -> None:
         """Callers take turns, however many calls one of them queues."""
         waiting = await fill(bed, SLOT_COUNT)
         tasks = []
--- /dev/null
+++ b/packages/daemon/tests/test_peer_input.py
@@ -0,0 +1,263 @@
+"""Tests of what other daemons send: heads, bodies and broken connections."""
+
+# Raw messages are built from the parts that matter to a test.
+# flake8: noqa: WPS336
+
+import asyncio
+
+import anyio
+import pytest
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.targets import Target
+from cornelbeam_daemon.exchange import Exchange
+from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_wire.gen import messages
+
+pytestmark = pytest.mark.anyio
+POST = b'POST /a HTTP/1.1\r\nhost: windows.mesh\r\nconnection: close\r\n\r\n'
+GET = POST.replace(b'POST', b'GET')
+LOAD = messages.LoadReport(0, 2, 0, 10, False)
+
+
+def call_start(**changed) -> messages.CallStart:
+    """Make the first message of a call that must not repeat."""
+    fields = {
+        'attempt_id': b'a' * 16,
+        'target_incarnation': 1,
+        'service_name': 'windows',
+        'method': b'POST',
+        'path': b'/p',
+        'headers': [b'host', b'windows'],
+        'remaining_ms': 200,
+        'is_repeatable': False,
+        'caller': 'edge-2',
+        'hop_count': 1,
+        'body': b'',
+        'is_complete': True,
+        'request_id': 'r',
+    }
+    return messages.CallStart(**{**fields, **changed})
+
+
+def answer_start(**changed) -> messages.AnswerStart:
+    """Make the first message of an answer."""
+    fields = {
+        'status': 200,
+        'headers': [b'content-length', b'3'],
+        'body': b'abc',
+        'is_complete': True,
+        'load': LOAD,
+    }
+    return messages.AnswerStart(**{**fields, **changed})
+
+
+async def lose_connection(bed, remaining_ms: int) -> None:
+    """Lose the connection of a call before the backend server answers."""
+    is_lost = asyncio.Event()
+
+    async def answer_late(reader, writer) -> None:
+        bed.backend.requests.append(await reader.readuntil(b'\r\n\r\n'))
+        await is_lost.wait()
+        writer.write(bed.backend.answer)
+
+    bed.backend.script = answer_late
+    connection = await bed.pool.connection(bed.peer_address)
+    stream = connection.open_stream(Exchange())
+    stream.send(call_start=call_start(remaining_ms=remaining_ms))
+    await bed.wait(bed.backend.was_asked)
+    connection.close()
+    await bed.wait(lambda: not bed.peers)
+    is_lost.set()
+
+
+class TestCalls:
+    """Guards against calls that damage exchanges with the backend server."""
+
+    @pytest.mark.parametrize(
+        'changed',
+        [
+            {'headers': [b'x', b'a\r\ny: b']},
+            {'headers': [b'x\n', b'a']},
+            {'headers': [b'x']},
+            {'headers': [b'transfer-encoding', b'chunked']},
+            {'headers': [b'content-length', b'-1']},
+            {'method': b'GET / HTTP/1.1\r\n\r\nGET'},
+            {'path': b'/ HTTP/1.1\r\nx: y'},
+        ],
+    )
+    async def test_malformed(self, remote, changed) -> None:
+        """The peer loses its connection; nothing reaches the server."""
+        connection = await remote.pool.connection(remote.peer_address)
+        stream = connection.open_stream(Exchange())
+        stream.send(call_start=call_start(**changed))
+        await remote.wait(lambda: connection.is_closed)
+        assert not remote.backend.requests
+        assert (await remote.ask(GET)).endswith(b'ok')
+
+    @pytest.mark.parametrize('body', [b'ab', b'abcd'])
+    async def test_other_length(self, remote, body: bytes) -> None:
+        """A body of another length ends its backend connection only."""
+        connection = await remote.pool.connection(remote.peer_address)
+        exchange = Exchange()
+        stream = connection.open_stream(exchange)
+        stream.send(
+            call_start=call_start(
+                headers=[b'content-length', b'3'],
+                body=body,
+            ),
+        )
+        refusal = (await exchange.reply).refusal
+        assert refusal.code == 'protocol_violation'
+        assert refusal.run_state == RunState.UNKNOWN
+        stream.close()
+        assert (await remote.ask(GET)).endswith(b'ok')
+
+    async def test_part_after_end(self, remote) -> None:
+        """A body does not grow after its end."""
+        remote.backend.script = remote.backend.hang
+        connection = await remote.pool.connection(remote.peer_address)
+        stream = connection.open_stream(Exchange())
+        stream.send(call_start=call_start())
+        stream.send(body_part=messages.BodyPart(b'more', True))
+        await remote.wait(lambda: connection.is_closed)
+
+    async def test_cancelled_at_once(self, remote) -> None:
+        """A cancellation right behind the call leaves nothing in use."""
+        connection = await remote.pool.connection(remote.peer_address)
+        stream = connection.open_stream(Exchange())
+        stream.send(call_start=call_start())
+        stream.send(cancel=messages.Cancel('not wanted'))
+        stream.close()
+        await remote.wait(lambda: bool(remote.peers))
+        await remote.wait_idle()
+
+    async def test_lost_with_answer(self, remote) -> None:
+        """A whole answer that nobody fetches does not occupy a slot."""
+        await lose_connection(remote, remaining_ms=60_000)
+        await remote.wait(lambda: not remote.admission.in_flight)
+        assert not remote.backend_side.work_count
+        assert remote.ledger.kept_bytes
+        for served in tuple(remote.peer_server._served.values()):
+            served.task.cancel()
+
+    async def test_lost_with_failure(self, remote) -> None:
+        """A failure that nobody can be told is no fault of the daemon."""
+        remote.backend.answer = b''
+        await lose_connection(remote, remaining_ms=300)
+        await remote.wait_idle()
+
+    async def test_head_beyond_frame(self, remote, make_call) -> None:
+        """A head too large for a frame is refused and harms no other call."""
+        await remote.ask(GET)
+        call = make_call('edge-1', b'/')
+        call.headers = [b'a', b''] * 40_000
+        target = Target('yard-1', 'windows', 'n', remote.peer_address, 1, {})
+        with pytest.raises(CornelbeamError) as failure:
+            await PeerClient(remote.pool).call(target, call)
+        assert failure.value.code is ErrorCode.HEAD_TOO_LARGE
+        assert failure.value.run_state is RunState.NOT_RUN
+        assert not remote.pool.connections()[0].is_closed
+
+
+class FakeTarget:
+    """Daemon that answers each call with prepared messages."""
+
+    def __init__(self, bed, *answers: dict[str, object]) -> None:
+        """Take over the backend side of a bed."""
+        self._answers = answers
+        bed._accept_stream = self.accept
+
+    def accept(self, stream, frame):
+        """Answer a call; queries get no answer."""
+        if frame.call_start is not None:
+            for message in self._answers:
+                stream.send(**message)
+        return None
+
+
+class TestAnswers:
+    """Guards against answers of daemons that reach callers damaged."""
+
+    @pytest.mark.parametrize(
+        'start',
+        [
+            answer_start(headers=[b'x', b'a\r\n\r\nforged']),
+            answer_start(headers=[b'x']),
+            answer_start(headers=[b'transfer-encoding', b'chunked']),
+            answer_start(headers=[b'content-length', b'abc']),
+            answer_start(status=101),
+            answer_start(status=-1),
+        ],
+    )
+    async def test_malformed(self, remote, start) -> None:
+        """The caller is told that the outcome is unknown."""
+        FakeTarget(remote, {'answer_start': start})
+        answer = await remote.ask(GET)
+        assert answer.startswith(b'HTTP/1.1 503 '), answer
+        assert b'cornelbeam-ran: unknown' in answer
+        assert b'forged' not in answer
+
+    @pytest.mark.parametrize(
+        'parts',
+        [
+            [(b'bcdef', True)],
+            [(b'b', True)],
+            [(b'bc', True), (b'd', True)],
+        ],
+    )
+    async def test_other_length(self, remote, parts) -> None:
+        """What exceeds the announced length is not written."""
+        start = answer_start(body=b'a', is_complete=False)
+        FakeTarget(
+            remote,
+            {'answer_start': start},
+            *({'body_part': messages.BodyPart(*part)} for part in parts),
+        )
+        answer = await remote.ask(GET)
+        content = answer.partition(b'\r\n\r\n')[2]
+        assert answer.startswith(b'HTTP/1.1 200 ') or b'502' in answer[:15]
+        assert b'cornelbeam-code' in answer or len(content) <= 3
+
+    async def test_injected_refusal(self, remote) -> None:
+        """Step and peer of a refusal add no header fields."""
+        refusal = messages.Refusal(
+            'overloaded',
+            int(RunState.NOT_RUN),
+            0,
+            'admission\r\nx-a: 1',
+            'yard-1\r\n\r\nforged',
+            LOAD,
+            '',
+        )
+        FakeTarget(remote, {'refusal': refusal})
+        answer = await remote.ask(GET)
+        head = answer.partition(b'\r\n\r\n')[0]
+        assert b'\r\nx-a' not in head
+        assert b'\r\ncornelbeam-peer: yard-1????forged\r\n' in head
+
+
+class TestFlow:
+    """Guards against bodies that pile up between the daemons."""
+
+    async def test_slow_caller(self, remote) -> None:
+        """A caller that reads nothing stops the backend server's answer."""
+        written = []
+
+        async def pour(reader, writer) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\n\r\n')
+            while len(written) < 10_000:
+                writer.write(bytes(10_000))
+                written.append(1)
+                await writer.drain()
+
+        remote.backend.script = pour
+        _, writer = await remote.open()
+        writer.write(GET)
+        count = -1
+        with anyio.fail_after(20):
+            while count != len(written) or not written:
+                count = len(written)
+                await asyncio.sleep(0.1)
+        assert len(written) < 5000
+        writer.transport.abort()
