Give up an answer that stops in the middle

Cause: the deadline of a request ends with the head of its answer. A backend server that then sent nothing more held a slot as long as the caller waited. Ruled out: a deadline for the whole answer, which would cut long downloads. Before (trial on a scratch copy): test_body_never_ends did not end within 2 s. After: passes; the limit is 60 s without a part.

--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -10,6 +10,9 @@
 BUFFER_LIMIT_BYTES: Final = 256 * 1024
 # A request body up to this size can be sent again to another target.
 REPLAY_LIMIT_BYTES: Final = 64 * 1024
+# The deadline of a request ends with the head of its answer, as a long answer
+# may take its time; one that stops in between would hold a slot for ever.
+STALL_TIMEOUT_S: Final = 60.0
 
 
 @final
@@ -102,6 +105,23 @@
             await self._waiter
         return self.take_ready()
 
+    async def read_answer(self) -> bytes:
+        """Wait for the next parts of an answer; see ``read``.
+
+        Raises ``answer_truncated`` when none arrive within
+        ``STALL_TIMEOUT_S``.
+        """
+        try:
+            async with asyncio.timeout(STALL_TIMEOUT_S):
+                return await self.read()
+        except TimeoutError as error:
+            raise CornelbeamError(
+                ErrorCode.ANSWER_TRUNCATED,
+                'answer',
+                detail=f'nothing arrived for {STALL_TIMEOUT_S} s',
+                run_state=RunState.UNKNOWN,
+            ) from error
+
     def _wake(self) -> None:
         waiter = self._waiter
         self._waiter = None
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -431,7 +431,7 @@
             if content:
                 await responder.send(content)
             while not answer.body.is_ended:
-                content = await answer.body.read()
+                content = await answer.body.read_answer()
                 if content:
                     await responder.send(content)
             responder.finish()
--- a/packages/daemon/tests/test_backend_answers.py
+++ b/packages/daemon/tests/test_backend_answers.py
@@ -6,7 +6,7 @@
 import asyncio
 
 import pytest
-from cornelbeam_daemon import backend_client
+from cornelbeam_daemon import backend_client, bodies
 
 pytestmark = pytest.mark.anyio
 GET = b'GET /a HTTP/1.1\r\nhost: windows.mesh\r\n'
@@ -255,3 +255,21 @@
         await bed.wait_idle()
         answer = await bed.ask(GET + LAST)
         assert answer.endswith(b'a' * size)
+
+
+class TestStall:
+    """Guards against answers that stop in the middle and hold a slot."""
+
+    async def test_body_never_ends(self, bed, monkeypatch) -> None:
+        """The answer is given up, and does not look whole."""
+        monkeypatch.setattr(bodies, 'STALL_TIMEOUT_S', 0.05)
+
+        async def stall(reader, writer) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(FIRST + b'\r\nabc')
+            await reader.read()
+
+        bed.backend.script = stall
+        answer = await bed.ask(GET + LAST)
+        assert not answer.endswith(b'0\r\n\r\n')
+        await bed.wait(lambda: not bed.backend.open_count)
