Measure memory of a daemon's state and imports

The memory at the design size follows from the entries of each state and from what the libraries take before anything is configured.

--- a/packages/standins/src/cornelbeam_standins/fleet_bench.py
+++ b/packages/standins/src/cornelbeam_standins/fleet_bench.py
@@ -180,11 +180,8 @@
 
 
 def _show_imports() -> None:
-    for name, added_mb, alone_mb in measure_imports():
-        write_line(
-            f'import {name:<34} adds {added_mb:5.1f} MB,'
-            f' alone {alone_mb:.1f} MB',
-        )
+    for line in measure_imports():
+        write_line(line)
 
 
 def bench_fleet(
--- a/packages/standins/src/cornelbeam_standins/record_measurements.py
+++ b/packages/standins/src/cornelbeam_standins/record_measurements.py
@@ -12,6 +12,7 @@
 #: Modules and arguments, each a section of the page.
 COMMANDS: Final = (
     ('hop_bench', '--calls 2000 --rounds 3 --concurrencies 1 16'),
+    ('state_bench', '--seed 1'),
     (
         'fleet_bench',
         '--window-s 10 --settle-s 15 --called 0 11 --change-count 30 --seed 1',
