--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 BIN := $(VENV)/bin
 
 
-.PHONY: install messages test golden check format lint types imports demo
+.PHONY: install messages test golden check format lint types imports demo bench
 
 install: $(VENV)/.installed
 
@@ -46,7 +46,12 @@
 
 # Re-records the golden files after an intended change of a session.
 golden: install
-	CORNELBEAM_RECORD=1 $(BIN)/python -m pytest tests
+	CORNELBEAM_RECORD=1 $(BIN)/python -m pytest packages/report \
+		tests/test_sessions_invariants.py tests/test_sessions_failures.py
 
 demo: install
 	$(BIN)/python -m cornelbeam_standins.demo
+
+# Writes docs/measurements.md; takes some ten minutes.
+bench: install
+	$(BIN)/python -m cornelbeam_standins.record_measurements
--- a/packages/core/tests/test_selectors.py
+++ b/packages/core/tests/test_selectors.py
@@ -1,6 +1,7 @@
 """Tests of selectors: matching, precedence and contradictions."""
 
 import random
+import string
 
 import pytest
 from cornelbeam_core.contradictions import can_overlap, find_contradictions
@@ -55,7 +56,7 @@
 class TestPrecedence:
     """Guards against a weaker rule that overrides a stronger one."""
 
-    def test_highest_priority_hides_the_others(self):
+    def test_highest_priority_hides_all_but_a_rule_against_repeating(self):
         index = SelectorIndex.compile(
             [
                 SelectorSpec('low', priority=1, repeat=RepeatRule.NEVER),
@@ -69,7 +70,8 @@
         )
         route = index.route(facts())
         assert route.selector_names == ('high',)
-        assert route.is_repeatable
+        assert not route.is_repeatable
+        assert index.route(facts('other')).selector_names == ('low',)
 
     @pytest.mark.parametrize('seed', range(5))
     def test_equal_priority_applies_together_in_any_order(self, seed):
@@ -174,6 +176,16 @@
         )
         assert found == [('b', 'c')]
 
+    def test_search_is_bounded_when_many_overlap(self):
+        rng = random.Random(1)
+        found = self.names(
+            *(
+                _selector(f's{number}', rng.sample(string.digits, k=6))
+                for number in range(40)
+            )
+        )
+        assert 0 < len(found) < 200
+
     def test_three_without_a_common_method(self):
         assert not self.names(
             _selector('a', '12', methods=('GET', 'PUT')),
--- a/packages/daemon/src/cornelbeam_daemon/config_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/config_part.py
@@ -42,26 +42,35 @@
         '_loop',
         '_messenger',
         '_on_change',
+        '_on_synced',
         '_peers',
         '_rng',
         '_spread',
         '_tasks',
         'state',
+        'synced',
     )
 
     def __init__(
         self,
         messenger: Messenger,
         peers: Callable[[], list[str]],
-        on_change: Callable[[], None],
+        on_change: Callable[[tuple[ConfigObject, ...]], None],
+        on_synced: Callable[[], None],
         rng: random.Random,
     ) -> None:
-        """Push to ``peers``; ``on_change`` is called after each change."""
+        """Push to ``peers``; ``on_change`` gets the objects now in force.
+
+        ``on_synced`` is called once, when the configuration of the fleet is
+        known.
+        """
         self.state = ConfigurationState()
+        self.synced = asyncio.Event()
         self._spread = ConfigurationSpread(self.state)
         self._messenger = messenger
         self._peers = peers
         self._on_change = on_change
+        self._on_synced = on_synced
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -78,6 +87,8 @@
         )
         self._note(changed)
         self._act(actions)
+        if batch.up_to_revision and not batch.has_more:
+            self._mark_synced()
 
     def on_peer_revision(self, address: str, revision: int) -> None:
         """Pull what a peer has and this daemon lacks."""
@@ -107,8 +118,10 @@
         _relay_log.info('watching the store', revision=self.state.revision)
         while True:
             since_revision = self.state.revision
+            # The first watch tells at once whether there is anything.
+            timeout_ms = WATCH_TIMEOUT_MS if self.synced.is_set() else 0
             try:
-                listed = await client.watch(since_revision, WATCH_TIMEOUT_MS)
+                listed = await client.watch(since_revision, timeout_ms)
             except CornelbeamError as error:
                 _relay_log.warning('the store is unavailable', why=str(error))
                 await anyio.sleep(STORE_RETRY_S * self._rng.uniform(0.5, 1.5))
@@ -137,6 +150,12 @@
         )
         self._note(changed)
         self._act(actions)
+        self._mark_synced()
+
+    def _mark_synced(self) -> None:
+        if not self.synced.is_set():
+            self.synced.set()
+            self._on_synced()
 
     def _note(self, changed: BatchResult) -> None:
         if not changed.accepted:
@@ -146,7 +165,7 @@
             revision=self.state.revision,
             count=len(changed.accepted),
         )
-        self._on_change()
+        self._on_change(changed.accepted)
 
     def _act(self, actions: tuple[ConfigAction, ...]) -> None:
         for action in actions:
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -42,6 +42,7 @@
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.peer_server import PeerServer
+from cornelbeam_daemon.probing import Prober, ProbeWatch
 from cornelbeam_daemon.routing_table import RoutingTable
 from cornelbeam_daemon.silence import SilenceWatch
 
@@ -53,6 +54,11 @@
 LEDGER_KEEP_S: Final = 30.0
 LEDGER_EXPIRE_PERIOD_S: Final = 1.0
 RELAY_CHECK_PERIOD_S: Final = 0.5
+# Callers wait this long for the first configuration.
+CONFIG_WAIT_S: Final = 5.0
+# A daemon that knows introducers asks them before it asks the store, so that
+# a failure domain that starts at once does not stampede the store.
+START_SPREAD_S: Final = 2.0
 # Idle connections of callers stay open this long after a stop was asked for,
 # so that a request that crosses with the stop is still answered.
 LINGER_S: Final = 1.0
@@ -98,19 +104,32 @@
         self._pool = PeerPool(self._identity, _refuse_streams)
         self._messenger = Messenger(self._pool, self.metrics)
         self.admission = AdmissionLimit(_admission_settings(settings))
+        client = BackendClient(
+            settings.backend_server.host,
+            settings.backend_server.port,
+            settings.backend_server.connection_count,
+        )
         self.backend_side = BackendSide(
             own.name,
             self.admission,
             AttemptLedger(own.incarnation, LEDGER_CAPACITY, LEDGER_KEEP_S),
-            BackendClient(
-                settings.backend_server.host,
-                settings.backend_server.port,
-                settings.backend_server.connection_count,
-            ),
+            client,
             self.metrics,
             lambda: self.table.is_own_domain_in_service,
         )
         self._peer_server = PeerServer(self.backend_side, self._accepted)
+        self.prober = Prober(
+            settings,
+            client,
+            self.backend_side,
+            self.metrics,
+        )
+        self._probe_watch = ProbeWatch(
+            own.name,
+            self.table,
+            self._messenger,
+            self._rng,
+        )
         self.caller_side = CallerSide(
             own.name,
             self.table,
@@ -123,7 +142,8 @@
         self.config = ConfigPart(
             self._messenger,
             lambda: self.fleet.peers(),
-            self._apply_configuration,
+            self.table.apply_configuration,
+            self.table.mark_synced,
             self._rng,
         )
         self.fleet = FleetPart(
@@ -158,15 +178,6 @@
     async def run(self) -> None:
         """Serve until a stop is asked for and all work is done."""
         loop = asyncio.get_running_loop()
-        caller_server = await loop.create_server(
-            lambda: HttpServerConnection(
-                self.caller_side.handle,
-                self.settings.limits.head_bytes,
-                self._callers,
-            ),
-            sock=self.sockets['caller'],
-            backlog=LISTEN_BACKLOG,
-        )
         peer_server = await loop.create_server(
             self._accept_peer,
             sock=self.sockets['peer'],
@@ -183,10 +194,12 @@
             group.start_soon(self._follow_changes)
             group.start_soon(self._expire_attempts)
             group.start_soon(self._silence.run)
+            group.start_soon(self._probe_watch.run)
             group.start_soon(self._relay_when_chosen, client, group)
             group.start_soon(self._write_introducers, client)
             group.start_soon(self._serve_admin)
             self._apply_members()
+            caller_server = await self._serve_callers()
             _log.info('serving', target=self.own.name)
             await self._stop.wait()
             await self._drain(caller_server)
@@ -207,6 +220,27 @@
         finally:
             self._admin_ended.set()
 
+    async def _serve_callers(self) -> asyncio.Server:
+        """Accept callers once the configuration is known.
+
+        When neither a peer nor the store answers for a while, requests are
+        served all the same, but none is repeated.
+        """
+        with anyio.move_on_after(CONFIG_WAIT_S):
+            await self.config.synced.wait()
+        if not self.config.synced.is_set():
+            _log.warning('serving without configuration')
+        return await asyncio.get_running_loop().create_server(
+            lambda: HttpServerConnection(
+                self.caller_side.handle,
+                self.settings.limits.head_bytes,
+                self.settings.limits.body_bytes,
+                self._callers,
+            ),
+            sock=self.sockets['caller'],
+            backlog=LISTEN_BACKLOG,
+        )
+
     async def _drain(self, caller_server: asyncio.Server) -> None:
         """Refuse new work, finish what is in flight, then go."""
         _log.info('leaving', in_flight=self.backend_side.work_count)
@@ -258,6 +292,8 @@
             self.fleet.answer_indirect_ping(stream, frame.indirect_ping)
         elif frame.view_request is not None:
             self.fleet.answer_view_request(stream, frame.view_request)
+        elif frame.probe_request is not None:  # noqa: WPS223 - one per message
+            self.fleet.start(self.prober.answer(stream, self._messenger))
         else:
             self._accept_config(stream, frame, peer.address)
 
@@ -272,9 +308,6 @@
         elif frame.config_push is not None:
             self.config.on_push(frame.config_push, sender)
 
-    def _apply_configuration(self) -> None:
-        self.table.replace_configuration(self.config.state.objects())
-
     def _apply_members(self) -> None:
         is_changed = False
         for service in self.fleet.services():
@@ -305,6 +338,9 @@
         group: TaskGroup,
     ) -> None:
         scope: anyio.CancelScope | None = None
+        if self.settings.fleet.introducers:
+            with anyio.move_on_after(self._rng.uniform(0, START_SPREAD_S)):
+                await self.config.synced.wait()
         while True:
             is_relay = self.fleet.is_relay()
             if is_relay and scope is None:
--- a/packages/daemon/src/cornelbeam_daemon/exchange.py
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -12,6 +12,13 @@
 REPLY_TIMEOUT_S: Final = 0.9
 # Approximate size of a frame around its message.
 _FRAME_BYTES: Final = 12
+_REPLY_NAMES: Final = {
+    'ping': 'ack',
+    'indirect_ping': 'ack',
+    'view_request': 'view_reply',
+    'config_pull': 'config_push',
+    'probe_request': 'probe_reply',
+}
 
 
 @final
@@ -61,10 +68,10 @@
         stream = connection.open_stream(exchange)
         sent_bytes = connection.sent_bytes
         received_bytes = connection.received_bytes
-        stream.send(**message)
         name = _name_of(message)
-        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         try:
+            stream.send(**message)
+            self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 frame = await exchange.reply
         except TimeoutError as error:
@@ -73,7 +80,7 @@
         finally:
             stream.close()
         self._metrics.count_received(
-            name,
+            _REPLY_NAMES.get(name, name),
             max(_FRAME_BYTES, connection.received_bytes - received_bytes),
         )
         return frame
@@ -86,7 +93,12 @@
         except CornelbeamError:
             return
         sent_bytes = connection.sent_bytes
-        stream.send(**message)
+        try:
+            stream.send(**message)
+        except CornelbeamError:
+            # Too large for a frame; nothing was sent.
+            stream.close()
+            return
         name = _name_of(message)
         self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         stream.close()
--- a/packages/daemon/src/cornelbeam_daemon/headers.py
+++ b/packages/daemon/src/cornelbeam_daemon/headers.py
@@ -1,5 +1,6 @@
 """Header fields as a flat list: names and values alternate."""
 
+import re
 from collections.abc import Iterator, Mapping
 from typing import Final, final
 
@@ -18,6 +19,10 @@
         b'expect',
     )
 )
+# A Connection header must not remove these: without them the request would
+# reach another host, or its end would be found differently.
+_END_TO_END: Final = frozenset((b'host', b'content-length'))
+_LINE_BREAKS: Final = re.compile(rb'[\r\n\0]')
 CONTROL_PREFIX: Final = b'cornelbeam-'
 DEADLINE: Final = b'cornelbeam-deadline-ms'
 HOPS: Final = b'cornelbeam-hops'
@@ -65,11 +70,11 @@
     be able to forge control fields, and backend servers must not see them.
     """
     dropped = _HOP_BY_HOP
-    named = find(headers, b'connection')
-    if named is not None:
-        dropped = dropped.union(
-            token.strip().lower() for token in named.split(b',')
-        )
+    for index in range(0, len(headers), 2):
+        if headers[index] == b'connection':
+            named = headers[index + 1].lower().split(b',')
+            tokens = {token.strip() for token in named}
+            dropped = dropped.union(tokens - _END_TO_END)
     kept: list[bytes] = []
     for index in range(0, len(headers), 2):
         name = headers[index]
@@ -78,6 +83,18 @@
     return kept
 
 
+def are_sound(headers: list[bytes], *others: bytes) -> bool:
+    """Tell whether fields and other parts of a head form the head they seem.
+
+    They come from another daemon; a line end in one of them would add fields
+    or a whole message, and another length would shift the next message.
+    """
+    if len(headers) % 2 or _LINE_BREAKS.search(b''.join((*headers, *others))):
+        return False
+    length = find(headers, b'content-length') or b'0'
+    return length.isdigit() and b'transfer-encoding' not in headers[::2]
+
+
 def render(first_line: bytes, headers: list[bytes]) -> bytes:
     """Render a message head."""
     lines = [first_line]
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final, final
 
+from cornelbeam_core.attempts import judge_outcome
 from cornelbeam_core.deadlines import remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.targets import LoadReport, Target
@@ -12,8 +13,10 @@
     PeerPool,
     Stream,
 )
+from cornelbeam_wire.codec import violation
 from cornelbeam_wire.gen import messages
 
+from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import BodyBuffer, BodyReader
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.convert import load_from_wire, refusal_from_wire
@@ -22,6 +25,8 @@
 ASK_PERIOD_S: Final = 0.25
 # A daemon that refuses connections this often in a row is gone.
 ASK_LIMIT: Final = 3
+_MIN_STATUS: Final = 200
+_MAX_STATUS: Final = 999
 
 
 @final
@@ -113,12 +118,24 @@
                 part = await reader.read()
             await stream.send_body(b'', is_last=True)
         except CornelbeamError as error:
-            self.fail(error)
+            # The backend server may have acted on the part that was sent.
+            self.fail(
+                CornelbeamError(
+                    error.code,
+                    'request body',
+                    error.peer,
+                    error.detail,
+                    run_state=RunState.UNKNOWN,
+                ),
+            )
 
     def _start_answer(self, start: messages.AnswerStart) -> None:
         stream = self.stream
         if stream is None or self.head.done():
             return
+        is_final = _MIN_STATUS <= start.status <= _MAX_STATUS
+        if not (is_final and fields.are_sound(start.headers)):
+            raise violation('malformed head of an answer')
         body = BodyBuffer(None if start.is_complete else stream.grant)
         body.feed(start.body)
         if start.is_complete:
@@ -155,26 +172,16 @@
             first_part, is_whole = b'', False
             reader = call.body.reader()
         remote.stream.spend(len(first_part))
-        remote.stream.send(
-            call_start=messages.CallStart(
-                attempt_id=call.attempt_id,
-                target_incarnation=call.target_incarnation,
-                service_name=call.service,
-                method=call.method,
-                path=call.path,
-                headers=call.headers,
-                remaining_ms=remaining_ms(
-                    call.deadline_s,
-                    asyncio.get_running_loop().time(),
-                ),
-                is_repeatable=call.is_repeatable,
-                caller=call.caller,
-                hop_count=call.hop_count,
-                body=first_part,
-                is_complete=is_whole,
-                request_id=call.request_id,
-            ),
-        )
+        try:
+            _send_start(remote.stream, call, first_part, is_complete=is_whole)
+        except CornelbeamError as error:
+            remote.stream.close()
+            raise CornelbeamError(
+                ErrorCode.HEAD_TOO_LARGE,
+                'peer connection',
+                target.name,
+                'the head does not fit into one frame between daemons',
+            ) from error
         if not is_whole:
             remote.send_rest(reader)
         try:
@@ -245,7 +252,12 @@
         try:
             reply = await remote.reply
             if not reply.is_answer_kept:
-                return RunState(reply.run_state), None
+                run_state = judge_outcome(
+                    RunState(reply.run_state),
+                    asyncio.get_running_loop().time(),
+                    call.deadline_s,
+                )
+                return run_state, None
             answer = await remote.head
             is_handed_on = True
         finally:
@@ -253,3 +265,32 @@
                 # No cancellation: the outcome may be asked for again.
                 remote.stream.close()
         return RunState.RAN, answer
+
+
+def _send_start(
+    stream: Stream,
+    call: Call,
+    first_part: bytes,
+    *,
+    is_complete: bool,
+) -> None:
+    stream.send(
+        call_start=messages.CallStart(
+            attempt_id=call.attempt_id,
+            target_incarnation=call.target_incarnation,
+            service_name=call.service,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            remaining_ms=remaining_ms(
+                call.deadline_s,
+                asyncio.get_running_loop().time(),
+            ),
+            is_repeatable=call.is_repeatable,
+            caller=call.caller,
+            hop_count=call.hop_count,
+            body=first_part,
+            is_complete=is_complete,
+            request_id=call.request_id,
+        ),
+    )
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -111,6 +111,7 @@
 struct ViewRequest {
   1: required string service_name
   2: required string digest
+  3: required i64 revision
 }
 
 struct ViewReply {
@@ -118,6 +119,7 @@
   2: required bool is_unchanged
   3: required list<MemberUpdate> members
   4: required string digest
+  5: required i64 revision
 }
 
 struct ConfigObject {
