Choose the cheapest of three targets by default, and heed refusals

Cause: a refusal carried the load report of the target that left, but the caller side dropped it, so each call that chose the target again cost a token of the retry budget until the membership brought the news.

--- a/packages/core/src/cornelbeam_core/errors.py
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -3,6 +3,8 @@
 import enum
 from typing import Final, final
 
+from cornelbeam_core.targets import LoadReport
+
 
 @final
 class RunState(enum.IntEnum):
@@ -93,6 +95,8 @@
         self.detail = detail
         self.run_state = run_state
         self.retry_after_ms = retry_after_ms
+        # Load of the target that refused, when its refusal told it.
+        self.load: LoadReport | None = None
         super().__init__(self._describe())
 
     @property
--- a/packages/daemon/src/cornelbeam_daemon/admin.py
+++ b/packages/daemon/src/cornelbeam_daemon/admin.py
@@ -58,7 +58,7 @@
         'domain': daemon.own.domain,
         'address': daemon.own.address,
         'incarnation': daemon.own.incarnation,
-        'is_leaving': load.is_leaving,
+        'is_leaving': daemon.backend_side.is_leaving,
         'is_domain_in_service': daemon.table.is_own_domain_in_service,
         'is_relay': daemon.fleet.is_relay(),
         'revision': daemon.config.state.revision,
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -80,7 +80,10 @@
     @property
     def load(self) -> LoadReport:
         """Load report that goes with answers and refusals."""
-        return self._admission.report(is_leaving=self.is_leaving)
+        # A target whose failure domain is out of service is to be avoided
+        # like one that leaves.
+        is_leaving = self.is_leaving or not self._in_service()
+        return self._admission.report(is_leaving=is_leaving)
 
     def has_room(self) -> bool:
         """Tell whether a call would run at once."""
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -267,7 +267,7 @@
             self._chooser.note_error(state, error)
             raise
         except BaseException:
-            self._chooser.note_cancelled(state)
+            self._chooser.note_cancelled(state, self._loop.time() - started_s)
             raise
         latency_s = self._loop.time() - started_s
         self._chooser.note_answer(state, answer, latency_s)
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -56,7 +56,9 @@
         elif frame.refusal is not None:
             if frame.refusal.load is not None:
                 self.load = load_from_wire(frame.refusal.load)
-            self.fail(refusal_from_wire(frame.refusal))
+            error = refusal_from_wire(frame.refusal)
+            error.load = self.load
+            self.fail(error)
         elif frame.outcome_reply is not None and not self.reply.done():
             self.reply.set_result(frame.outcome_reply)
 
--- a/packages/daemon/src/cornelbeam_daemon/target_choice.py
+++ b/packages/daemon/src/cornelbeam_daemon/target_choice.py
@@ -111,18 +111,18 @@
         The latency of a server error says nothing: a backend server that
         fails fast would look like the fastest one.
         """
-        now_s = self._loop.time()
+        if answer.load is not None:
+            state.note_report(answer.load, self._loop.time())
         if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            state.note_end(now_s, None)
-            self._ejector.note_result(state, CallOutcome.FAILED, now_s)
+            self._note_end(state, CallOutcome.FAILED, None)
         else:
-            state.note_end(now_s, latency_s)
-            self._ejector.note_result(state, CallOutcome.ANSWERED, now_s)
-        if answer.load is not None:
-            state.note_report(answer.load, now_s)
+            self._note_end(state, CallOutcome.ANSWERED, latency_s)
 
     def note_error(self, state: TargetState, error: CornelbeamError) -> None:
         """Count an attempt that brought no answer."""
+        if error.load is not None:
+            # The refusal of a target that leaves keeps others from trying it.
+            state.note_report(error.load, self._loop.time())
         is_refusal = error.code in _REFUSALS
         outcome = CallOutcome.SHED if is_refusal else CallOutcome.FAILED
         self._note_end(state, outcome, None)
@@ -131,9 +131,11 @@
         """Count an attempt whose deadline passed."""
         self._note_end(state, CallOutcome.TIMED_OUT, latency_s)
 
-    def note_cancelled(self, state: TargetState) -> None:
+    def note_cancelled(self, state: TargetState, elapsed_s: float) -> None:
         """Count an attempt that nobody waits for any more."""
-        self._note_end(state, CallOutcome.CANCELLED, None)
+        now_s = self._loop.time()
+        state.note_abandoned(now_s, elapsed_s)
+        self._ejector.note_result(state, CallOutcome.CANCELLED, now_s)
 
     def _note_end(
         self,
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -291,13 +291,13 @@
     selection: Annotated[
         Literal[
             'power_of_two',
+            'power_of_three',
             'least_outstanding',
             'weighted_reports',
             'subset',
-            'power_of_three',
         ],
         text('How a target is chosen among the eligible ones.'),
-    ] = 'power_of_two'
+    ] = 'power_of_three'
 
 
 class LogSettings(Section, frozen=True):
