--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
-from cornelbeam_core.targets import Target
+from cornelbeam_core.targets import LoadReport, Target
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import BodyBuffer
 from cornelbeam_daemon.caller_side import CallerSide
@@ -34,6 +34,23 @@
         return self.asked, None
 
 
+class Leaving:
+    """Refuses with the news that it leaves for one target, else answers."""
+
+    def __init__(self):
+        self.calls = Counter()
+
+    async def call(self, target, call):
+        self.calls[target.name] += 1
+        if target.name == 'bookings-2':
+            body = BodyBuffer()
+            body.finish()
+            return Answer(200, [], body, None, bool)
+        error = CornelbeamError(ErrorCode.TARGET_LEAVING, 'admission')
+        error.load = LoadReport(1, 2, 0, 0, is_leaving=True)
+        raise error
+
+
 class FailingFast:
     """Answers 503 at once for one target and 200, slower, for the other."""
 
@@ -169,3 +186,15 @@
         answers = send(b'POST', client, 200)
         assert sum(client.calls.values()) == len(answers)
         assert client.calls['bookings-1'] < 30
+
+
+class TestLeaving:
+    """Guards against a budget spent on a target that has said it leaves."""
+
+    @pytest.mark.parametrize('method', [b'GET', b'POST'])
+    def test_one_refusal_is_enough(self, method):
+        client = Leaving()
+        answers = send(method, client, 100)
+        assert {status for status, _ in answers} == {200}
+        # A refusal is heeded for 2 s, which a busy machine may exceed.
+        assert client.calls['bookings-1'] < 10
