Read the introducers only when the configuration has changed

Cause: the list of introducers was gathered from all configuration objects at each tick, ten times a second; with the thousands of objects of a large fleet that alone would take more than the processor time allowed for control. Ruled out: a longer tick, which failure detection needs. Change: introduction.py holds the introducers, read again when the digest of the configuration differs. It also takes the relay choice out of fleet_part.py. The settings no longer promise a look-up of services that are not listed: it was never built, and such requests get unknown_service.

--- a/packages/daemon/src/cornelbeam_daemon/admin.py
+++ b/packages/daemon/src/cornelbeam_daemon/admin.py
@@ -60,7 +60,7 @@
         'incarnation': daemon.own.incarnation,
         'is_leaving': daemon.backend_side.is_leaving,
         'is_domain_in_service': daemon.table.is_own_domain_in_service,
-        'is_relay': daemon.fleet.is_relay(),
+        'is_relay': daemon.fleet.introducers.is_relay(),
         'revision': daemon.config.state.revision,
         'members': dict(daemon.fleet.member_counts()),
         'limit': load.limit,
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -36,8 +36,9 @@
 from cornelbeam_daemon.caller_side import CallerSide
 from cornelbeam_daemon.config_part import ConfigPart
 from cornelbeam_daemon.exchange import Messenger
-from cornelbeam_daemon.fleet_part import INTRODUCERS_KIND, FleetPart
+from cornelbeam_daemon.fleet_part import FleetPart
 from cornelbeam_daemon.http_server import HttpServerConnection
+from cornelbeam_daemon.introduction import INTRODUCERS_KIND, IntroducerPart
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_client import PeerClient
@@ -146,6 +147,11 @@
             self.table.mark_synced,
             self._rng,
         )
+        self._introducers = IntroducerPart(
+            own,
+            self.config.state,
+            settings.fleet.introducers,
+        )
         self.fleet = FleetPart(
             _membership(settings, own),
             ServiceDirectory(
@@ -154,7 +160,7 @@
             ),
             self.config.state,
             self._messenger,
-            settings.fleet.introducers,
+            self._introducers,
             settings.fleet.view_period_ms,
             self._rng,
         )
@@ -342,7 +348,7 @@
             with anyio.move_on_after(self._rng.uniform(0, START_SPREAD_S)):
                 await self.config.synced.wait()
         while True:
-            is_relay = self.fleet.is_relay()
+            is_relay = self._introducers.is_relay()
             if is_relay and scope is None:
                 scope = anyio.CancelScope()
                 group.start_soon(self._relay, client, scope)
@@ -362,8 +368,8 @@
     async def _write_introducers(self, client: ObjectApiClient) -> None:
         while True:
             await anyio.sleep(RELAY_CHECK_PERIOD_S)
-            while self.fleet.wanted_writes:
-                await _write(client, self.fleet.wanted_writes.pop())
+            while self._introducers.wanted_writes:
+                await _write(client, self._introducers.wanted_writes.pop())
 
 
 async def _write(client: ObjectApiClient, action: WriteIntroducers) -> None:
--- a/packages/daemon/src/cornelbeam_daemon/fleet_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -7,7 +7,6 @@
 from typing import Final, final
 
 import anyio
-import msgspec
 from cornelbeam_core.configuration import ConfigurationState
 from cornelbeam_core.directory import (
     ContactTable,
@@ -19,11 +18,6 @@
     choose_contacts,
 )
 from cornelbeam_core.errors import CornelbeamError
-from cornelbeam_core.introducers import (
-    CheckIntroducer,
-    IntroducerKeeper,
-    WriteIntroducers,
-)
 from cornelbeam_core.members import MemberState, MemberUpdate
 from cornelbeam_core.membership import Membership
 from cornelbeam_core.membership_actions import (
@@ -33,7 +27,6 @@
     SendIndirectPing,
     SendPing,
 )
-from cornelbeam_core.relays import choose_relays
 from cornelbeam_core.targets import Target
 from cornelbeam_wire import Stream
 from cornelbeam_wire.gen import messages
@@ -45,6 +38,7 @@
     view_to_wire,
 )
 from cornelbeam_daemon.exchange import Messenger
+from cornelbeam_daemon.introduction import IntroducerPart
 from cornelbeam_daemon.logs import get_log
 
 _log = get_log('member')
@@ -54,7 +48,6 @@
 CONTACT_KEEP_S: Final = 35.0
 # Share of the refreshes of the own service that ask a contact.
 CONTACT_SHARE: Final = 0.25
-INTRODUCERS_KIND: Final = 'introducers'
 
 
 @final
@@ -63,23 +56,21 @@
 
     __slots__ = (
         '_config',
-        '_keeper',
         '_loop',
         '_messenger',
         '_next_contact_s',
         '_next_own_view_s',
         '_rng',
-        '_seeds',
         '_tasks',
         '_view_period_s',
         'contacts',
         'directory',
+        'introducers',
         'is_changed',
         'membership',
         'on_revision',
         'replaced_by',
         'revisions',
-        'wanted_writes',
     )
 
     def __init__(
@@ -88,24 +79,21 @@
         directory: ServiceDirectory,
         config: ConfigurationState,
         messenger: Messenger,
-        seeds: Iterable[str],
+        introducers: IntroducerPart,
         view_period_ms: int,
         rng: random.Random,
     ) -> None:
-        """Start alone; ``seeds`` are introducers from the settings."""
-        own = membership.own.target
+        """Start alone; others come by way of the introducers."""
         self.membership = membership
         self.directory = directory
         self.contacts = ContactTable(CONTACT_KEEP_S)
         self.is_changed = asyncio.Event()
         self.replaced_by = 0
         self.revisions: dict[str, int] = {}
-        self.wanted_writes: list[WriteIntroducers] = []
+        self.introducers = introducers
         self.on_revision = _ignore_revision
         self._config = config
-        self._keeper = IntroducerKeeper(own.domain, own.address)
         self._messenger = messenger
-        self._seeds = tuple(seeds)
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -148,35 +136,10 @@
             known.update(
                 held.target.address for held in self.directory.members(service)
             )
-        known.update(self.introducers())
+        known.update(self.introducers.known())
         known.discard(self.own.address)
         return sorted(known)
 
-    def introducers(self) -> list[str]:
-        """Give all known introducers, own failure domain first."""
-        own_first, _ = self._own_introducers()
-        known = list(own_first)
-        known.extend(
-            address
-            for held in self._config.objects(INTRODUCERS_KIND)
-            for address in _addresses(held.spec)
-        )
-        known.extend(self._seeds)
-        return [
-            address
-            for address in dict.fromkeys(known)
-            if address != self.own.address
-        ]
-
-    def is_relay(self) -> bool:
-        """Tell whether this daemon watches the store for its domain."""
-        addresses, _ = self._own_introducers()
-        live = self._keeper.live(addresses)
-        if not live:
-            # Nobody is named yet: whoever starts first has to look.
-            return True
-        return self.own.address in choose_relays(live, self.own.domain)
-
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
@@ -261,7 +224,7 @@
 
     def _tick(self, now_s: float) -> None:
         self._take(self.membership.tick(now_s, self._rng))
-        introducers = self.introducers()
+        introducers = self.introducers.known()
         for request in self.directory.tick(introducers, now_s, self._rng):
             self.start(self._refresh_view(request))
         if now_s >= self._next_own_view_s:
@@ -272,23 +235,8 @@
             self.contacts.expire(now_s)
             for address in choose_contacts(self.own.service, introducers):
                 self.start(self._announce_to(address))
-        addresses, version = self._own_introducers()
-        for action in self._keeper.tick(
-            addresses,
-            version,
-            now_s,
-            self._rng,
-        ):
-            if isinstance(action, CheckIntroducer):
-                self.start(self._check_introducer(action.address))
-            else:
-                self.wanted_writes.append(action)
-
-    def _own_introducers(self) -> tuple[list[str], int]:
-        held = self._config.find(INTRODUCERS_KIND, self.own.domain)
-        if held is None:
-            return [], 0
-        return _addresses(held.spec), held.version
+        for address in self.introducers.tick(now_s, self._rng):
+            self.start(self._check_introducer(address))
 
     def _draw(self, period_s: float) -> float:
         return period_s * self._rng.uniform(0.75, 1.25)
@@ -400,7 +348,7 @@
             is_reachable = False
         else:
             self._take_ack(frame, address)
-        self._keeper.note_check(
+        self.introducers.note_check(
             address,
             self._loop.time(),
             is_reachable=is_reachable,
@@ -485,12 +433,5 @@
         return view_from_wire(frame.view_reply)
 
 
-def _addresses(spec: bytes) -> list[str]:
-    try:
-        return list(msgspec.json.decode(spec)['addresses'])
-    except (msgspec.MsgspecError, KeyError, TypeError):
-        return []
-
-
 def _ignore_revision(address: str, revision: int) -> None:
     """Stand in until the configuration part is connected."""
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -156,7 +156,7 @@
         list[str],
         service_list(
             'Services called through this daemon; it keeps a view of their'
-            ' targets. Others are looked up at the first call.',
+            ' targets. Requests for others are refused as unknown_service.',
         ),
     ] = msgspec.field(default_factory=list)
     ping_period_ms: Annotated[
