--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -21,7 +21,7 @@
 from cornelbeam_daemon.backend_side import BackendSide
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.hedging import Attempt, Hedger
-from cornelbeam_daemon.http_server import (
+from cornelbeam_daemon.http_message import (
     BODILESS,
     HttpRequest,
     Responder,
--- a/packages/daemon/src/cornelbeam_daemon/pending.py
+++ b/packages/daemon/src/cornelbeam_daemon/pending.py
@@ -12,7 +12,7 @@
 
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
-from cornelbeam_daemon.http_server import HttpRequest
+from cornelbeam_daemon.http_message import HttpRequest
 from cornelbeam_daemon.routing_table import RoutingTable
 
 _MS_PER_S: Final = 1000
--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -11,7 +11,7 @@
 from cornelbeam_daemon.bodies import BodyBuffer
 from cornelbeam_daemon.caller_side import CallerSide
 from cornelbeam_daemon.calls import Answer
-from cornelbeam_daemon.http_server import HttpRequest
+from cornelbeam_daemon.http_message import HttpRequest
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.routing_table import RoutingTable
 from cornelbeam_settings import LimitsSettings
