Set no timer for a connection that is already open

Cause: the limit on the time to connect cost a timer for each call, also when an idle connection was there.

--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -351,28 +351,20 @@
         self._idle: list[BackendConnection] = []
         self._in_use: set[BackendConnection] = set()
 
-    async def acquire(
-        self,
-        *,
-        is_fresh: bool = False,
-        is_new: bool = False,
-    ) -> BackendConnection:
-        """Give an idle connection or open one.
+    def take_idle(self, *, is_fresh: bool) -> BackendConnection | None:
+        """Give an idle connection, None when one must be opened.
 
         ``is_fresh`` passes over connections that were idle for long or that
-        the server has closed since; ``is_new`` opens one in any case.
-
-        Raises ``backend_unreachable``: nothing was sent, so the request was
-        not run.
+        the server has closed since.
         """
         now_s = asyncio.get_running_loop().time()
-        while self._idle and not is_new:
+        while self._idle:
             connection = self._idle.pop()
             if is_fresh and now_s - connection.idle_since_s > FRESH_S:
                 # The others are older: connections are reused last in, first
                 # out.
                 self._idle.append(connection)
-                break
+                return None
             if connection.is_closed:
                 continue
             if is_fresh and connection.has_input():
@@ -381,6 +373,18 @@
                 connection.is_reused = True
                 self._in_use.add(connection)
                 return connection
+        return None
+
+    async def acquire(self, *, is_fresh: bool = False) -> BackendConnection:
+        """Give an idle connection or open one; see ``open`` for errors."""
+        return self.take_idle(is_fresh=is_fresh) or await self.open()
+
+    async def open(self) -> BackendConnection:
+        """Open a connection.
+
+        Raises ``backend_unreachable``: nothing was sent, so the request was
+        not run.
+        """
         if len(self._in_use) >= self._limit:
             raise _unreachable(f'all {self._limit} connections are in use')
         try:
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -230,8 +230,11 @@
         try:
             # It may have waited in the queue until now.
             check_deadline(call.deadline_s, self._loop.time(), 'admission')
+            idle = self._client.take_idle(is_fresh=is_recorded(call))
+            if idle is not None:
+                return idle
             async with asyncio.timeout_at(call.deadline_s):
-                return await self._client.acquire(is_fresh=is_recorded(call))
+                return await self._client.open()
         except TimeoutError as error:
             self._note_run_state(call, RunState.NOT_RUN)
             self._finish(0, CallOutcome.FAILED)
@@ -260,7 +263,7 @@
 
     async def _connect_again(self) -> BackendConnection:
         try:
-            return await self._client.acquire(is_new=True)
+            return await self._client.open()
         except CornelbeamError as error:
             # The first connection took the request.
             error.run_state = RunState.UNKNOWN
