--- a/packages/wire/src/cornelbeam_wire/codec.py
+++ b/packages/wire/src/cornelbeam_wire/codec.py
@@ -1,6 +1,7 @@
 """Frames: a 4-byte big-endian length and one thrift ``Frame`` struct."""
 
 from collections.abc import Iterator
+from operator import attrgetter
 from typing import Any, Final, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
@@ -25,6 +26,7 @@
     for message in Frame.thrift_spec
     if message and message[1] == TType.STRUCT
 }
+_messages_of: Final = attrgetter(*_NESTED)
 
 
 def encode_frame(frame: Frame) -> bytes:
@@ -67,8 +69,7 @@
 def _validate(frame: Frame) -> None:
     """Check required fields; the generated code checks one level only."""
     frame.validate()
-    for field, names in _NESTED.items():
-        message = getattr(frame, field)
+    for message, names in zip(_messages_of(frame), _NESTED.values()):
         if message is None:
             continue
         message.validate()
