Close the stream of an answered silence ping

The watch for silent connections opened a stream for its ping and never closed it. The stream counted as a waiting call, so a connection that had once been pinged was pinged again whenever it was quiet, with one more stream left open each time, until it closed.

--- a/packages/daemon/src/cornelbeam_daemon/silence.py
+++ b/packages/daemon/src/cornelbeam_daemon/silence.py
@@ -6,7 +6,7 @@
 import anyio
 from cornelbeam_core.configuration import ConfigurationState
 from cornelbeam_core.errors import CornelbeamError
-from cornelbeam_wire import PeerConnection, PeerPool
+from cornelbeam_wire import PeerConnection, PeerPool, Stream
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_daemon.exchange import Exchange
@@ -41,7 +41,7 @@
         self._period_s = silence_ms / 1000
         self._config = config
         self._service = service
-        self._pinged: dict[PeerConnection, Exchange] = {}
+        self._pinged: dict[PeerConnection, tuple[Stream, Exchange]] = {}
 
     async def run(self) -> None:
         """Check until cancelled."""
@@ -59,9 +59,12 @@
         """Judge each connection once."""
         for connection in self._pool.connections():
             self._check_one(connection, now_s)
-        for connection in tuple(self._pinged):
-            if connection.is_closed or self._pinged[connection].reply.done():
+        for connection, (stream, exchange) in tuple(self._pinged.items()):
+            if connection.is_closed or exchange.reply.done():
                 self._pinged.pop(connection)
+                # An open stream would count as a waiting call, and the
+                # connection would be pinged for ever.
+                stream.close()
 
     def _check_one(self, connection: PeerConnection, now_s: float) -> None:
         quiet_s = now_s - connection.last_received_s
@@ -79,7 +82,7 @@
             stream = connection.open_stream(exchange)
         except CornelbeamError:
             return
-        self._pinged[connection] = exchange
+        self._pinged[connection] = (stream, exchange)
         stream.send(
             ping=messages.Ping(
                 updates=[],
--- /dev/null
+++ b/packages/daemon/tests/test_silence.py
@@ -0,0 +1,68 @@
+"""Tests of the watch for silent connections."""
+
+import asyncio
+
+from cornelbeam_core.configuration import ConfigurationState
+from cornelbeam_daemon.silence import SilenceWatch
+from cornelbeam_wire.gen import messages
+
+
+class FakeStream:
+    def __init__(self, connection, receiver):
+        self._connection = connection
+        self.receiver = receiver
+
+    def send(self, **message):
+        self._connection.pings.append(self)
+
+    def close(self):
+        self._connection.streams.discard(self)
+
+
+class FakeConnection:
+    is_closed = False
+    peer_name = 'far'
+
+    def __init__(self):
+        self.last_received_s = 0
+        self.pings = []
+        self.streams = set()
+
+    @property
+    def open_count(self):
+        return len(self.streams)
+
+    def open_stream(self, receiver):
+        stream = FakeStream(self, receiver)
+        self.streams.add(stream)
+        return stream
+
+
+class FakePool:
+    def __init__(self, connection):
+        self._connection = connection
+
+    def connections(self):
+        return [self._connection]
+
+
+class TestAnsweredPing:
+    """Guards against pings that go on after the last call has ended."""
+
+    def test_ends_with_the_call(self):
+        asyncio.run(self._check())
+
+    async def _check(self):
+        connection = FakeConnection()
+        watch = SilenceWatch(
+            FakePool(connection), 2000, ConfigurationState(), 'near'
+        )
+        call = connection.open_stream(None)
+        watch.check(1.5)
+        connection.pings[0].receiver.on_frame(messages.Frame(stream_id=1))
+        connection.last_received_s = 1.6
+        call.close()
+        watch.check(1.7)
+        assert not connection.streams
+        watch.check(10)
+        assert len(connection.pings) == 1
