Call other daemons' services when a failure domain is out

The calls went to the callers' own services, which a daemon serves itself, so none would have come to the failure domain in any case.

--- a/packages/standins/src/cornelbeam_standins/fleet_events.py
+++ b/packages/standins/src/cornelbeam_standins/fleet_events.py
@@ -18,6 +18,7 @@
 from cornelbeam_standins.processes import spawn_standin
 
 _CALL_COUNT: Final = 500
+_CALLER_COUNT: Final = 3
 
 
 @final
@@ -83,6 +84,9 @@
         )
         inside = [node for node in self._fleet.nodes if node.domain == domain]
         outside = [node for node in self._fleet.nodes if node.domain != domain]
+        write_line(
+            f'new work in {domain} before: {self._call(inside, outside)}'
+        )
         change = self._writer.switch_domain(domain, is_in_service=False)
         missing = wait_in_force(self._fleet.nodes, change.revision)
         _show_spread(
@@ -93,15 +97,26 @@
             f'{domain} out, the other daemons',
             measure_spread(outside, [change]),
         )
-        before = _count_work(inside)
-        for node in outside[: self._rng.randint(2, 3)]:
-            _call(node)
-        write_line(
-            f'new work in {domain} afterwards: {_count_work(inside) - before}'
-            f' calls; elsewhere {_count_work(outside)}',
-        )
+        write_line(f'new work in {domain} after: {self._call(inside, outside)}')
         self._writer.switch_domain(domain, is_in_service=True)
 
+    def _call(
+        self,
+        inside: Sequence[BenchNode],
+        outside: Sequence[BenchNode],
+    ) -> str:
+        """Call services of other daemons; tell how many calls came inside."""
+        before, before_all = _count_work(inside), _count_work(outside)
+        for node in outside[:_CALLER_COUNT]:
+            # A daemon would serve calls to its own service itself.
+            others = {
+                each.service for each in inside if each.service != node.service
+            }
+            _call(node, self._rng.choice(sorted(others)))
+        came = _count_work(inside) - before
+        total = came + _count_work(outside) - before_all
+        return f'{came:.0f} of {total:.0f} calls'
+
 
 def _show_spread(label: str, spread: Spread) -> None:
     write_line(
@@ -120,13 +135,13 @@
     return sum(sum(node.read_counters(name).values()) for node in nodes)
 
 
-def _call(node: BenchNode) -> None:
+def _call(node: BenchNode, service: str) -> None:
     with spawn_standin(
         'load',
         '--port',
         str(node.caller_port),
         '--service',
-        node.service,
+        service,
         '--concurrency',
         '4',
         '--calls',
