Let eight members of a service announce themselves, every 30 s

Cause: docs/CAPACITY.md works out 29 KB/s for an introducer at the design size where 5 KB/s are allowed. Each of 15,000 members announced itself to three of 57 introducers every 10 s, though an introducer keeps eight contacts of a service, and one refresh in four asked a contact for a view it answers in full. Ruled out: more introducers per failure domain, which costs store writes. Change: after its first announcement a member goes on only if it is among the eight that rank first for its service; the period is 30 s; one refresh in twenty asks a contact. After, by the same formulas: 8.4 KB/s.

--- a/packages/core/src/cornelbeam_core/directory.py
+++ b/packages/core/src/cornelbeam_core/directory.py
@@ -268,6 +268,16 @@
     return rank_rendezvous(service, introducers)[:count]
 
 
+def is_contact(service: str, name: str, members: Iterable[str]) -> bool:
+    """Tell whether a member is one of those that introducers need to know.
+
+    An introducer keeps a few contacts per service, so the other members need
+    not announce themselves again and again.
+    """
+    names = {name, *members}
+    return name in rank_rendezvous(service, names)[:CONTACTS_PER_SERVICE]
+
+
 def answer_view(
     service: str,
     digest: str,
--- a/packages/core/tests/test_directory.py
+++ b/packages/core/tests/test_directory.py
@@ -10,6 +10,7 @@
     answer_member,
     answer_view,
     choose_contacts,
+    is_contact,
 )
 from cornelbeam_core.introducers import (
     FLOOR_COUNT,
@@ -145,3 +146,16 @@
                     writes.append(action)
         wanted = (*ADDRESSES[: FLOOR_COUNT - 1], '10.1.0.1:7000')
         assert writes[0] == WriteIntroducers('Langley', wanted, 8)
+
+
+class TestContacts:
+    """Guards against announcements that grow with the size of a service."""
+
+    def test_few_members_of_a_large_service_are_contacts(self):
+        names = [f'photos-{number}' for number in range(100)]
+        contacts = [name for name in names if is_contact('photos', name, names)]
+        assert len(contacts) == CONTACTS_PER_SERVICE
+
+    def test_all_members_of_a_small_service_are_contacts(self):
+        names = ['photos-1', 'photos-2']
+        assert all(is_contact('photos', name, names) for name in names)
--- a/packages/daemon/src/cornelbeam_daemon/fleet_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -16,6 +16,7 @@
     answer_member,
     answer_view,
     choose_contacts,
+    is_contact,
 )
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.members import MemberState, MemberUpdate
@@ -43,11 +44,17 @@
 
 _log = get_log('member')
 TICK_S: Final = 0.1
-CONTACT_PERIOD_S: Final = 10.0
+# With 15,000 daemons and 57 introducers, each period of 10 s and each member
+# announcing itself cost an introducer 27 KB/s where 5 KB/s are allowed.
+CONTACT_PERIOD_S: Final = 30.0
+# An introducer that did not answer may just be starting.
+CONTACT_RETRY_S: Final = 2.0
 # A contact is dropped after three announcements in a row are missing.
-CONTACT_KEEP_S: Final = 35.0
-# Share of the refreshes of the own service that ask a contact.
-CONTACT_SHARE: Final = 0.25
+CONTACT_KEEP_S: Final = 120.0
+# Share of the refreshes of the own service that ask a contact. Only two
+# halves of a service that lost each other need it, and pings of dead members
+# find those as well; 0.25 cost an introducer 10 KB/s at the design size.
+CONTACT_SHARE: Final = 0.05
 
 
 @final
@@ -56,6 +63,7 @@
 
     __slots__ = (
         '_config',
+        '_is_announced',
         '_loop',
         '_messenger',
         '_next_contact_s',
@@ -97,6 +105,7 @@
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_announced = False
         self._next_contact_s: float = 0
         self._next_own_view_s: float = 0
         self._view_period_s = view_period_ms / 1000
@@ -233,11 +242,22 @@
         if now_s >= self._next_contact_s:
             self._next_contact_s = now_s + self._draw(CONTACT_PERIOD_S)
             self.contacts.expire(now_s)
-            for address in choose_contacts(self.own.service, introducers):
-                self.start(self._announce_to(address))
+            self._announce_to_contacts(introducers)
         for address in self.introducers.tick(now_s, self._rng):
             self.start(self._check_introducer(address))
 
+    def _announce_to_contacts(self, introducers: list[str]) -> None:
+        # The first announcement is made by every member, so that callers
+        # find a service that has just started.
+        names = (held.target.name for held in self.membership.members())
+        own = self.own
+        if self._is_announced and not is_contact(own.service, own.name, names):
+            return
+        if not introducers:
+            self._next_contact_s = self._loop.time() + CONTACT_RETRY_S
+        for address in choose_contacts(own.service, introducers):
+            self.start(self._announce_to(address))
+
     def _draw(self, period_s: float) -> float:
         return period_s * self._rng.uniform(0.75, 1.25)
 
@@ -334,7 +354,10 @@
                 ping=self._ping_message((self.membership.own,)),
             )
         except CornelbeamError:
+            if not self._is_announced:
+                self._next_contact_s = self._loop.time() + CONTACT_RETRY_S
             return
+        self._is_announced = True
         self._take_ack(frame, address)
 
     async def _check_introducer(self, address: str) -> None:
