--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -292,6 +292,7 @@
     def _accept_control(self, stream: Stream, frame: messages.Frame) -> None:
         peer = stream.connection.peer
         assert peer is not None  # noqa: S101
+        self._messenger.count_received(frame)
         if frame.ping is not None:
             self.fleet.answer_ping(stream, frame.ping)
         elif frame.indirect_ping is not None:
--- a/packages/daemon/src/cornelbeam_daemon/exchange.py
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -4,21 +4,12 @@
 from typing import Any, Final, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
-from cornelbeam_wire import PeerConnection, PeerPool, Stream
+from cornelbeam_wire import PeerConnection, PeerPool, Stream, encode_frame
 from cornelbeam_wire.gen.messages import Frame
 
 from cornelbeam_daemon.metrics import Metrics
 
 REPLY_TIMEOUT_S: Final = 0.9
-# Approximate size of a frame around its message.
-_FRAME_BYTES: Final = 12
-_REPLY_NAMES: Final = {
-    'ping': 'ack',
-    'indirect_ping': 'ack',
-    'view_request': 'view_reply',
-    'config_pull': 'config_push',
-    'probe_request': 'probe_reply',
-}
 
 
 @final
@@ -67,7 +58,6 @@
         exchange = Exchange()
         stream = connection.open_stream(exchange)
         sent_bytes = connection.sent_bytes
-        received_bytes = connection.received_bytes
         name = _name_of(message)
         try:
             stream.send(**message)
@@ -79,10 +69,7 @@
             raise _unreachable(address, 'no reply') from error
         finally:
             stream.close()
-        self._metrics.count_received(
-            _REPLY_NAMES.get(name, name),
-            max(_FRAME_BYTES, connection.received_bytes - received_bytes),
-        )
+        self.count_received(frame)
         return frame
 
     async def tell(self, address: str, **message: Any) -> None:
@@ -112,6 +99,19 @@
         self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
         stream.close()
 
+    def count_received(self, frame: Frame) -> None:
+        """Count a control message that arrived."""
+        named = (
+            slot
+            for slot in Frame.__slots__
+            if slot != 'stream_id' and getattr(frame, slot) is not None
+        )
+        # A newer peer may send messages that this daemon does not know.
+        name = next(named, 'unknown')
+        # Encoding it again costs some microseconds, and there are few such
+        # messages; the connection's own count mixes all its streams.
+        self._metrics.count_received(name, len(encode_frame(frame)))
+
     def _close_silent(self, connection: PeerConnection) -> None:
         now_s = asyncio.get_running_loop().time()
         if now_s - connection.last_received_s >= REPLY_TIMEOUT_S:
