--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import select
-from typing import Final, cast, final
+from typing import Final, final
 
 import httptools
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
@@ -78,8 +78,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        # The transports of uvloop are no subclasses of this type.
-        self._transport = cast('asyncio.Transport', transport)
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
 
     def data_received(self, received: bytes) -> None:
         """Parse a part of the answer.
--- a/packages/daemon/src/cornelbeam_daemon/cli.py
+++ b/packages/daemon/src/cornelbeam_daemon/cli.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import os
 import signal
 import sys
 
@@ -42,15 +41,7 @@
         sys.stderr.write(f'cornelbeam-daemon: {error}\n')
         return EXIT_UNUSABLE
     set_up_logs(loaded.log.level, loaded.log.is_json)
-    # The machines of the users rule io_uring out; libuv reads this variable
-    # when a loop is made.
-    os.environ['UV_USE_IO_URING'] = '0'
-    return anyio.run(
-        _serve,
-        loaded,
-        secret,
-        backend_options={'use_uvloop': True},
-    )
+    return anyio.run(_serve, loaded, secret)
 
 
 async def _serve(settings: DaemonSettings, secret: bytes) -> int:
--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Final, cast, final
+from typing import Final, final
 
 import httptools
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
@@ -86,8 +86,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        # The transports of uvloop are no subclasses of this type.
-        self._transport = cast('asyncio.Transport', transport)
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
         self._connections.add(self)
         self._set_limit(IDLE_TIMEOUT_S)
 
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Final, Protocol, cast, final
+from typing import Any, Final, Protocol, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 
@@ -184,8 +184,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the first message of the handshake."""
-        # The transports of uvloop are no subclasses of this type.
-        self._transport = cast('asyncio.Transport', transport)
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
         self.last_received_s = self._time()
         self._timer = asyncio.get_running_loop().call_later(
             HANDSHAKE_TIMEOUT_S,
