--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -0,0 +1,342 @@
+"""HTTP/1.1 client of the backend server beside the daemon."""
+
+import asyncio
+import select
+from typing import Final, final
+
+import httptools
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+
+from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.bodies import (
+    BUFFER_LIMIT_BYTES,
+    BodyBuffer,
+    BodyReader,
+)
+
+_MIN_FINAL_STATUS: Final = 200
+_CLOSED: Final = 'the backend server closed the connection'
+# The head of an answer fits into one frame between daemons beside a body part.
+HEAD_LIMIT_BYTES: Final = 65_536
+_LINE_EXTRA_BYTES: Final = 4
+
+
+@final
+class BackendAnswer:
+    """Status, header fields and streaming body of a backend server's answer."""
+
+    __slots__ = ('body', 'headers', 'status')
+
+    def __init__(self, status: int, headers: list[bytes], body: BodyBuffer):
+        """Keep the parts."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+@final
+class BackendConnection(asyncio.Protocol):
+    """One connection to the backend server; one exchange at a time."""
+
+    def __init__(self) -> None:
+        """Prepare; the event loop calls ``connection_made``."""
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[bytes] = []
+        self._head_bytes = 0
+        self._line_bytes = 0
+        self._sender: asyncio.Task[None] | None = None
+        # Nothing may arrive before a request or after its answer.
+        self._is_answered = True
+        self._is_aborted = False
+        self._body: BodyBuffer | None = None
+        self._head: asyncio.Future[BackendAnswer] | None = None
+        self._is_head_request = False
+        self._is_read_paused = False
+        self._is_write_paused = False
+        self._drain_waiter: asyncio.Future[None] | None = None
+        self.is_reusable = False
+        self.is_closed = False
+        self.is_reused = False
+        self.is_untouched = True
+        self.idle_since_s: float = 0
+
+    @property
+    def is_stale(self) -> bool:
+        """Tell whether the server had closed it before it read the request.
+
+        That is likely, not certain, when a connection that was used before
+        ends without one byte of an answer.
+        """
+        return self.is_closed and self.is_reused and self.is_untouched
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
+
+    def data_received(self, received: bytes) -> None:
+        """Parse a part of the answer.
+
+        Bytes that no request asked for would be taken for the answer to the
+        next one, so the connection closes.
+        """
+        if self._is_answered:
+            self.close()
+            return
+        self.is_untouched = False
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self._fail(ErrorCode.BACKEND_FAILED, 'it changes the protocol')
+            self.close()
+        except httptools.HttpParserError as error:
+            self._fail(_code_of(self._body), f'malformed answer: {error}')
+            self.close()
+        else:
+            self._count_unfinished(received)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange that waits for an answer."""
+        self.is_closed = True
+        self.is_reusable = False
+        self.resume_writing()
+        if self._body is None:
+            self._fail(ErrorCode.BACKEND_FAILED, _CLOSED)
+        elif exc is None and not self._is_aborted and self._ends_by_close():
+            # RFC 9112, section 6.3: without a length the body ends here.
+            self._body.finish()
+        else:
+            self._fail(ErrorCode.ANSWER_TRUNCATED, _CLOSED)
+
+    def pause_writing(self) -> None:
+        """Make ``send_body`` wait."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Let ``send_body`` go on."""
+        self._is_write_paused = False
+        waiter = self._drain_waiter
+        self._drain_waiter = None
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        if self._is_answered:
+            self.is_reusable = False
+            return
+        self._headers = []
+        self._head_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header field; trailer fields are dropped."""
+        if self._body is None:
+            self._headers += (name.lower(), value)
+            self._count_head(len(name) + len(value) + _LINE_EXTRA_BYTES)
+
+    def on_headers_complete(self) -> None:
+        """Give the head to whoever waits; informational answers are dropped."""
+        status = self._parser.get_status_code()
+        if status < _MIN_FINAL_STATUS or self._is_answered:
+            return
+        assert self._head is not None  # noqa: S101
+        self._body = BodyBuffer(self._consumed)
+        if not self._head.done():
+            self._head.set_result(
+                BackendAnswer(status, self._headers, self._body),
+            )
+        if self._is_head_request:
+            # The parser would wait for the body that the length announces,
+            # so the connection is not used again.
+            self._is_answered = True
+            self._body.finish()
+
+    def on_body(self, content: bytes) -> None:
+        """Buffer a part of the body; stop reading when there is a lot."""
+        if self._body is None or self._is_answered:
+            return
+        self._body.feed(content)
+        if self._body.size_bytes > BUFFER_LIMIT_BYTES and self._transport:
+            self._is_read_paused = True
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Mark the body as whole."""
+        if self._body is None or self._is_answered:
+            return
+        self._is_answered = True
+        self.is_reusable = self._parser.should_keep_alive()
+        self._body.finish()
+
+    async def exchange(
+        self,
+        head: bytes,
+        reader: BodyReader,
+        first_part: bytes,
+        *,
+        is_complete: bool,
+        is_chunked: bool,
+        is_head_request: bool,
+        length_bytes: int | None = None,
+    ) -> BackendAnswer:
+        """Send a request and wait for the head of the answer.
+
+        ``length_bytes`` is the announced length of the body. Raises
+        ``backend_failed`` with run state ``UNKNOWN`` when the connection
+        breaks after the first byte was sent.
+        """
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = None
+        self._head = self._loop.create_future()
+        self._is_head_request = is_head_request
+        self._is_answered = False
+        self._line_bytes = 0
+        self.is_reusable = False
+        self.is_untouched = True
+        assert self._transport is not None  # noqa: S101
+        sent_bytes = len(first_part)
+        if is_chunked and first_part:
+            first_part = _chunk(first_part)
+        self._transport.write(head + first_part)
+        if is_complete and is_chunked:
+            self._transport.write(b'0\r\n\r\n')
+        elif not is_complete:
+            left_bytes = None
+            if length_bytes is not None:
+                left_bytes = length_bytes - sent_bytes
+            self._sender = self._loop.create_task(
+                self._send_body(reader, is_chunked, left_bytes),
+            )
+        elif length_bytes not in {None, sent_bytes}:
+            self._break_body('its length is not the announced one')
+        return await self._head
+
+    def close(self) -> None:
+        """Close at once, which also cancels the request."""
+        self.is_reusable = False
+        self._is_aborted = True
+        if self._sender is not None:
+            self._sender.cancel()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def may_be_kept(self) -> bool:
+        """Tell whether another request may follow.
+
+        A request body that is not sent to its end would be continued in front
+        of the next request, and a paused connection may hold unread bytes.
+        """
+        is_sent = self._sender is None or self._sender.done()
+        return (
+            self.is_reusable
+            and is_sent
+            and not self.is_closed
+            and not self._is_read_paused
+        )
+
+    def has_input(self) -> bool:
+        """Tell whether bytes or the end of the connection wait to be read."""
+        if self._transport is None:
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info('socket'), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def _send_body(
+        self,
+        reader: BodyReader,
+        is_chunked: bool,
+        left_bytes: int | None,
+    ) -> None:
+        try:
+            part = await reader.read()
+            while part and not self.is_closed:
+                if left_bytes is not None:
+                    left_bytes -= len(part)
+                self._write(_chunk(part) if is_chunked else part)
+                await self._drain()
+                part = await reader.read()
+        except CornelbeamError as error:
+            # The backend server must not take the partial body for a whole
+            # one, and may have acted on the part.
+            self._break_body(error.detail, error.code)
+            return
+        if left_bytes:
+            self._break_body('its length is not the announced one')
+        elif is_chunked:
+            self._write(b'0\r\n\r\n')
+
+    def _break_body(
+        self,
+        detail: str,
+        code: ErrorCode = ErrorCode.PROTOCOL_VIOLATION,
+    ) -> None:
+        self._fail(code, detail, 'request body')
+        self.close()
+
+    def _write(self, content: bytes) -> None:
+        if self._transport is not None and not self.is_closed:
+            self._transport.write(content)
+
+    async def _drain(self) -> None:
+        if self._is_write_paused and not self.is_closed:
+            self._drain_waiter = self._loop.create_future()
+            await self._drain_waiter
+
+    def _consumed(self, size_bytes: int) -> None:
+        if self._is_read_paused and not self.is_closed and self._transport:
+            self._is_read_paused = False
+            self._transport.resume_reading()
+
+    def _count_head(self, size_bytes: int) -> None:
+        self._head_bytes += size_bytes
+        if self._head_bytes > HEAD_LIMIT_BYTES:
+            self._fail(_code_of(self._body), 'the head is too large')
+            self.close()
+
+    def _count_unfinished(self, received: bytes) -> None:
+        """Count what the parser holds back until its line is complete."""
+        if self._body is not None:
+            return
+        rest_bytes = len(received) - received.rfind(b'\n') - 1
+        if rest_bytes == len(received):
+            rest_bytes += self._line_bytes
+        self._line_bytes = rest_bytes
+        if self._head_bytes + rest_bytes > HEAD_LIMIT_BYTES:
+            self._fail(ErrorCode.BACKEND_FAILED, 'the head is too large')
+            self.close()
+
+    def _ends_by_close(self) -> bool:
+        return (
+            fields.find(self._headers, b'content-length') is None
+            and fields.find(self._headers, b'transfer-encoding') is None
+        )
+
+    def _fail(
+        self,
+        code: ErrorCode,
+        detail: str,
+        step: str = 'backend answer',
+    ) -> None:
+        error = CornelbeamError(
+            code,
+            step,
+            detail=detail,
+            run_state=RunState.UNKNOWN,
+        )
+        if self._body is not None:
+            self._body.fail(error)
+        elif self._head is not None and not self._head.done():
+            self._head.set_exception(error)
+
+
+def _code_of(body: BodyBuffer | None) -> ErrorCode:
+    if body is None:
+        return ErrorCode.BACKEND_FAILED
+    return ErrorCode.ANSWER_TRUNCATED
+
+
+def _chunk(part: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(part), part)
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final, final
 
-from cornelbeam_core.admission import Admission, AdmissionLimit
+from cornelbeam_core.admission import AdmissionLimit
 from cornelbeam_core.attempts import AttemptLedger, RecordResult
 from cornelbeam_core.deadlines import (
     check_deadline,
@@ -18,9 +18,10 @@
 from cornelbeam_core.targets import LoadReport
 
 from cornelbeam_daemon import headers as fields
-from cornelbeam_daemon.backend_client import (
+from cornelbeam_daemon.admission_queue import AdmissionQueue
+from cornelbeam_daemon.backend_client import BackendClient
+from cornelbeam_daemon.backend_connection import (
     BackendAnswer,
-    BackendClient,
     BackendConnection,
 )
 from cornelbeam_daemon.calls import Answer, Call
@@ -43,10 +44,10 @@
     __slots__ = (
         '_admission',
         '_client',
-        '_expiry_timer',
         '_in_service',
         '_loop',
         '_metrics',
+        '_queue',
         'idle',
         'is_leaving',
         'ledger',
@@ -71,11 +72,11 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self._admission = admission
+        self._queue = AdmissionQueue(name, admission)
         self._client = client
         self._metrics = metrics
         self._in_service = in_service
         self._loop = asyncio.get_running_loop()
-        self._expiry_timer: asyncio.TimerHandle | None = None
 
     @property
     def load(self) -> LoadReport:
@@ -133,7 +134,7 @@
         self._check(call, started_s)
         self._record(call, started_s)
         try:
-            await self._admit(call, started_s)
+            await self._queue.admit(call, started_s)
         except BaseException:
             self._note_run_state(call, RunState.NOT_RUN)
             raise
@@ -211,38 +212,6 @@
                 ),
             )
 
-    async def _admit(self, call: Call, now_s: float) -> None:
-        ticket: asyncio.Future[Admission] = self._loop.create_future()
-        admission = self._admission.try_admit(
-            call.caller,
-            now_s,
-            call.deadline_s,
-            ticket,
-        )
-        if admission is Admission.QUEUE:
-            self._set_expiry_timer()
-            admission = await self._wait_in_queue(ticket)
-        if admission is Admission.REFUSE:
-            raise CornelbeamError(
-                ErrorCode.OVERLOADED,
-                'admission',
-                self.name,
-                retry_after_ms=self._admission.retry_after_ms(),
-            )
-
-    async def _wait_in_queue(
-        self,
-        ticket: 'asyncio.Future[Admission]',
-    ) -> Admission:
-        try:
-            return await ticket
-        except asyncio.CancelledError:
-            if ticket.cancelled():
-                self._admission.remove_queued(ticket)
-            elif ticket.result() is Admission.RUN:
-                self._finish(0, CallOutcome.CANCELLED)
-            raise
-
     async def _connect(self, call: Call) -> BackendConnection:
         try:
             # It may have waited in the queue until now.
@@ -254,7 +223,7 @@
                 return await self._client.open()
         except TimeoutError as error:
             self._note_run_state(call, RunState.NOT_RUN)
-            self._finish(0, CallOutcome.FAILED)
+            self._queue.finish(0, CallOutcome.FAILED)
             raise CornelbeamError(
                 ErrorCode.DEADLINE_PASSED,
                 'backend connection',
@@ -262,7 +231,7 @@
             ) from error
         except BaseException:
             self._note_run_state(call, RunState.NOT_RUN)
-            self._finish(0, CallOutcome.FAILED)
+            self._queue.finish(0, CallOutcome.FAILED)
             raise
 
     async def _try_reused(
@@ -335,7 +304,7 @@
         connection.close()
         self._client.release(connection)
         self._note_run_state(call, RunState.UNKNOWN)
-        self._finish(0, outcome)
+        self._queue.finish(0, outcome)
 
     def _close_answer(
         self,
@@ -352,7 +321,7 @@
             call,
             RunState.RAN if is_whole else RunState.UNKNOWN,
         )
-        self._finish(service_time_s, _judge(head, is_whole))
+        self._queue.finish(service_time_s, _judge(head, is_whole))
         self._end()
 
     def _note_run_state(self, call: Call, run_state: RunState) -> None:
@@ -364,38 +333,6 @@
                 run_state,
             )
 
-    def _finish(self, service_time_s: float, outcome: CallOutcome) -> None:
-        self._admission.finish(self._loop.time(), service_time_s, outcome)
-        self._release_queued()
-
-    def _release_queued(self) -> None:
-        now_s = self._loop.time()
-        release = self._admission.next_queued(now_s)
-        while release is not None:
-            ticket = release.ticket
-            if isinstance(ticket, asyncio.Future) and not ticket.done():
-                ticket.set_result(release.admission)
-            elif release.admission is Admission.RUN:
-                self._admission.finish(now_s, 0, CallOutcome.CANCELLED)
-            release = self._admission.next_queued(now_s)
-        if self._admission.queue_length:
-            self._set_expiry_timer()
-
-    def _set_expiry_timer(self) -> None:
-        expires_at_s = self._admission.next_expiry_s()
-        if expires_at_s is None:
-            return
-        if self._expiry_timer is not None:
-            if self._expiry_timer.when() <= expires_at_s:
-                return
-            # A call with a shorter deadline joined the queue.
-            self._expiry_timer.cancel()
-        self._expiry_timer = self._loop.call_at(expires_at_s, self._expire)
-
-    def _expire(self) -> None:
-        self._expiry_timer = None
-        self._release_queued()
-
     def _begin(self) -> None:
         self.work_count += 1
         self.idle.clear()
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -3,21 +3,17 @@
 import asyncio
 import random
 import socket
-import time
 import uuid
 from pathlib import Path
 from typing import Final, final
 
 import anyio
 from anyio.abc import TaskGroup
-from cornelbeam_core.admission import AdmissionLimit, AdmissionSettings
+from cornelbeam_core.admission import AdmissionLimit
 from cornelbeam_core.attempts import AttemptLedger
 from cornelbeam_core.directory import ServiceDirectory
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.introducers import WriteIntroducers
-from cornelbeam_core.membership import Membership
-from cornelbeam_core.membership_actions import MembershipSettings
-from cornelbeam_core.targets import Target
 from cornelbeam_platform.client import ObjectApiClient
 from cornelbeam_settings import DaemonSettings, ListenerSettings
 from cornelbeam_wire import (
@@ -37,6 +33,12 @@
 from cornelbeam_daemon.config_part import ConfigPart
 from cornelbeam_daemon.exchange import Messenger
 from cornelbeam_daemon.fleet_part import FleetPart
+from cornelbeam_daemon.from_settings import (
+    find_called_services,
+    make_admission_settings,
+    make_membership,
+    make_own_target,
+)
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.introduction import INTRODUCERS_KIND, IntroducerPart
 from cornelbeam_daemon.logs import get_log
@@ -104,7 +106,7 @@
         )
         self._pool = PeerPool(self._identity, _refuse_streams)
         self._messenger = Messenger(self._pool, self.metrics)
-        self.admission = AdmissionLimit(_admission_settings(settings))
+        self.admission = AdmissionLimit(make_admission_settings(settings))
         client = BackendClient(
             settings.backend_server.host,
             settings.backend_server.port,
@@ -153,9 +155,9 @@
             settings.fleet.introducers,
         )
         self.fleet = FleetPart(
-            _membership(settings, own),
+            make_membership(settings, own),
             ServiceDirectory(
-                _called_services(settings),
+                find_called_services(settings),
                 settings.fleet.view_period_ms,
             ),
             self.config.state,
@@ -408,44 +410,3 @@
     # waits about 40 ms for the caller's delayed acknowledgement.
     listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return listening
-
-
-def _own_target(settings: DaemonSettings, address: str) -> Target:
-    instance = settings.instance
-    return Target(
-        instance.name,
-        instance.service,
-        instance.domain,
-        address,
-        # Later runs of the same target have higher incarnations.
-        time.time_ns(),
-        {**instance.labels, 'region': instance.region},
-    )
-
-
-def _admission_settings(settings: DaemonSettings) -> AdmissionSettings:
-    return AdmissionSettings(
-        slot_count=settings.backend_server.slot_count,
-        cold_slot_count=settings.backend_server.cold_slot_count,
-        queue_count=settings.limits.queue_count,
-        queue_ms=settings.limits.queue_ms,
-    )
-
-
-def _membership(settings: DaemonSettings, own: Target) -> Membership:
-    fleet = settings.fleet
-    return Membership(
-        own,
-        MembershipSettings(
-            ping_period_ms=fleet.ping_period_ms,
-            suspicion_ms=fleet.suspicion_ms,
-        ),
-    )
-
-
-def _called_services(settings: DaemonSettings) -> list[str]:
-    return [
-        service
-        for service in settings.fleet.called_services
-        if service != settings.instance.service
-    ]
--- /dev/null
+++ b/packages/daemon/src/cornelbeam_daemon/from_settings.py
@@ -0,0 +1,54 @@
+"""Parts of the core as the settings describe them."""
+
+import time
+
+from cornelbeam_core.admission import AdmissionSettings
+from cornelbeam_core.membership import Membership
+from cornelbeam_core.membership_actions import MembershipSettings
+from cornelbeam_core.targets import Target
+from cornelbeam_settings import DaemonSettings
+
+
+def make_own_target(settings: DaemonSettings, address: str) -> Target:
+    """Describe this daemon as a target, with a new incarnation."""
+    instance = settings.instance
+    return Target(
+        instance.name,
+        instance.service,
+        instance.domain,
+        address,
+        # Later runs of the same target have higher incarnations.
+        time.time_ns(),
+        {**instance.labels, 'region': instance.region},
+    )
+
+
+def make_admission_settings(settings: DaemonSettings) -> AdmissionSettings:
+    """Give the bounds of admission."""
+    return AdmissionSettings(
+        slot_count=settings.backend_server.slot_count,
+        cold_slot_count=settings.backend_server.cold_slot_count,
+        queue_count=settings.limits.queue_count,
+        queue_ms=settings.limits.queue_ms,
+    )
+
+
+def make_membership(settings: DaemonSettings, own: Target) -> Membership:
+    """Make the membership of the own service."""
+    fleet = settings.fleet
+    return Membership(
+        own,
+        MembershipSettings(
+            ping_period_ms=fleet.ping_period_ms,
+            suspicion_ms=fleet.suspicion_ms,
+        ),
+    )
+
+
+def find_called_services(settings: DaemonSettings) -> list[str]:
+    """Give the services of which a view is kept."""
+    return [
+        service
+        for service in settings.fleet.called_services
+        if service != settings.instance.service
+    ]
