--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -83,7 +83,7 @@
             'peer': _bind(settings.peer_listener),
             'admin': _bind(settings.admin_listener),
         }
-        own = _own_target(
+        own = make_own_target(
             settings,
             settings.peer_listener.announced_address or self.address('peer'),
         )
