--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -48,7 +48,6 @@
         '_loop',
         '_metrics',
         '_queue',
-        'idle',
         'is_leaving',
         'ledger',
         'name',
@@ -69,8 +68,6 @@
         self.ledger = ledger
         self.is_leaving = False
         self.work_count = 0
-        self.idle = asyncio.Event()
-        self.idle.set()
         self._admission = admission
         self._queue = AdmissionQueue(name, admission)
         self._client = client
@@ -335,12 +332,9 @@
 
     def _begin(self) -> None:
         self.work_count += 1
-        self.idle.clear()
 
     def _end(self) -> None:
         self.work_count -= 1
-        if not self.work_count:
-            self.idle.set()
 
     def _refusal(self, code: ErrorCode) -> CornelbeamError:
         return CornelbeamError(code, 'admission', self.name)
--- a/packages/daemon/src/cornelbeam_daemon/fleet_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_part.py
@@ -104,7 +104,7 @@
         self._messenger = messenger
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
         self._is_announced = False
         self._next_contact_s: float = 0
         self._next_own_view_s: float = 0
@@ -221,11 +221,7 @@
             stream, view_reply=view_to_wire(answer, self._config.revision)
         )
 
-    def note_lost(self, name: str) -> None:
-        """Ping a member soon whose connection broke."""
-        self.membership.request_ping(name)
-
-    def start(self, work: Coroutine[None, None, None]) -> None:
+    def start(self, work: Coroutine[None, None, object]) -> None:
         """Run a short exchange beside the loop of ticks."""
         task = self._loop.create_task(work)
         self._tasks.add(task)
@@ -274,7 +270,7 @@
 
     def _spawn(self, action: SendPing | SendIndirectPing) -> None:
         if isinstance(action, SendPing):
-            self.start(self._ping(action))
+            self.start(self._ping(action.address, action.updates))
         else:
             self.start(self._ping_via(action))
 
@@ -308,16 +304,22 @@
             service_name=self.own.service,
         )
 
-    async def _ping(self, action: SendPing) -> None:
+    async def _ping(
+        self,
+        address: str,
+        updates: Iterable[MemberUpdate],
+    ) -> bool:
+        """Ping a daemon; tell whether it answered."""
         try:
             frame = await self._messenger.ask(
-                action.address,
-                ping=self._ping_message(action.updates),
+                address,
+                ping=self._ping_message(updates),
             )
         except CornelbeamError:
-            # The tick judges the missing ack.
-            return
-        self._take_ack(frame, action.address)
+            # Of a member, the tick judges the missing ack.
+            return False
+        self._take_ack(frame, address)
+        return True
 
     async def _ping_via(self, action: SendIndirectPing) -> None:
         try:
@@ -348,29 +350,13 @@
         self._messenger.reply(stream, ack=frame.ack)
 
     async def _announce_to(self, address: str) -> None:
-        try:
-            frame = await self._messenger.ask(
-                address,
-                ping=self._ping_message((self.membership.own,)),
-            )
-        except CornelbeamError:
-            if not self._is_announced:
-                self._next_contact_s = self._loop.time() + CONTACT_RETRY_S
-            return
-        self._is_announced = True
-        self._take_ack(frame, address)
+        if await self._ping(address, (self.membership.own,)):
+            self._is_announced = True
+        elif not self._is_announced:
+            self._next_contact_s = self._loop.time() + CONTACT_RETRY_S
 
     async def _check_introducer(self, address: str) -> None:
-        is_reachable = True
-        try:
-            frame = await self._messenger.ask(
-                address,
-                ping=self._ping_message((self.membership.own,)),
-            )
-        except CornelbeamError:
-            is_reachable = False
-        else:
-            self._take_ack(frame, address)
+        is_reachable = await self._ping(address, (self.membership.own,))
         self.introducers.note_check(
             address,
             self._loop.time(),
--- a/packages/daemon/src/cornelbeam_daemon/routing_table.py
+++ b/packages/daemon/src/cornelbeam_daemon/routing_table.py
@@ -66,10 +66,6 @@
         """Tell whether this daemon's failure domain takes new work."""
         return self._own_domain not in self._domains_out
 
-    def is_domain_in_service(self, domain: str) -> bool:
-        """Tell whether a failure domain takes new work."""
-        return domain not in self._domains_out
-
     def mark_synced(self) -> None:
         """Note that the configuration of the fleet is known."""
         self._is_synced = True
--- a/packages/standins/src/cornelbeam_standins/fleet.py
+++ b/packages/standins/src/cornelbeam_standins/fleet.py
@@ -9,7 +9,7 @@
 import os
 import socket
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
@@ -309,14 +309,6 @@
     ).raise_for_status()
 
 
-def free_ports(count: int) -> Sequence[int]:
-    """Give loopback ports on which nothing listens now.
-
-    Within one process, each call gives the same ports until they are used.
-    """
-    return tuple(itertools.islice(_free_ports(), count))
-
-
 def _free_ports() -> Iterator[int]:
     # Processes of several test runs start their search at different ports.
     start = os.getpid() * 97
