Pass on the 503 of the only target that may serve a request

Cause: before retrying what a backend server shed, the caller side counted the targets of the service, not those that the selectors allow. With one eligible target among several it dropped the backend server's whole answer and refused the request with no_eligible_target. Change: the check chooses another target in the way in which a hedge does; one method serves both. The new test gave 503 with run state unknown before and the backend server's own 503 after.

--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -131,7 +131,7 @@
             except CornelbeamError as error:
                 last_error = error
             else:
-                if not self._is_shed_retried(pending, answer):
+                if not self._is_shed_retried(pending, state, answer):
                     return answer
                 answer.close()
                 pending.note_run_state(RunState.RAN)
@@ -149,7 +149,12 @@
             is_lost = last_error.code is ErrorCode.PEER_UNREACHABLE
             pending.failed[state.target.name] = is_lost
 
-    def _is_shed_retried(self, pending: Pending, answer: Answer) -> bool:
+    def _is_shed_retried(
+        self,
+        pending: Pending,
+        state: TargetState,
+        answer: Answer,
+    ) -> bool:
         """Tell whether to try elsewhere what a backend server shed.
 
         Its own 503 is passed on when the request must not repeat, when no
@@ -162,8 +167,7 @@
             return False
         if pending.attempt_count >= MAX_ATTEMPT_COUNT:
             return False
-        states = self._table.states(pending.facts.service)
-        if len(states) <= len(pending.failed) + 1:
+        if self._choose_other(pending, state) is None:
             return False
         is_sent = self._budget.try_take(self._loop.time())
         self._metrics.count_retry(False, is_sent)
@@ -197,11 +201,8 @@
         pending: Pending,
         slow: TargetState,
     ) -> Attempt | None:
-        tried = {**pending.failed, slow.target.name: False}
-        state = self._choose(pending, tried)
-        if state is None or state.target.name in tried:
-            return None
-        return self._attempt_second(pending, state)
+        state = self._choose_other(pending, slow)
+        return state and self._attempt_second(pending, state)
 
     async def _attempt_second(
         self,
@@ -229,6 +230,17 @@
             tried,
         )
 
+    def _choose_other(
+        self,
+        pending: Pending,
+        current: TargetState,
+    ) -> TargetState | None:
+        tried = {**pending.failed, current.target.name: False}
+        state = self._choose(pending, tried)
+        if state is None or state.target.name in tried:
+            return None
+        return state
+
     def _new_call(self, pending: Pending, state: TargetState) -> Call:
         return Call(
             attempt_id=secrets.token_bytes(_ATTEMPT_ID_BYTES),
--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -5,6 +5,7 @@
 
 import anyio
 import pytest
+from cornelbeam_core.configuration import ConfigObject
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.targets import LoadReport, Target
 from cornelbeam_daemon import headers as fields
@@ -89,7 +90,7 @@
     return CornelbeamError(ErrorCode.OVERLOADED, 'admission')
 
 
-def send(method, client, count=1):
+def send(method, client, count=1, objects=()):
     """Send requests through a caller side with two remote targets.
 
     Gives the status and the run state told of each.
@@ -97,6 +98,7 @@
 
     async def body():
         table = RoutingTable('edge-1', 'north')
+        table.apply_configuration(objects)
         table.mark_synced()
         table.replace_targets(
             'bookings',
@@ -187,6 +189,19 @@
         assert sum(client.calls.values()) == len(answers)
         assert client.calls['bookings-1'] < 30
 
+    def test_refusal_of_the_only_eligible_target_is_passed_on(self):
+        labels = b'{"labels": {"tier": "gold"}}'
+        wanted = b'{"target_labels": {"tier": ["gold"]}}'
+        objects = (
+            ConfigObject('labels', 'bookings-1', 1, 1, False, labels),
+            ConfigObject('selector', 'gold', 1, 2, False, wanted),
+        )
+        client = FailingFast()
+        answers = send(b'GET', client, 1, objects)
+        # A whole answer tells no run state; a refusal of the daemon would.
+        assert answers == [(503, None)]
+        assert client.calls == {'bookings-1': 1}
+
 
 class TestLeaving:
     """Guards against a budget spent on a target that has said it leaves."""
