Send control messages and refuse malformed heads in one place each

Three methods of the messenger repeated sending and counting, and two modules had the same maker of malformed_request. Behaviour is the same.

--- a/packages/daemon/src/cornelbeam_daemon/exchange.py
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -1,6 +1,7 @@
 """Control messages between daemons: one request and at most one reply."""
 
 import asyncio
+from contextlib import suppress
 from typing import Any, Final, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
@@ -57,11 +58,8 @@
         connection = await self._pool.connection(address)
         exchange = Exchange()
         stream = connection.open_stream(exchange)
-        sent_bytes = connection.sent_bytes
-        name = _name_of(message)
         try:
-            stream.send(**message)
-            self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
+            self._send(stream, message)
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 frame = await exchange.reply
         except TimeoutError as error:
@@ -79,24 +77,14 @@
             stream = connection.open_stream(Exchange())
         except CornelbeamError:
             return
-        sent_bytes = connection.sent_bytes
-        try:
-            stream.send(**message)
-        except CornelbeamError:
-            # Too large for a frame; nothing was sent.
-            stream.close()
-            return
-        name = _name_of(message)
-        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
+        # One that is too large for a frame is not sent.
+        with suppress(CornelbeamError):
+            self._send(stream, message)
         stream.close()
 
     def reply(self, stream: Stream, **message: Any) -> None:
         """Send the reply to a message and close its stream."""
-        connection = stream.connection
-        sent_bytes = connection.sent_bytes
-        stream.send(**message)
-        name = _name_of(message)
-        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
+        self._send(stream, message)
         stream.close()
 
     def count_received(self, frame: Frame) -> None:
@@ -112,16 +100,19 @@
         # messages; the connection's own count mixes all its streams.
         self._metrics.count_received(name, len(encode_frame(frame)))
 
+    def _send(self, stream: Stream, message: dict[str, Any]) -> None:
+        connection = stream.connection
+        sent_bytes = connection.sent_bytes
+        stream.send(**message)
+        name = next(iter(message))
+        self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
+
     def _close_silent(self, connection: PeerConnection) -> None:
         now_s = asyncio.get_running_loop().time()
         if now_s - connection.last_received_s >= REPLY_TIMEOUT_S:
             connection.close()
 
 
-def _name_of(message: dict[str, Any]) -> str:
-    return next(iter(message))
-
-
 def _unreachable(address: str, detail: str) -> CornelbeamError:
     return CornelbeamError(
         ErrorCode.PEER_UNREACHABLE,
--- a/packages/daemon/src/cornelbeam_daemon/http_message.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_message.py
@@ -199,3 +199,12 @@
         detail=detail,
         run_state=RunState.RAN,
     )
+
+
+def malformed(detail: str) -> CornelbeamError:
+    """Make the error of a request head that cannot be read."""
+    return CornelbeamError(
+        ErrorCode.MALFORMED_REQUEST,
+        'request head',
+        detail=detail,
+    )
--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -14,6 +14,7 @@
     HttpRequest,
     Responder,
     broken_answer,
+    malformed,
     send_error,
 )
 from cornelbeam_daemon.logs import get_log
@@ -108,7 +109,7 @@
                 raise
             self._refuse(cause)
         except httptools.HttpParserError as error:
-            self._refuse(_malformed(str(error)))
+            self._refuse(malformed(str(error)))
         else:
             self._count_unfinished(received)
 
@@ -120,7 +121,7 @@
             self._timer.cancel()
         self.resume_writing()
         if self._request is not None:
-            self._request.body.fail(_malformed('the caller disconnected'))
+            self._request.body.fail(malformed('the caller disconnected'))
         if self._task is not None:
             self._task.cancel()
 
@@ -178,7 +179,7 @@
         )
         _check_head(request, is_upgrade=is_upgrade)
         if len(self._waiting) >= _MAX_PIPELINED:
-            raise _malformed('too many pipelined requests')
+            raise malformed('too many pipelined requests')
         self._waiting.append(request)
         if self._task is None:
             self._start_next()
@@ -394,18 +395,18 @@
     """Refuse what two parsers could read differently (RFC 9112, 3.2, 6.1)."""
     headers = request.headers
     if request.version not in _VERSIONS:
-        raise _malformed(f'HTTP/{request.version} is not supported')
+        raise malformed(f'HTTP/{request.version} is not supported')
     if headers[::2].count(b'host') > 1:
-        raise _malformed('there are several Host headers')
+        raise malformed('there are several Host headers')
     encoding = fields.find(headers, b'transfer-encoding')
     if encoding is not None and encoding.strip().lower() != b'chunked':
-        raise _malformed('the only transfer coding is chunked')
+        raise malformed('the only transfer coding is chunked')
     if encoding is not None and request.version != '1.1':
-        raise _malformed('HTTP/1.0 has no transfer codings')
+        raise malformed('HTTP/1.0 has no transfer codings')
     length = fields.find(headers, b'content-length') or b'0'
     if is_upgrade and (encoding is not None or length.strip(b'0')):
         # The parser gives no body of a request that asks for an upgrade.
-        raise _malformed('a request for another protocol has a body')
+        raise malformed('a request for another protocol has a body')
 
 
 def _is_body_held_back(request: HttpRequest) -> bool:
@@ -415,11 +416,3 @@
         and not request.body.is_complete
         and not request.body.size_bytes
     )
-
-
-def _malformed(detail: str) -> CornelbeamError:
-    return CornelbeamError(
-        ErrorCode.MALFORMED_REQUEST,
-        'request head',
-        detail=detail,
-    )
--- a/packages/daemon/src/cornelbeam_daemon/pending.py
+++ b/packages/daemon/src/cornelbeam_daemon/pending.py
@@ -12,7 +12,7 @@
 
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
-from cornelbeam_daemon.http_message import HttpRequest
+from cornelbeam_daemon.http_message import HttpRequest, malformed
 from cornelbeam_daemon.routing_table import RoutingTable
 
 _MS_PER_S: Final = 1000
@@ -83,12 +83,12 @@
         method = request.method.decode('ascii')
         host = (fields.find(headers, b'host') or b'').decode('ascii')
     except UnicodeDecodeError as error:
-        raise _malformed('the head is not ASCII') from error
+        raise malformed('the head is not ASCII') from error
     if method == 'CONNECT' or not (path.startswith('/') or path == '*'):
-        raise _malformed('only origin-form targets are supported')
+        raise malformed('only origin-form targets are supported')
     service = host.partition(':')[0].partition('.')[0]
     if not service:
-        raise _malformed('the Host header names no service')
+        raise malformed('the Host header names no service')
     pending.facts = RequestFacts(
         service.lower(),
         method,
@@ -165,13 +165,5 @@
         return default
     # The length keeps a caller from making this process parse huge numbers.
     if not stated.isdigit() or len(stated) > _MAX_DIGITS:
-        raise _malformed(f'{name.decode()} is not a number')
+        raise malformed(f'{name.decode()} is not a number')
     return int(stated)
-
-
-def _malformed(detail: str) -> CornelbeamError:
-    return CornelbeamError(
-        ErrorCode.MALFORMED_REQUEST,
-        'request head',
-        detail=detail,
-    )
