--- a/packages/standins/src/cornelbeam_standins/bench_fleet.py
+++ b/packages/standins/src/cornelbeam_standins/bench_fleet.py
@@ -126,6 +126,11 @@
         """Where the Object API listens."""
         return f'http://{self._store.address}'
 
+    @property
+    def secret(self) -> bytes:
+        """The secret that all daemons share."""
+        return self._secret.read_bytes()
+
     def read_calls(self) -> dict[str, int]:
         """Read the calls of the Object API by operation."""
         counts = httpx.get(
--- a/packages/standins/src/cornelbeam_standins/fleet_bench.py
+++ b/packages/standins/src/cornelbeam_standins/fleet_bench.py
@@ -8,7 +8,6 @@
 import os
 import platform
 import random
-import sys
 import tempfile
 import time
 from collections.abc import Callable, Iterator, Sequence
@@ -17,32 +16,30 @@
 from pathlib import Path
 from typing import Any, Final
 
+import anyio
 import defopt
 
-from cornelbeam_standins.bench_changes import (
-    Change,
-    ChangeWriter,
-    Spread,
-    measure_spread,
-    rank,
-    wait_in_force,
-)
-from cornelbeam_standins.bench_fleet import BenchFleet, BenchNode, FleetPlan
+from cornelbeam_standins.bench_changes import ChangeWriter
+from cornelbeam_standins.bench_connections import measure_connections
+from cornelbeam_standins.bench_fleet import BenchFleet, FleetPlan
+from cornelbeam_standins.bench_output import write_line
 from cornelbeam_standins.bench_window import measure_window
+from cornelbeam_standins.fleet_events import FleetEvents
 from cornelbeam_standins.import_bench import measure_imports
-from cornelbeam_standins.processes import spawn_standin
 
-_LOOPBACK_CALLS: Final = 500
 _CALLED_SERVICES: Final = 12
+_PING_COUNT: Final = 5000
 _OBJECTS_DAEMONS: Final = 6
 _OBJECTS_RATE_PER_S: Final = 2.0
 
-PARTS: Final = ('imports', 'sizes', 'called', 'events', 'objects')
-
-
-def _write(text: str) -> None:
-    sys.stdout.write(f'{text}\n')
-    sys.stdout.flush()
+PARTS: Final = (
+    'imports',
+    'sizes',
+    'called',
+    'events',
+    'objects',
+    'connections',
+)
 
 
 class FleetBench:
@@ -86,8 +83,9 @@
                     fleet,
                     partial(writer.write_at, rate_per_s),
                 )
-            self._measure_spreads(fleet, writer, change_count)
-            self._take_domain_out(fleet, writer)
+            events = FleetEvents(fleet, writer, self._rng)
+            events.measure_spreads(change_count)
+            events.take_domain_out()
             self._measure_churn(fleet)
 
     def measure_objects(self, counts: Sequence[int]) -> None:
@@ -107,13 +105,29 @@
                     partial(writer.write_at, _OBJECTS_RATE_PER_S),
                 )
 
+    def measure_connections(self, counts: Sequence[int]) -> None:
+        """Vary the connections that other daemons hold open."""
+        for count in counts:
+            with self._fleet(FleetPlan(daemon_count=3)) as fleet:
+                size_kb, open_us, ping_us = anyio.run(
+                    measure_connections,
+                    fleet,
+                    count,
+                    _PING_COUNT,
+                )
+            write_line(
+                f'{count} connections: {size_kb:.1f} KB each,'
+                f' {open_us:.0f} us to accept one,'
+                f' {ping_us:.0f} us for a ping and its ack',
+            )
+
     @contextmanager
     def _fleet(self, plan: FleetPlan) -> Iterator[BenchFleet]:
         with tempfile.TemporaryDirectory() as directory:
             with BenchFleet(plan, Path(directory)) as fleet:
                 started = fleet.read_calls()
                 time.sleep(self._settle_s)
-                _write(
+                write_line(
                     f'started {plan.daemon_count} daemons of'
                     f' {plan.service_count} services in'
                     f' {plan.domain_count} failure domains;'
@@ -130,7 +144,7 @@
         act: Callable[[float], Any] = time.sleep,
     ) -> None:
         row = measure_window(fleet, self._window_s, act)
-        _write(
+        write_line(
             f'{label:<28} {row["messages"]:6.2f} msg/s'
             f' {row["bytes"]:7.0f} B/s (max {row["max bytes"]:.0f},'
             f' on the wire {row["wire"]:.0f})'
@@ -138,78 +152,7 @@
             f' rss {row["rss"]:5.1f} MB (max {row["max rss"]:.1f})'
             f' Object API {row["calls"]}',
         )
-        _write(f'  {row["by message"]}')
-
-    def _measure_spreads(
-        self,
-        fleet: BenchFleet,
-        writer: ChangeWriter,
-        change_count: int,
-    ) -> None:
-        changes = writer.write_apart(change_count, self._rng)
-        missing = wait_in_force(fleet.nodes, changes[-1].revision)
-        _show_spread(
-            f'in force, all run ({missing} behind)',
-            measure_spread(fleet.nodes, changes),
-        )
-        for is_relay in (False, True):
-            paused = fleet.choose(self._rng, is_relay=is_relay)
-            if paused is not None and paused.process is not None:
-                self._measure_paused(fleet, writer, change_count, paused)
-
-    def _measure_paused(
-        self,
-        fleet: BenchFleet,
-        writer: ChangeWriter,
-        change_count: int,
-        paused: BenchNode,
-    ) -> None:
-        role = 'relay' if paused.read_status()['is_relay'] else 'plain member'
-        others = [node for node in fleet.nodes if node is not paused]
-        assert paused.process is not None  # noqa: S101
-        paused.process.pause()
-        try:
-            changes = writer.write_apart(change_count, self._rng)
-            missing = wait_in_force(others, changes[-1].revision)
-        finally:
-            paused.process.resume()
-        resumed = Change(changes[-1].revision, time.time())
-        _show_spread(
-            f'in force, a {role} paused ({missing} behind)',
-            measure_spread(others, changes),
-        )
-        missing = wait_in_force([paused], resumed.revision)
-        _show_spread(
-            f'resumed {role} ({missing} behind)',
-            measure_spread([paused], [resumed]),
-        )
-
-    def _take_domain_out(
-        self,
-        fleet: BenchFleet,
-        writer: ChangeWriter,
-    ) -> None:
-        domain = self._rng.choice(sorted({node.domain for node in fleet.nodes}))
-        inside = [node for node in fleet.nodes if node.domain == domain]
-        outside = [node for node in fleet.nodes if node.domain != domain]
-        change = writer.switch_domain(domain, is_in_service=False)
-        missing = wait_in_force(fleet.nodes, change.revision)
-        _show_spread(
-            f'{domain} out, its daemons ({missing} behind)',
-            measure_spread(inside, [change]),
-        )
-        _show_spread(
-            f'{domain} out, the other daemons',
-            measure_spread(outside, [change]),
-        )
-        before = _count_work(inside)
-        for node in outside[: self._rng.randint(2, 3)]:
-            _call(node)
-        _write(
-            f'new work in {domain} afterwards: {_count_work(inside) - before}'
-            f' calls; elsewhere {_count_work(outside)}',
-        )
-        writer.switch_domain(domain, is_in_service=True)
+        write_line(f'  {row["by message"]}')
 
     def _measure_churn(self, fleet: BenchFleet) -> None:
         for period_s in (5.0, 2.5):
@@ -219,7 +162,9 @@
                 fleet,
                 partial(self._restart_some, fleet, period_s),
             )
-            _write(f'  Object API before {calls}, after {fleet.read_calls()}')
+            write_line(
+                f'  Object API before {calls}, after {fleet.read_calls()}'
+            )
 
     def _restart_some(
         self,
@@ -234,41 +179,9 @@
             time.sleep(max(0, next_s - time.monotonic()))
 
 
-def _show_spread(label: str, spread: Spread) -> None:
-    _write(
-        f'{label:<44} ms p50/p99/max: per daemon '
-        f'{_join(spread.single_ms)}, everywhere '
-        f'{_join(spread.everywhere_ms)}; {spread.missing_count} missing',
-    )
-
-
-def _join(numbers: Sequence[float]) -> str:
-    return '/'.join(f'{rank(numbers, share):.0f}' for share in (0.5, 0.99, 1))
-
-
-def _count_work(nodes: Sequence[BenchNode]) -> float:
-    name = 'cornelbeam_backend_duration_seconds_count'
-    return sum(sum(node.read_counters(name).values()) for node in nodes)
-
-
-def _call(node: BenchNode) -> None:
-    with spawn_standin(
-        'load',
-        '--port',
-        str(node.caller_port),
-        '--service',
-        node.service,
-        '--concurrency',
-        '4',
-        '--calls',
-        str(_LOOPBACK_CALLS),
-    ) as load:
-        load.read_line()
-
-
 def _show_imports() -> None:
     for name, added_mb, alone_mb in measure_imports():
-        _write(
+        write_line(
             f'import {name:<34} adds {added_mb:5.1f} MB,'
             f' alone {alone_mb:.1f} MB',
         )
@@ -281,6 +194,7 @@
     called: Sequence[int] = (0, 4, 11),
     rates: Sequence[float] = (1, 4),
     objects: Sequence[int] = (0, 1000, 4000),
+    connections: Sequence[int] = (200, 800),
     size: int = 24,
     change_count: int = 40,
     window_s: float = 15.0,
@@ -294,13 +208,14 @@
     :param called: numbers of called services
     :param rates: configuration changes per second
     :param objects: numbers of configuration objects in force
+    :param connections: numbers of connections of other daemons
     :param size: number of daemons where it is not varied
     :param change_count: changes whose spread is timed
     :param window_s: time over which costs are taken
     :param settle_s: time for a fleet to settle
     :param seed: seed of all random choices
     """
-    _write(
+    write_line(
         f'machine: {os.cpu_count()} cores, {platform.machine()},'
         f' Python {platform.python_version()},'
         f' load average {os.getloadavg()[0]:.1f}, seed {seed}',
@@ -312,6 +227,7 @@
         'called': partial(bench.measure_called, size, called),
         'events': partial(bench.measure_events, size, rates, change_count),
         'objects': partial(bench.measure_objects, objects),
+        'connections': partial(bench.measure_connections, connections),
     }
     for part in parts:
         scenarios[part]()
