--- a/packages/core/src/cornelbeam_core/errors.py
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -34,6 +34,7 @@
     TARGET_LEAVING = 'target_leaving'
     DOMAIN_OUT_OF_SERVICE = 'domain_out_of_service'
     WRONG_INCARNATION = 'wrong_incarnation'
+    RETRY_BUDGET_SPENT = 'retry_budget_spent'
     ATTEMPT_FORBIDDEN = 'attempt_forbidden'
     ATTEMPT_REPEATED = 'attempt_repeated'
     DEADLINE_PASSED = 'deadline_passed'
@@ -63,6 +64,7 @@
     ErrorCode.TOO_MANY_HOPS: 508,
 }
 _DEFAULT_HTTP_STATUS: Final = 503
+_UNCLEAR_HTTP_STATUS: Final = 502
 
 
 class CornelbeamError(Exception):
@@ -101,8 +103,16 @@
 
     @property
     def http_status(self) -> int:
-        """Status of the HTTP answer that reports this error."""
-        return _HTTP_STATUSES.get(self.code, _DEFAULT_HTTP_STATUS)
+        """Status of the HTTP answer that reports this error.
+
+        503 says that the request has not run, so an error that leaves this
+        open is reported as 502.
+        """
+        status = _HTTP_STATUSES.get(self.code, _DEFAULT_HTTP_STATUS)
+        is_promise = status == _DEFAULT_HTTP_STATUS
+        if is_promise and self.run_state is not RunState.NOT_RUN:
+            return _UNCLEAR_HTTP_STATUS
+        return status
 
     def _describe(self) -> str:
         text = f'{self.code.value} at {self.step}'
--- /dev/null
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -0,0 +1,205 @@
+"""Decides which calls run at a target now, which wait and which go back.
+
+All calls to a target pass the gate beside it, so the gate knows how many are
+in work. It answers two loads: more calls than the target has slots for, and
+calls at a target that has just started and accepts only a few a second.
+"""
+
+import enum
+import heapq
+from collections.abc import Hashable
+from dataclasses import dataclass
+from typing import Final, final
+
+from cornelbeam_core.budget import TokenBucket
+from cornelbeam_core.targets import USUAL_PERCENT
+
+MS_PER_S: Final = 1000
+# Targets slow down when they are nearly full: above this share of the slots,
+# one more call costs the others more than it gains.
+FULL_SPEED_SHARE: Final = 0.8
+# Smoothing of the service time; some ten answers show a change of load.
+SERVICE_TIME_GAIN: Final = 0.1
+# Assumed until the first answers are in.
+INITIAL_SERVICE_TIME_S: Final = 0.2
+# Calls of a cold target that may start at the same moment, as a share of its
+# rate for one second.
+COLD_BURST_SHARE: Final = 0.25
+# Waiting calls for each call in work; more would wait longer than most
+# callers do.
+QUEUE_PER_SLOT: Final = 4
+
+
+@final
+class Refusal(enum.Enum):
+    """Why the gate sends a call back; in each case it has not run."""
+
+    NO_TARGET = 'no_target'
+    DRAINING = 'draining'
+    EVACUATED = 'evacuated'
+    FULL = 'full'
+    TOO_LATE = 'too_late'
+    REPEATS = 'repeats'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A call at the gate.
+
+    It waits at most until ``give_up_at_s`` and is of no use after
+    ``deadline_s``. Calls that a running request waits for go first: they free
+    the slot that the request holds elsewhere.
+    """
+
+    call: Hashable
+    is_nested: bool
+    priority: int
+    give_up_at_s: float
+    deadline_s: float
+
+
+_Rank = tuple[bool, int, int]
+_QueuedTicket = tuple[_Rank, Ticket]
+
+
+@final
+class TargetGate:
+    """Slots, queue and cold rate of one target.
+
+    >>> gate = TargetGate()
+    >>> gate.open(slot_count=5)
+    >>> gate.limit
+    4
+    """
+
+    __slots__ = (
+        '_cold_bucket',
+        '_cold_per_s',
+        '_cold_until_s',
+        '_queue',
+        '_sequence',
+        '_waiting',
+        'limit',
+        'running_count',
+        'service_time_s',
+        'slot_count',
+        'slowdown_percent',
+    )
+
+    def __init__(self) -> None:
+        """Start without slots; ``open`` gives it some."""
+        self.slot_count = 0
+        self.limit = 0
+        self.running_count = 0
+        self.service_time_s = INITIAL_SERVICE_TIME_S
+        self.slowdown_percent = USUAL_PERCENT
+        self._queue: list[_QueuedTicket] = []
+        self._waiting: set[Hashable] = set()
+        self._sequence = 0
+        self._cold_until_s = float('-inf')
+        self._cold_per_s = 1.0
+        self._cold_bucket: TokenBucket | None = None
+
+    @property
+    def waiting_count(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._waiting)
+
+    def open(self, slot_count: int) -> None:
+        """Take the number of requests that the target works on at once."""
+        self.slot_count = slot_count
+        self.limit = max(1, int(slot_count * FULL_SPEED_SHARE))
+
+    def set_cold(
+        self,
+        now_s: float,
+        cold_s: float,
+        cold_per_s: float | None,
+    ) -> None:
+        """Limit the rate for as long as the target stays cold."""
+        if cold_s <= 0 or cold_per_s is None:
+            self._cold_until_s = now_s
+            return
+        if self._cold_bucket is None or not self.is_cold(now_s):
+            capacity = max(1.0, cold_per_s * COLD_BURST_SHARE)
+            self._cold_bucket = TokenBucket(capacity, cold_per_s)
+            self._cold_per_s = cold_per_s
+        self._cold_until_s = now_s + cold_s
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether the rate is limited."""
+        return now_s < self._cold_until_s
+
+    def wait_s(self, now_s: float, *, is_nested: bool = False) -> float:
+        """Estimate how long a call that arrives now waits for a slot."""
+        wait_s: float = 0
+        limit = self.slot_count if is_nested else self.limit
+        ahead_count = 0 if is_nested else self.waiting_count
+        if self.running_count >= limit or ahead_count:
+            over_count = self.running_count - limit + 1 + ahead_count
+            slowdown = self.slowdown_percent / USUAL_PERCENT
+            per_call_s = self.service_time_s * min(slowdown, 2) / max(limit, 1)
+            wait_s = max(0, over_count) * per_call_s
+        if self.is_cold(now_s) and self._cold_bucket is not None:
+            missing = ahead_count + 1 - self._cold_bucket.tokens(now_s)
+            wait_s = max(wait_s, missing / self._cold_per_s)
+        return wait_s
+
+    def offer(self, ticket: Ticket, now_s: float) -> Refusal | None:
+        """Put a call in line unless it can't be served in its time.
+
+        ``take_next`` gives the calls that may run.
+        """
+        wait_s = self.wait_s(now_s, is_nested=ticket.is_nested)
+        if now_s + wait_s > ticket.give_up_at_s:
+            return Refusal.FULL
+        if now_s + wait_s >= ticket.deadline_s:
+            return Refusal.TOO_LATE
+        if self.waiting_count >= QUEUE_PER_SLOT * max(1, self.limit):
+            return Refusal.FULL
+        self._sequence += 1
+        rank = (not ticket.is_nested, ticket.priority, self._sequence)
+        heapq.heappush(self._queue, (rank, ticket))
+        self._waiting.add(ticket.call)
+        return None
+
+    def withdraw(self, call: Hashable) -> None:
+        """Take a waiting call out of the line."""
+        self._waiting.discard(call)
+
+    def take_next(self, now_s: float) -> Ticket | None:
+        """Give the next call that may run now, counted as in work."""
+        while self._queue:
+            ticket = self._queue[0][1]
+            if ticket.call not in self._waiting:
+                heapq.heappop(self._queue)
+                continue
+            limit = self.slot_count if ticket.is_nested else self.limit
+            if self.running_count >= limit or not self._may_start(now_s):
+                return None
+            heapq.heappop(self._queue)
+            self._waiting.discard(ticket.call)
+            self.running_count += 1
+            return ticket
+        return None
+
+    def next_start_s(self, now_s: float) -> float | None:
+        """Give the time until the cold rate lets a waiting call start."""
+        if not self._waiting or not self.is_cold(now_s):
+            return None
+        if self._cold_bucket is None:
+            return None
+        return self._cold_bucket.wait_s(now_s) or None
+
+    def finish(self, service_time_s: float | None) -> None:
+        """Free a slot; ``service_time_s`` is ``None`` without an answer."""
+        self.running_count -= 1
+        if service_time_s is not None:
+            error_s = service_time_s - self.service_time_s
+            self.service_time_s += SERVICE_TIME_GAIN * error_s
+
+    def _may_start(self, now_s: float) -> bool:
+        if not self.is_cold(now_s) or self._cold_bucket is None:
+            return True
+        return self._cold_bucket.try_take(now_s)
--- a/packages/core/src/cornelbeam_core/targets.py
+++ b/packages/core/src/cornelbeam_core/targets.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import final
+from typing import Final, final
+
+USUAL_PERCENT: Final = 100
 
 
 @final
@@ -30,6 +32,9 @@
 
     ``limit`` is the admission limit in concurrent requests and
     ``service_time_us`` the smoothed time the backend server needs.
+    ``wait_ms`` is the time that a request arriving now would wait for a slot
+    and ``slowdown_percent`` how long work takes on that host at present, 100
+    being as usual.
     """
 
     in_flight: int
@@ -37,3 +42,5 @@
     queue_length: int
     service_time_us: int
     is_leaving: bool
+    wait_ms: int = 0
+    slowdown_percent: int = USUAL_PERCENT
--- a/packages/core/tests/test_errors.py
+++ b/packages/core/tests/test_errors.py
@@ -13,6 +13,14 @@
         assert str(error) == 'overloaded at admission with yard-1'
         assert error.http_status == 503
 
+    @pytest.mark.parametrize('code', list(ErrorCode))
+    @pytest.mark.parametrize('run_state', list(RunState))
+    def test_503_is_said_only_when_nothing_has_run(self, code, run_state):
+        """A caller repeats a booking after a 503."""
+        error = CornelbeamError(code, 'answer', run_state=run_state)
+        if run_state is not RunState.NOT_RUN:
+            assert error.http_status not in {408, 421, 429, 503}
+
 
 class TestDeadlines:
     """Guards against handing over work that nobody waits for."""
--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -67,6 +67,11 @@
             self.size_bytes += len(content)
             self._wake()
 
+    def push_front(self, content: bytes) -> None:
+        """Put back a part that the consumer took."""
+        self._parts.appendleft(content)
+        self.size_bytes += len(content)
+
     def finish(self) -> None:
         """Mark the body as whole."""
         self.is_complete = True
@@ -133,19 +138,35 @@
 class RequestBody:
     """The body of a request, which may have to be sent more than once.
 
-    What was read is kept up to ``REPLAY_LIMIT_BYTES``; beyond that the
+    What was read is kept up to ``replay_limit_bytes``; beyond that the
     request can go to one target only.
     """
 
-    __slots__ = ('_buffer', '_kept', '_kept_bytes', 'is_replayable')
+    __slots__ = (
+        '_buffer',
+        '_kept',
+        '_kept_bytes',
+        '_replay_limit_bytes',
+        'is_replayable',
+    )
 
-    def __init__(self, buffer: BodyBuffer) -> None:
+    def __init__(
+        self,
+        buffer: BodyBuffer,
+        replay_limit_bytes: int = REPLAY_LIMIT_BYTES,
+    ) -> None:
         """Wrap the buffer that the caller's connection fills."""
         self._buffer = buffer
+        self._replay_limit_bytes = replay_limit_bytes
         self._kept: list[bytes] = []
         self._kept_bytes = 0
         self.is_replayable = True
 
+    @property
+    def kept_bytes(self) -> int:
+        """Size of what was read and kept."""
+        return self._kept_bytes
+
     @property
     def is_whole(self) -> bool:
         """Tell whether all of it has arrived and been kept."""
@@ -176,7 +197,7 @@
         if content and self.is_replayable:
             self._kept.append(content)
             self._kept_bytes += len(content)
-            if self._kept_bytes > REPLAY_LIMIT_BYTES:
+            if self._kept_bytes > self._replay_limit_bytes:
                 self.is_replayable = False
         return content
 
--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -1,8 +1,9 @@
 """A call inside the daemon and its answer, from either side."""
 
 from collections.abc import Callable
-from typing import final
+from typing import Protocol, final
 
+from cornelbeam_core.attempts import AttemptLedger
 from cornelbeam_core.targets import LoadReport
 
 from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
@@ -14,6 +15,10 @@
 
     ``headers`` alternates names and values, without hop-by-hop and control
     fields. ``deadline_s`` is in the time of the local event loop.
+    ``priority`` ranks the request, 0 first. ``is_nested`` marks a call that
+    a backend server makes while it works on another request, ``is_repeat`` a
+    request that was sent to a target before, and ``patience_ms`` is the time
+    that the attempt may wait for a slot.
     """
 
     __slots__ = (
@@ -23,9 +28,13 @@
         'deadline_s',
         'headers',
         'hop_count',
+        'is_nested',
+        'is_repeat',
         'is_repeatable',
         'method',
         'path',
+        'patience_ms',
+        'priority',
         'request_id',
         'service',
         'target_incarnation',
@@ -46,8 +55,16 @@
         hop_count: int,
         request_id: str,
         body: RequestBody,
+        priority: int = 0,
+        is_nested: bool = False,
+        is_repeat: bool = False,
+        patience_ms: int = 0,
     ) -> None:
         """Keep the parts."""
+        self.priority = priority
+        self.is_nested = is_nested
+        self.is_repeat = is_repeat
+        self.patience_ms = patience_ms
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service = service
@@ -93,3 +110,18 @@
         self._on_close = None
         if on_close is not None:
             on_close()
+
+
+class CallServer(Protocol):
+    """What serves calls of other daemons at the backend server beside it."""
+
+    @property
+    def ledger(self) -> AttemptLedger:
+        """Ledger of the attempts that must not run twice."""
+
+    @property
+    def load(self) -> LoadReport:
+        """Load report that goes with answers and refusals."""
+
+    async def serve(self, call: Call) -> Answer:
+        """Serve a call; raises ``CornelbeamError`` with its run state."""
--- a/packages/daemon/src/cornelbeam_daemon/convert.py
+++ b/packages/daemon/src/cornelbeam_daemon/convert.py
@@ -4,7 +4,7 @@
 from cornelbeam_core.directory import ViewAnswer
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.members import MemberState, MemberUpdate
-from cornelbeam_core.targets import LoadReport, Target
+from cornelbeam_core.targets import USUAL_PERCENT, LoadReport, Target
 from cornelbeam_wire.gen import messages
 
 
@@ -16,9 +16,15 @@
         queue_length=load.queue_length,
         service_time_us=load.service_time_us,
         is_leaving=load.is_leaving,
+        wait_ms=load.wait_ms or None,
+        slowdown_percent=_unless_usual(load.slowdown_percent),
     )
 
 
+def _unless_usual(percent: int) -> int | None:
+    return None if percent == USUAL_PERCENT else percent
+
+
 def load_from_wire(load: messages.LoadReport) -> LoadReport:
     """Convert a load report back."""
     return LoadReport(
@@ -27,6 +33,8 @@
         load.queue_length,
         load.service_time_us,
         load.is_leaving,
+        load.wait_ms or 0,
+        load.slowdown_percent or USUAL_PERCENT,
     )
 
 
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -170,7 +170,7 @@
         self._silence = SilenceWatch(
             self._pool,
             settings.limits.silence_ms,
-            self.config.state,
+            lambda: self.config.state.revision,
             own.service,
         )
 
--- a/packages/daemon/src/cornelbeam_daemon/exchange.py
+++ b/packages/daemon/src/cornelbeam_daemon/exchange.py
@@ -2,17 +2,25 @@
 
 import asyncio
 from contextlib import suppress
-from typing import Any, Final, final
+from typing import Any, Final, Protocol, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
 from cornelbeam_wire import PeerConnection, PeerPool, Stream, encode_frame
 from cornelbeam_wire.gen.messages import Frame
 
-from cornelbeam_daemon.metrics import Metrics
-
 REPLY_TIMEOUT_S: Final = 0.9
 
 
+class MessageMetrics(Protocol):
+    """Counts control messages by name."""
+
+    def count_sent(self, message: str, size_bytes: int) -> None:
+        """Count a message that was sent."""
+
+    def count_received(self, message: str, size_bytes: int) -> None:
+        """Count a message that arrived."""
+
+
 @final
 class Exchange:
     """Waits for the reply to one control message."""
@@ -43,7 +51,7 @@
 
     __slots__ = ('_metrics', '_pool')
 
-    def __init__(self, pool: PeerPool, metrics: Metrics) -> None:
+    def __init__(self, pool: PeerPool, metrics: MessageMetrics) -> None:
         """Use the connections of ``pool``."""
         self._pool = pool
         self._metrics = metrics
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -294,5 +294,10 @@
             body=first_part,
             is_complete=is_complete,
             request_id=call.request_id,
+            # Absent fields read as zero and false.
+            priority=call.priority or None,
+            is_nested=call.is_nested or None,
+            is_repeat=call.is_repeat or None,
+            patience_ms=call.patience_ms or None,
         ),
     )
--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -16,9 +16,9 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_daemon import headers as fields
-from cornelbeam_daemon.backend_side import BackendSide, is_recorded
+from cornelbeam_daemon.backend_side import is_recorded
 from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
-from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.calls import Answer, Call, CallServer
 from cornelbeam_daemon.convert import load_to_wire, refusal_to_wire
 from cornelbeam_daemon.logs import get_log
 
@@ -50,7 +50,7 @@
 
     def __init__(
         self,
-        backend_side: BackendSide,
+        backend_side: CallServer,
         stream: Stream,
         start: messages.CallStart,
         on_end: Callable[[bytes], None],
@@ -76,6 +76,10 @@
             hop_count=start.hop_count,
             request_id=start.request_id,
             body=RequestBody(self._body),
+            priority=start.priority or 0,
+            is_nested=bool(start.is_nested),
+            is_repeat=bool(start.is_repeat),
+            patience_ms=start.patience_ms or 0,
         )
         self.is_cancelled = False
         self.stream: Stream | None = stream
@@ -239,7 +243,7 @@
 
     def __init__(
         self,
-        backend_side: BackendSide,
+        backend_side: CallServer,
         connections: set[PeerConnection],
     ) -> None:
         """Serve by ``backend_side``; ``connections`` are the accepted ones."""
--- a/packages/daemon/src/cornelbeam_daemon/silence.py
+++ b/packages/daemon/src/cornelbeam_daemon/silence.py
@@ -1,10 +1,10 @@
 """Notices connections that went silent while calls wait on them."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, final
 
 import anyio
-from cornelbeam_core.configuration import ConfigurationState
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_wire import PeerConnection, PeerPool, Stream
 from cornelbeam_wire.gen import messages
@@ -27,19 +27,19 @@
     a new one.
     """
 
-    __slots__ = ('_config', '_period_s', '_pinged', '_pool', '_service')
+    __slots__ = ('_period_s', '_pinged', '_pool', '_revision', '_service')
 
     def __init__(
         self,
         pool: PeerPool,
         silence_ms: int,
-        config: ConfigurationState,
+        revision: Callable[[], int],
         service: str,
     ) -> None:
-        """Watch the connections of ``pool``."""
+        """Watch the connections of ``pool``; pings tell ``revision``."""
         self._pool = pool
         self._period_s = silence_ms / 1000
-        self._config = config
+        self._revision = revision
         self._service = service
         self._pinged: dict[PeerConnection, tuple[Stream, Exchange]] = {}
 
@@ -86,7 +86,7 @@
         stream.send(
             ping=messages.Ping(
                 updates=[],
-                revision=self._config.revision,
+                revision=self._revision(),
                 service_name=self._service,
             ),
         )
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon for routes by host and path."""
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
@@ -0,0 +1,510 @@
+"""The only way to the target beside the daemon."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final, final
+
+from cornelbeam_core.attempts import AttemptLedger, RecordResult
+from cornelbeam_core.deadlines import remaining_ms
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.repeat_budget import RepeatBudget
+from cornelbeam_core.target_gate import Refusal, TargetGate, Ticket
+from cornelbeam_core.targets import LoadReport
+from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.backend_client import BackendClient
+from cornelbeam_daemon.backend_connection import (
+    BackendAnswer,
+    BackendConnection,
+)
+from cornelbeam_daemon.backend_side import is_recorded
+from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES, BodyBuffer
+from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.logs import get_log
+
+from cornelbeam_mesh.edge import Edge
+from cornelbeam_mesh.members import TargetEntry
+
+_log = get_log('backend')
+_MS_PER_S: Final = 1000
+_US_PER_S: Final = 1_000_000
+_ENCODING: Final = b'content-encoding'
+_BODY_METHODS: Final = frozenset((b'POST', b'PUT', b'PATCH'))
+_MISDIRECTED: Final = 421
+_REFUSAL_CODES: Final = {
+    Refusal.NO_TARGET: ErrorCode.NO_ELIGIBLE_TARGET,
+    Refusal.DRAINING: ErrorCode.TARGET_LEAVING,
+    Refusal.EVACUATED: ErrorCode.DOMAIN_OUT_OF_SERVICE,
+    Refusal.FULL: ErrorCode.OVERLOADED,
+    Refusal.TOO_LATE: ErrorCode.DEADLINE_PASSED,
+    Refusal.REPEATS: ErrorCode.RETRY_BUDGET_SPENT,
+}
+_RECORD_ERRORS: Final = {
+    RecordResult.REPEAT: ErrorCode.ATTEMPT_REPEATED,
+    RecordResult.FORBIDDEN: ErrorCode.ATTEMPT_FORBIDDEN,
+    RecordResult.WRONG_INCARNATION: ErrorCode.WRONG_INCARNATION,
+    RecordResult.PAST_DEADLINE: ErrorCode.DEADLINE_PASSED,
+    RecordResult.FULL: ErrorCode.OVERLOADED,
+}
+
+
+@final
+class GateKeeper:
+    """Serves calls of this and other daemons by the target beside it."""
+
+    __slots__ = (
+        '_client',
+        '_edge',
+        '_gate',
+        '_is_evacuated',
+        '_loop',
+        '_repeats',
+        '_target',
+        '_timer',
+        '_waiting',
+        'is_reachable',
+        'ledger',
+        'name',
+        'on_suspicion',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        edge: Edge,
+        gate: TargetGate,
+        repeats: RepeatBudget,
+        ledger: AttemptLedger,
+        client: BackendClient,
+        target: Callable[[], TargetEntry | None],
+        is_evacuated: Callable[[], bool],
+    ) -> None:
+        """Serve under ``name``; ``target`` gives the registered target."""
+        self.name = name
+        self.ledger = ledger
+        # False after a failed connection until the target answers again.
+        self.is_reachable = False
+        self.on_suspicion: Callable[[], None] = _ignore
+        self._edge = edge
+        self._gate = gate
+        self._repeats = repeats
+        self._client = client
+        self._target = target
+        self._is_evacuated = is_evacuated
+        self._loop = asyncio.get_running_loop()
+        self._waiting: dict[Call, asyncio.Future[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def work_count(self) -> int:
+        """Calls at the target or waiting for it."""
+        return self._gate.running_count + self._gate.waiting_count
+
+    @property
+    def load(self) -> LoadReport:
+        """Load report that goes with answers and refusals."""
+        gate = self._gate
+        now_s = self._loop.time()
+        return LoadReport(
+            gate.running_count,
+            gate.limit,
+            gate.waiting_count,
+            int(gate.service_time_s * _US_PER_S),
+            self._find_refusal() is not None,
+            int(gate.wait_s(now_s) * _MS_PER_S),
+            gate.slowdown_percent,
+        )
+
+    def is_open(self) -> bool:
+        """Tell whether the target takes new requests."""
+        return self._find_refusal() is None
+
+    async def serve(self, call: Call) -> Answer:
+        """Serve a call by the target.
+
+        Raises ``CornelbeamError``: with run state ``NOT_RUN`` when the target
+        did not begin to work on the request, else ``UNKNOWN``.
+        """
+        try:
+            return await self._serve(call)
+        except CornelbeamError as error:
+            error.peer = error.peer or self.name
+            error.load = self.load
+            raise
+
+    async def _serve(self, call: Call) -> Answer:
+        arrived_s = self._loop.time()
+        target = self._check(call)
+        self._record(call)
+        try:
+            await self._wait_for_body(call)
+            await self._admit(call)
+        except BaseException:
+            self._note_run_state(call, RunState.NOT_RUN)
+            raise
+        started_s = self._loop.time()
+        waited_s = started_s - arrived_s
+        running_count = self._gate.running_count
+        service_time_s: float | None = None
+        try:
+            answer = await self._exchange(call, target)
+            service_time_s = self._loop.time() - started_s
+        finally:
+            self._gate.finish(service_time_s)
+            self._let_in()
+            _log.debug(
+                'exchange ended',
+                request=call.request_id,
+                priority=call.priority,
+                waited_ms=int(waited_s * _MS_PER_S),
+                worked_ms=int((self._loop.time() - started_s) * _MS_PER_S),
+                running_count=running_count,
+                slowdown_percent=self._gate.slowdown_percent,
+            )
+        return answer
+
+    def _find_refusal(self) -> Refusal | None:
+        target = self._target()
+        if target is None or not self.is_reachable:
+            return Refusal.NO_TARGET
+        if target.is_draining:
+            return Refusal.DRAINING
+        return Refusal.EVACUATED if self._is_evacuated() else None
+
+    def _check(self, call: Call) -> TargetEntry:
+        refusal = self._find_refusal()
+        target = self._target()
+        if refusal is not None or target is None:
+            raise self._refuse(refusal or Refusal.NO_TARGET)
+        if target.service != call.service:
+            raise self._refuse(Refusal.NO_TARGET, 'it serves another service')
+        if call.target_incarnation != self.ledger.incarnation:
+            raise CornelbeamError(ErrorCode.WRONG_INCARNATION, 'admission')
+        now_s = self._loop.time()
+        if not call.is_repeat:
+            self._repeats.note_request(now_s)
+        elif not self._repeats.try_repeat(now_s):
+            raise self._refuse(Refusal.REPEATS)
+        return target
+
+    def _record(self, call: Call) -> None:
+        if not is_recorded(call):
+            return
+        recorded = self.ledger.record(
+            call.attempt_id,
+            call.target_incarnation,
+            self._loop.time(),
+            call.deadline_s,
+        )
+        if recorded is not RecordResult.HAND_OVER:
+            raise CornelbeamError(
+                _RECORD_ERRORS[recorded],
+                'attempt ledger',
+                self.name,
+                run_state=recorded.run_state,
+            )
+
+    async def _wait_for_body(self, call: Call) -> None:
+        """Wait until the body is here: a slow caller must not hold a slot."""
+        if call.body.is_whole:
+            return
+        try:
+            async with asyncio.timeout_at(call.deadline_s):
+                await call.body.gather()
+        except TimeoutError as error:
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'request body',
+                self.name,
+            ) from error
+        except CornelbeamError as error:
+            error.run_state = RunState.NOT_RUN
+            raise
+
+    async def _admit(self, call: Call) -> None:
+        now_s = self._loop.time()
+        ticket = Ticket(
+            call,
+            call.is_nested,
+            call.priority,
+            min(call.deadline_s, now_s + call.patience_ms / _MS_PER_S),
+            call.deadline_s,
+        )
+        refusal = self._gate.offer(ticket, now_s)
+        if refusal is not None:
+            raise self._refuse(refusal)
+        turn: asyncio.Future[None] = self._loop.create_future()
+        self._waiting[call] = turn
+        self._let_in()
+        if turn.done() and not turn.cancelled():
+            turn.result()
+            return
+        await self._wait_turn(call, turn, ticket)
+
+    async def _wait_turn(
+        self,
+        call: Call,
+        turn: 'asyncio.Future[None]',
+        ticket: Ticket,
+    ) -> None:
+        # The estimate of the wait may have been short; the call gets some
+        # more time before it goes back.
+        limit_s = min(
+            ticket.deadline_s,
+            ticket.give_up_at_s + self._gate.service_time_s / 2,
+        )
+        try:
+            async with asyncio.timeout_at(limit_s):
+                await turn
+        except BaseException as error:
+            if turn.done() and not turn.cancelled() and not turn.exception():
+                # It was let in at the same moment.
+                self._gate.finish(None)
+            self._gate.withdraw(call)
+            self._waiting.pop(call, None)
+            self._let_in()
+            if isinstance(error, TimeoutError):
+                raise self._refuse(Refusal.FULL) from error
+            raise
+
+    def recheck(self) -> None:
+        """Send waiting calls back when the target takes no more."""
+        refusal = self._find_refusal()
+        if refusal is None:
+            self._let_in()
+            return
+        for call, turn in tuple(self._waiting.items()):
+            self._gate.withdraw(call)
+            self._waiting.pop(call)
+            if not turn.done():
+                turn.set_exception(self._refuse(refusal))
+
+    def _let_in(self) -> None:
+        if self._find_refusal() is not None:
+            return
+        now_s = self._loop.time()
+        while True:
+            ticket = self._gate.take_next(now_s)
+            if ticket is None:
+                break
+            call = ticket.call
+            assert isinstance(call, Call)  # noqa: S101
+            turn = self._waiting.pop(call)
+            if turn.done():
+                self._gate.finish(None)
+            else:
+                turn.set_result(None)
+        wait_s = self._gate.next_start_s(now_s)
+        if wait_s is not None and self._timer is None:
+            self._timer = self._loop.call_later(wait_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._let_in()
+
+    async def _exchange(self, call: Call, target: TargetEntry) -> Answer:
+        connection = await self._connect(call)
+        try:
+            async with asyncio.timeout_at(call.deadline_s):
+                head = await self._try_reused(call, target, connection)
+                if head is None:
+                    self._client.release(connection)
+                    connection = await self._open_again()
+                    head = await self._hand_over(call, target, connection)
+                content = await _read_short(head.body)
+        except TimeoutError as error:
+            self._break_off(call, connection)
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'backend answer',
+                self.name,
+                run_state=RunState.UNKNOWN,
+            ) from error
+        except CornelbeamError as error:
+            self._break_off(call, connection)
+            self.on_suspicion()
+            error.run_state = RunState.UNKNOWN
+            raise
+        except BaseException:
+            self._break_off(call, connection)
+            raise
+        return self._take_answer(call, connection, head, content)
+
+    async def _connect(self, call: Call) -> BackendConnection:
+        try:
+            idle = self._client.take_idle(is_fresh=is_recorded(call))
+            return idle or await self._client.open()
+        except CornelbeamError:
+            self._note_run_state(call, RunState.NOT_RUN)
+            self.is_reachable = False
+            self.on_suspicion()
+            self.recheck()
+            raise
+
+    async def _open_again(self) -> BackendConnection:
+        try:
+            return await self._client.open()
+        except CornelbeamError as error:
+            # The first connection took the request.
+            error.run_state = RunState.UNKNOWN
+            raise
+
+    async def _try_reused(
+        self,
+        call: Call,
+        target: TargetEntry,
+        connection: BackendConnection,
+    ) -> BackendAnswer | None:
+        """Hand over; None if the target had closed the idle connection."""
+        try:
+            return await self._hand_over(call, target, connection)
+        except CornelbeamError:
+            if connection.is_stale and call.is_repeatable:
+                return None
+            raise
+
+    async def _hand_over(
+        self,
+        call: Call,
+        target: TargetEntry,
+        connection: BackendConnection,
+    ) -> BackendAnswer:
+        reader = call.body.reader()
+        first_part, is_whole = reader.take_first()
+        names = self._edge.headers
+        headers = [
+            *call.headers,
+            names.remaining_ms,
+            str(remaining_ms(call.deadline_s, self._loop.time())).encode(),
+            names.expected_instance,
+            target.instance.encode(),
+        ]
+        length = fields.find(headers, b'content-length')
+        is_chunked = length is None and not is_whole
+        if is_chunked:
+            headers += (b'transfer-encoding', b'chunked')
+        elif length is None and (first_part or call.method in _BODY_METHODS):
+            headers += (b'content-length', str(len(first_part)).encode())
+        attempt = fields.find(call.headers, names.attempt_id)
+        return await connection.exchange(
+            fields.render(
+                b'%b %b HTTP/1.1' % (call.method, call.path),
+                headers,
+            ),
+            reader,
+            first_part,
+            is_complete=is_whole,
+            is_chunked=is_chunked,
+            is_head_request=call.method == b'HEAD',
+            length_bytes=None if length is None else int(length),
+            is_own=lambda answered: (
+                fields.find(answered, names.attempt_id) == attempt
+            ),
+        )
+
+    def _take_answer(
+        self,
+        call: Call,
+        connection: BackendConnection,
+        head: BackendAnswer,
+        content: bytes,
+    ) -> Answer:
+        self.note_load(head.headers)
+        is_refusal = fields.find(head.headers, self._edge.headers.not_run)
+        if is_refusal or head.status == _MISDIRECTED:
+            self._client.release(connection)
+            self._note_run_state(call, RunState.NOT_RUN)
+            raise self._shed(head.status)
+        if fields.find(head.headers, _ENCODING) is not None:
+            # Callers ask for none, so these are not the target's bytes.
+            self._break_off(call, connection)
+            raise CornelbeamError(
+                ErrorCode.BACKEND_FAILED,
+                'backend answer',
+                self.name,
+                'an encoded body',
+                run_state=RunState.UNKNOWN,
+            )
+        is_whole = head.body.is_ended
+        body = head.body
+        if is_whole:
+            body = BodyBuffer()
+            body.feed(content)
+            body.finish()
+            self._release_answered(call, connection)
+        else:
+            body.push_front(content)
+
+        def close() -> None:  # noqa: WPS430
+            if not is_whole:
+                self._release_answered(call, connection)
+
+        return Answer(
+            head.status,
+            fields.strip(head.headers),
+            body,
+            self.load,
+            close,
+        )
+
+    def _release_answered(
+        self,
+        call: Call,
+        connection: BackendConnection,
+    ) -> None:
+        self._client.release(connection)
+        self._note_run_state(call, RunState.RAN)
+
+    def _shed(self, status: int) -> CornelbeamError:
+        _log.info('target refused', status=status)
+        self.on_suspicion()
+        return CornelbeamError(
+            ErrorCode.OVERLOADED,
+            'backend answer',
+            self.name,
+            f'the target refused with status {status}',
+        )
+
+    def note_load(self, headers: list[bytes]) -> None:
+        """Take the load that the target told with an answer."""
+        stated = fields.find(headers, self._edge.headers.load)
+        load = None if stated is None else self._edge.read_load(stated)
+        if load is not None:
+            self._gate.slowdown_percent = load.slowdown_percent
+
+    def _break_off(self, call: Call, connection: BackendConnection) -> None:
+        connection.close()
+        self._client.release(connection)
+        self._note_run_state(call, RunState.UNKNOWN)
+
+    def _note_run_state(self, call: Call, run_state: RunState) -> None:
+        if is_recorded(call):
+            self.ledger.finish(
+                call.attempt_id,
+                None,
+                self._loop.time(),
+                run_state,
+            )
+
+    def _refuse(self, refusal: Refusal, detail: str = '') -> CornelbeamError:
+        wait_s = self._gate.wait_s(self._loop.time())
+        return CornelbeamError(
+            _REFUSAL_CODES[refusal],
+            'admission',
+            self.name,
+            detail or refusal.value,
+            retry_after_ms=int(wait_s * _MS_PER_S),
+        )
+
+
+async def _read_short(body: BodyBuffer) -> bytes:
+    """Read the body unless it is long: a broken one can then be replaced."""
+    parts = [body.take_ready()]
+    size_bytes = len(parts[0])
+    while not body.is_ended and size_bytes < BUFFER_LIMIT_BYTES:
+        parts.append(await body.read())
+        size_bytes += len(parts[-1])
+    return b''.join(parts)
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -0,0 +1,72 @@
+"""Counters and latency histograms of the daemon."""
+
+from collections.abc import Callable
+from typing import Final, final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+# From below the time of a short call to the longest time limit.
+_BUCKETS_S: Final = (0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1, 1.5, 2.5, 5, 10)
+
+
+@final
+class MeshMetrics:
+    """What the metrics listener serves."""
+
+    __slots__ = ('_latency_s', '_messages', '_registry', '_requests')
+
+    def __init__(self) -> None:
+        """Register the metrics in a registry of their own."""
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            'cornelbeam_requests',
+            'Requests of callers by route and outcome.',
+            ('route', 'outcome'),
+            registry=self._registry,
+        )
+        self._latency_s = Histogram(
+            'cornelbeam_request_seconds',
+            'Time from the head of a request to its answer.',
+            ('route',),
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._messages = Counter(
+            'cornelbeam_message_bytes',
+            'Bytes of control messages between daemons.',
+            ('message', 'direction'),
+            registry=self._registry,
+        )
+
+    def count_sent(self, message: str, size_bytes: int) -> None:
+        """Count a control message that was sent."""
+        self._messages.labels(message, 'sent').inc(size_bytes)
+
+    def count_received(self, message: str, size_bytes: int) -> None:
+        """Count a control message that arrived."""
+        self._messages.labels(message, 'received').inc(size_bytes)
+
+    def count_request(self, route: str, outcome: str, latency_s: float) -> None:
+        """Count one request by its status or error code."""
+        self._requests.labels(route, outcome).inc()
+        self._latency_s.labels(route).observe(latency_s)
+
+    def add_gauge(
+        self,
+        name: str,
+        description: str,
+        read: Callable[[], float],
+    ) -> None:
+        """Serve a figure that is read at each scrape."""
+        gauge = Gauge(name, description, registry=self._registry)
+        gauge.set_function(read)
+
+    def render(self) -> bytes:
+        """Give all metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -0,0 +1,149 @@
+"""Exchanges shared objects with peers while the store can't be reached."""
+
+import random
+from typing import Final, final
+
+import anyio
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.shared_objects import SharedKind, SharedObject
+from cornelbeam_daemon.exchange import Messenger
+from cornelbeam_daemon.logs import get_log
+from cornelbeam_wire import Stream
+from cornelbeam_wire.gen import messages
+
+from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_mesh.members import MemberEntry
+from cornelbeam_mesh.store_sync import StoreSync
+
+_log = get_log('member')
+# A configuration must hold within seconds also where the store refuses one
+# daemon and serves the others.
+PULL_PERIOD_S: Final = 0.8
+# Several peers are asked in a round: one alone may be cut off too.
+PULL_PEER_COUNT: Final = 2
+# A frame holds objects up to this size; the rest follows by the next pull.
+_FRAME_CONTENT_BYTES: Final = 200_000
+
+
+@final
+class PeerSync:
+    """Pulls objects from peers and answers their pulls."""
+
+    __slots__ = ('_domain', '_messenger', '_rng', '_state', '_store_sync')
+
+    def __init__(
+        self,
+        domain: str,
+        state: FleetState,
+        store_sync: StoreSync,
+        messenger: Messenger,
+        rng: random.Random,
+    ) -> None:
+        """Prefer peers of ``domain``: traffic inside it is cheap."""
+        self._domain = domain
+        self._state = state
+        self._store_sync = store_sync
+        self._messenger = messenger
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Pull while the store is out of reach."""
+        while True:
+            await anyio.sleep(PULL_PERIOD_S)
+            if self._store_sync.is_reachable.is_set():
+                continue
+            for peer in self._choose_peers():
+                await self.pull(peer)
+
+    async def pull(self, peer: MemberEntry) -> None:
+        """Take what a peer knows and this daemon doesn't."""
+        try:
+            frame = await self._messenger.ask(
+                peer.address,
+                config_pull=messages.ConfigPull(
+                    since_revision=self._state.store_revision,
+                ),
+            )
+        except CornelbeamError as error:
+            _log.info('peer not asked', peer=peer.name, why=str(error))
+            return
+        if frame.config_push is not None:
+            self.take_push(frame.config_push, peer.name)
+
+    def take_push(self, push: messages.ConfigPush, sender: str) -> None:
+        """Take the objects of a peer."""
+        news = []
+        for held in push.objects:
+            try:
+                kind = SharedKind(held.kind)
+            except ValueError:
+                # A newer peer may share kinds that this daemon doesn't know.
+                continue
+            news.append(
+                SharedObject(
+                    kind,
+                    held.name,
+                    held.version,
+                    held.is_deleted,
+                    held.spec,
+                ),
+            )
+        self._state.take(news, sender)
+
+    def answer_pull(self, stream: Stream, pull: messages.ConfigPull) -> None:
+        """Send what the asking peer lacks."""
+        objects: list[messages.ConfigObject] = []
+        size_bytes = 0
+        for held in self._state.newer_than(pull.since_revision):
+            size_bytes += len(held.content)
+            if objects and size_bytes > _FRAME_CONTENT_BYTES:
+                break
+            objects.append(_to_wire(held))
+        self._messenger.reply(
+            stream,
+            config_push=messages.ConfigPush(
+                objects=objects,
+                since_revision=pull.since_revision,
+                up_to_revision=self._state.store_revision,
+                has_more=False,
+            ),
+        )
+
+    async def announce(self, own: SharedObject) -> None:
+        """Tell all peers a change of this daemon's entry."""
+        push = messages.ConfigPush(
+            objects=[_to_wire(own)],
+            since_revision=0,
+            up_to_revision=0,
+            has_more=False,
+        )
+        async with anyio.create_task_group() as group:
+            for peer in self._state.members.others():
+                group.start_soon(self._tell, peer, push)
+
+    async def _tell(
+        self,
+        peer: MemberEntry,
+        push: messages.ConfigPush,
+    ) -> None:
+        await self._messenger.tell(peer.address, config_push=push)
+
+    def _choose_peers(self) -> list[MemberEntry]:
+        peers = self._state.members.others()
+        self._rng.shuffle(peers)
+        peers.sort(key=lambda peer: peer.domain != self._domain)
+        near = peers[:1]
+        rest = peers[1:]
+        self._rng.shuffle(rest)
+        return near + rest[: PULL_PEER_COUNT - len(near)]
+
+
+def _to_wire(held: SharedObject) -> messages.ConfigObject:
+    return messages.ConfigObject(
+        kind=held.kind.value,
+        name=held.name,
+        version=held.version,
+        revision=held.version,
+        is_deleted=held.is_deleted,
+        spec=held.content,
+    )
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -0,0 +1,102 @@
+"""Settings of the daemon for routes by host and path."""
+
+from pathlib import Path
+
+import msgspec
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_settings.located import DocumentError, parse_document
+from cornelbeam_settings.model import Section
+
+
+class MeshInstance(Section, frozen=True):
+    """Who this instance is: its name, its service and its failure domain."""
+
+    name: str
+    service: str
+    domain: str
+
+
+class MeshListeners(Section, frozen=True):
+    """Addresses, ``ip:port``, that the daemon accepts connections at.
+
+    ``callers`` takes requests of callers on this instance, ``peers`` those of
+    other daemons, ``registration`` the heartbeats of the backend server.
+    """
+
+    callers: str
+    peers: str
+    registration: str
+    readiness: str
+    metrics: str
+
+
+class MeshBackendServer(Section, frozen=True):
+    """The backend server on this instance; ``address`` is ``ip:port``."""
+
+    address: str
+    heartbeat_interval_ms: int
+
+
+class MeshStore(Section, frozen=True):
+    """The platform's store; ``address`` is ``ip:port``."""
+
+    address: str
+
+
+class MeshBounds(Section, frozen=True):
+    """Promises to the operators.
+
+    In a window of ``retry_window_s`` seconds a service gets at most
+    ``retry_ratio`` repeats for each request plus ``retry_slack_count``. A
+    stopping daemon ends within ``grace_s`` seconds.
+    """
+
+    retry_ratio: float = 0.2
+    retry_slack_count: float = 60
+    retry_window_s: float = 10
+    grace_s: float = 6
+
+
+class MeshLog(Section, frozen=True):
+    """Log lines: the lowest level, and whether they are JSON."""
+
+    level: str = 'info'
+    is_json: bool = True
+
+
+class MeshSettings(Section, frozen=True):
+    """All settings of the daemon."""
+
+    instance: MeshInstance
+    listeners: MeshListeners
+    backend_server: MeshBackendServer
+    store: MeshStore
+    bounds: MeshBounds = MeshBounds()
+    log: MeshLog = MeshLog()
+
+
+def load_mesh_settings(path: str) -> MeshSettings:
+    """Read a settings file in JSON with comments.
+
+    Raises ``settings_invalid`` that names the file and the problem.
+    """
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+        return msgspec.convert(parse_document(text).content, MeshSettings)
+    except (OSError, DocumentError, msgspec.ValidationError) as error:
+        raise CornelbeamError(
+            ErrorCode.SETTINGS_INVALID,
+            'settings',
+            path,
+            str(error),
+        ) from error
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Give host and port of ``ip:port``.
+
+    >>> split_address('10.0.0.1:80')
+    ('10.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -0,0 +1,415 @@
+"""One daemon: its parts, its listeners and its planned stop."""
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final, final
+
+import anyio
+from anyio.abc import TaskGroup
+from cornelbeam_core.attempts import AttemptLedger
+from cornelbeam_core.repeat_budget import RepeatBudget
+from cornelbeam_core.routes import ServiceRule
+from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_daemon.backend_client import BackendClient
+from cornelbeam_daemon.exchange import Messenger
+from cornelbeam_daemon.http_message import HttpRequest, Responder
+from cornelbeam_daemon.http_server import HttpServerConnection
+from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_daemon.peer_server import PeerServer
+from cornelbeam_daemon.silence import SilenceWatch
+from cornelbeam_wire import (
+    Identity,
+    PeerConnection,
+    PeerPool,
+    Stream,
+    StreamReceiver,
+)
+from cornelbeam_wire.gen import messages
+
+from cornelbeam_mesh.edge import Edge, Heartbeat, Store
+from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_mesh.forwarding import Forwarder
+from cornelbeam_mesh.gate_keeper import GateKeeper
+from cornelbeam_mesh.members import (
+    MemberEntry,
+    TargetEntry,
+    decode_member,
+    encode_member,
+)
+from cornelbeam_mesh.metrics import MeshMetrics
+from cornelbeam_mesh.peer_sync import PeerSync
+from cornelbeam_mesh.registration import Registration
+from cornelbeam_mesh.settings import MeshSettings, split_address
+from cornelbeam_mesh.store_sync import StoreSync
+from cornelbeam_mesh.target_probe import TargetProbe
+
+_log = get_log('admin')
+LISTEN_BACKLOG: Final = 1024
+# More than the slots of a target; the gate keeps the number in use below.
+MAX_BACKEND_CONNECTIONS: Final = 200
+_MS_PER_S: Final = 1000
+# Attempts in the ledger at 200 calls/s that must not repeat, 60 s each.
+LEDGER_CAPACITY: Final = 12_000
+LEDGER_KEEP_S: Final = 30.0
+LEDGER_EXPIRE_PERIOD_S: Final = 1.0
+# Larger heads and bodies than any that operators allow; the configuration
+# may change these limits while connections are open.
+HEAD_LIMIT_BYTES: Final = 65_536
+BODY_LIMIT_BYTES: Final = 268_435_456
+# After SIGTERM, readiness fails first; callers that check once a second and
+# leave after two misses are gone by then.
+LEAVE_S: Final = 2.2
+# Left of the grace period when the last connections are cut.
+STOP_MARGIN_S: Final = 0.5
+STOP_POLL_S: Final = 0.05
+# Silence of a peer connection with open calls before it is given up.
+SILENCE_MS: Final = 400
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+
+_Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+@final
+class Sidecar:
+    """All parts of one daemon; ``run`` serves until ``stop`` is asked for."""
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        edge: Edge,
+        store: Store,
+    ) -> None:
+        """Bind the listeners and connect the parts.
+
+        Raises ``OSError`` when an address cannot be bound.
+        """
+        self.settings = settings
+        listeners = settings.listeners
+        self._sockets = {
+            address: _bind(address)
+            for address in (
+                listeners.callers,
+                listeners.peers,
+                listeners.registration,
+                listeners.readiness,
+                listeners.metrics,
+            )
+        }
+        self._store = store
+        self._rng = random.Random()
+        self._stop = asyncio.Event()
+        self._is_leaving = False
+        self._callers: set[HttpServerConnection] = set()
+        self._others: set[HttpServerConnection] = set()
+        self._accepted: set[PeerConnection] = set()
+        self._group: TaskGroup | None = None
+        name, domain = settings.instance.name, settings.instance.domain
+        self._incarnation = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self.metrics = MeshMetrics()
+        self.state = FleetState(name)
+        self.state.on_change = self._on_change
+        self.registration = Registration(
+            edge,
+            settings.backend_server.address,
+            settings.backend_server.heartbeat_interval_ms,
+            self._publish,
+            self._on_heartbeat,
+        )
+        self._gate = TargetGate()
+        bounds = settings.bounds
+        self._repeats = RepeatBudget(
+            bounds.retry_ratio,
+            bounds.retry_slack_count,
+            bounds.retry_window_s,
+        )
+        host, port = split_address(settings.backend_server.address)
+        self._backend = BackendClient(host, port, MAX_BACKEND_CONNECTIONS)
+        self.keeper = GateKeeper(
+            name,
+            edge,
+            self._gate,
+            self._repeats,
+            AttemptLedger(self._incarnation, LEDGER_CAPACITY, LEDGER_KEEP_S),
+            self._backend,
+            self._own_target,
+            lambda: domain in self.state.evacuated_domains,
+        )
+        self._probe = TargetProbe(
+            edge,
+            settings.backend_server.address,
+            self._gate,
+            self.keeper,
+            self._backend,
+            self._own_target,
+            self._own_service,
+        )
+        self.keeper.on_suspicion = self._probe.suspect
+        self._identity = Identity(
+            name,
+            settings.instance.service,
+            domain,
+            self._incarnation,
+            listeners.peers,
+            # The network of the platform admits only its own machines.
+            b'',
+        )
+        self._pool = PeerPool(self._identity, _refuse_streams)
+        self._messenger = Messenger(self._pool, self.metrics)
+        self._silence = SilenceWatch(
+            self._pool,
+            SILENCE_MS,
+            lambda: self.state.store_revision,
+            settings.instance.service,
+        )
+        self.store_sync = StoreSync(store, self.state, self._rng)
+        self.peer_sync = PeerSync(
+            domain,
+            self.state,
+            self.store_sync,
+            self._messenger,
+            self._rng,
+        )
+        self._peer_server = PeerServer(self.keeper, self._accepted)
+        self.forwarder = Forwarder(
+            name,
+            domain,
+            settings.instance.service,
+            edge,
+            self.state,
+            self.keeper,
+            PeerClient(self._pool),
+            self.metrics,
+            self._on_stale_peer,
+            self._rng,
+        )
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until a stop is asked for and all work is done."""
+        listeners = self.settings.listeners
+        await self._listen_peers(listeners.peers)
+        await self._listen(listeners.registration, self.registration.handle)
+        await self._listen(listeners.readiness, self._answer_readiness)
+        await self._listen(listeners.metrics, self._answer_metrics)
+        callers = await self._listen(
+            listeners.callers,
+            self.forwarder.handle,
+            self._callers,
+        )
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self.store_sync.run)
+            group.start_soon(self.peer_sync.run)
+            group.start_soon(self._probe.run)
+            group.start_soon(self._silence.run)
+            group.start_soon(self._expire_attempts)
+            group.start_soon(self._join)
+            _log.info(
+                'serving',
+                member=self.settings.instance.name,
+                service=self.settings.instance.service,
+                incarnation=self._incarnation,
+            )
+            await self._stop.wait()
+            await self._drain(callers)
+            group.cancel_scope.cancel()
+        await self._store.close()
+        self._pool.close()
+        for connection in tuple(self._accepted):
+            connection.close()
+        _log.info('stopped', member=self.settings.instance.name)
+
+    async def _join(self) -> None:
+        """Announce this run once the entry of an earlier one is known."""
+        await self.store_sync.is_listed.wait()
+        name = self.settings.instance.name
+        held = self.state.get(SharedKind.MEMBER, name)
+        entry = None if held is None else decode_member(held)
+        if entry is not None:
+            self.registration.restore(entry.target)
+        self._publish()
+
+    def _publish(self) -> None:
+        """Tell the store and the peers what this daemon serves."""
+        if not self.store_sync.is_listed.is_set():
+            return
+        self._sequence += 1
+        entry = MemberEntry(
+            self.settings.instance.name,
+            self.settings.instance.domain,
+            self.settings.listeners.peers,
+            self._incarnation,
+            self._sequence,
+            self._is_leaving,
+            self.registration.entry,
+        )
+        own = encode_member(entry)
+        self.state.take([own], 'self')
+        self.store_sync.write(own)
+        self.keeper.recheck()
+        self._start(self.peer_sync.announce(own))
+
+    def _on_heartbeat(self, beat: Heartbeat) -> None:
+        self._gate.open(beat.slot_count)
+        service = self._own_service()
+        self._gate.set_cold(
+            asyncio.get_running_loop().time(),
+            beat.cold_remaining_ms / _MS_PER_S,
+            None if service is None else service.cold_per_s,
+        )
+
+    def _on_change(self, kinds: set[SharedKind]) -> None:
+        target = self._own_target()
+        if target is not None:
+            self._gate.open(target.slot_count)
+            self._repeats.share_with(
+                self.state.members.count_service(target.service),
+            )
+        self.keeper.recheck()
+
+    def _on_stale_peer(self, member: MemberEntry) -> None:
+        self._start(self.peer_sync.pull(member))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        if self._group is None:
+            work.close()
+            return
+        self._group.start_soon(_wait_for, work)
+
+    def _own_target(self) -> TargetEntry | None:
+        return self.registration.entry
+
+    def _own_service(self) -> ServiceRule | None:
+        target = self.registration.entry
+        table = self.state.table
+        if target is None or table is None:
+            return None
+        return table.services.get(target.service)
+
+    async def _answer_readiness(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        is_ready = self.state.table is not None and not self._is_leaving
+        responder.send_whole(_OK if is_ready else _UNAVAILABLE, [], b'')
+
+    async def _answer_metrics(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        headers = [b'content-type', b'text/plain; version=0.0.4']
+        responder.send_whole(_OK, headers, self.metrics.render())
+
+    async def _drain(self, callers: asyncio.Server) -> None:
+        """Send new work elsewhere, finish what is in flight, then go."""
+        _log.info('leaving', in_flight=self.forwarder.in_flight_count)
+        self._is_leaving = True
+        self._publish()
+        grace_s = self.settings.bounds.grace_s - STOP_MARGIN_S
+        with anyio.move_on_after(grace_s):
+            await anyio.sleep(LEAVE_S)
+            for connection in tuple(self._callers):
+                connection.close_when_idle()
+            while self._callers or self.keeper.work_count:
+                await anyio.sleep(STOP_POLL_S)
+        callers.close()
+
+    async def _listen(
+        self,
+        address: str,
+        handler: _Handler,
+        connections: set[HttpServerConnection] | None = None,
+    ) -> asyncio.Server:
+        held = self._others if connections is None else connections
+        return await asyncio.get_running_loop().create_server(
+            lambda: HttpServerConnection(
+                handler,
+                HEAD_LIMIT_BYTES,
+                BODY_LIMIT_BYTES,
+                held,
+            ),
+            sock=self._sockets[address],
+            backlog=LISTEN_BACKLOG,
+        )
+
+    async def _listen_peers(self, address: str) -> None:
+        await asyncio.get_running_loop().create_server(
+            self._accept_peer,
+            sock=self._sockets[address],
+            backlog=LISTEN_BACKLOG,
+        )
+
+    def _accept_peer(self) -> PeerConnection:
+        connection = PeerConnection(
+            self._identity,
+            self._accept_stream,
+            self._accepted.discard,
+            is_opener=False,
+        )
+        self._accepted.add(connection)
+        return connection
+
+    def _accept_stream(
+        self,
+        stream: Stream,
+        frame: messages.Frame,
+    ) -> StreamReceiver | None:
+        if frame.call_start is not None:
+            return self._peer_server.start_call(stream, frame.call_start)
+        if frame.outcome_query is not None:
+            return self._peer_server.answer_query(stream, frame.outcome_query)
+        if frame.config_pull is not None:
+            self.peer_sync.answer_pull(stream, frame.config_pull)
+        elif frame.config_push is not None:
+            peer = stream.connection.peer_name
+            self.peer_sync.take_push(frame.config_push, peer)
+        elif frame.ping is not None:
+            self._answer_ping(stream)
+        return None
+
+    def _answer_ping(self, stream: Stream) -> None:
+        self._messenger.reply(
+            stream,
+            ack=messages.Ack(
+                updates=[],
+                revision=self.state.store_revision,
+                name=self.settings.instance.name,
+                incarnation=self._incarnation,
+            ),
+        )
+
+    async def _expire_attempts(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await anyio.sleep(LEDGER_EXPIRE_PERIOD_S)
+            self.keeper.ledger.expire(loop.time())
+
+
+async def _wait_for(work: Coroutine[Any, Any, None]) -> None:
+    await work
+
+
+def _refuse_streams(stream: Stream, frame: messages.Frame) -> None:
+    """Ignore streams that a peer opens on a connection of this daemon."""
+
+
+def _bind(address: str) -> socket.socket:
+    listening = socket.create_server(
+        split_address(address),
+        backlog=LISTEN_BACKLOG,
+    )
+    # Accepted sockets inherit it; see ``cornelbeam_daemon.daemon``.
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listening
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -0,0 +1,176 @@
+"""Keeps the fleet state in step with the platform's store.
+
+Each call to the store is priced and its rate is limited, also while it
+fails. What operators write is watched, as it must hold within two seconds.
+The entries of members change rarely and are polled by cheap stale reads;
+these also show whether the store answers, so that nothing else is sent to a
+store that doesn't.
+"""
+
+import asyncio
+import random
+from typing import Final, final
+
+import anyio
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.shared_objects import SharedKind, SharedObject
+from cornelbeam_daemon.logs import get_log
+
+from cornelbeam_mesh.edge import HistoryGoneError, Store
+from cornelbeam_mesh.fleet_state import FleetState
+
+_log = get_log('relay')
+_MS_PER_S: Final = 1000
+# The longest wait that the store allows; a silent watch is noticed by polls.
+WATCH_WAIT_MS: Final = 30_000
+# A target that joins is known to all daemons after one poll.
+POLL_PERIOD_S: Final = 2.0
+# Daemons that start together write their entries within this time.
+START_POLL_DELAYS_S: Final = (0.3, 0.5, 1.0)
+# Polls of a store that doesn't answer; a change must hold some seconds after
+# its return.
+LOST_POLL_PERIOD_S: Final = 0.8
+# A full listing after a change that no watch has brought.
+MISSED_CHANGE_DELAY_S: Final = 0.6
+_WATCHED: Final = (SharedKind.CONFIGURATION, SharedKind.EVACUATION)
+
+
+@final
+class StoreSync:
+    """Follows the store and writes the entry of this daemon to it."""
+
+    __slots__ = (
+        '_known_revision',
+        '_own',
+        '_rng',
+        '_state',
+        '_store',
+        '_wants_write',
+        'is_listed',
+        'is_reachable',
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        state: FleetState,
+        rng: random.Random,
+    ) -> None:
+        """Bring what the store holds into ``state``."""
+        self._store = store
+        self._state = state
+        self._rng = rng
+        self._own: SharedObject | None = None
+        self._wants_write = asyncio.Event()
+        self._known_revision = 0
+        # Set while the store answers.
+        self.is_reachable = asyncio.Event()
+        # Set after the first listing of all kinds.
+        self.is_listed = asyncio.Event()
+
+    def write(self, own: SharedObject) -> None:
+        """Write the newest entry of this daemon as soon as possible."""
+        self._own = own
+        self._wants_write.set()
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        await self._list_first()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._poll_members)
+            group.start_soon(self._write_own)
+            for kind in _WATCHED:
+                group.start_soon(self._watch, kind)
+
+    async def _list_first(self) -> None:
+        while not self.is_listed.is_set():
+            try:
+                for kind in SharedKind:
+                    await self._list(kind, is_stale_allowed=False)
+            except CornelbeamError as error:
+                self._note_lost(error)
+                await anyio.sleep(LOST_POLL_PERIOD_S)
+            else:
+                self.is_listed.set()
+                self._note_answer()
+
+    async def _list(self, kind: SharedKind, *, is_stale_allowed: bool) -> int:
+        listing = await self._store.list_objects(
+            kind,
+            is_stale_allowed=is_stale_allowed,
+        )
+        self._state.take_listing(listing, 'store')
+        return listing.revision
+
+    async def _poll_members(self) -> None:
+        for delay_s in START_POLL_DELAYS_S:
+            await anyio.sleep(delay_s)
+            await self._poll_once()
+        while True:
+            period_s = POLL_PERIOD_S
+            if not self.is_reachable.is_set():
+                period_s = LOST_POLL_PERIOD_S
+            await anyio.sleep(period_s * self._rng.uniform(0.9, 1.1))
+            await self._poll_once()
+
+    async def _poll_once(self) -> None:
+        try:
+            await self._list(SharedKind.MEMBER, is_stale_allowed=True)
+        except CornelbeamError as error:
+            self._note_lost(error)
+        else:
+            self._note_answer()
+
+    async def _watch(self, kind: SharedKind) -> None:
+        revision = await self._relist(kind)
+        while True:
+            await self.is_reachable.wait()
+            try:
+                changes, revision = await self._store.watch(
+                    kind,
+                    revision,
+                    WATCH_WAIT_MS,
+                )
+            except HistoryGoneError:
+                _log.info('watch restarted, history is gone', kind=kind.value)
+                revision = await self._relist(kind)
+            except CornelbeamError as error:
+                self._note_lost(error)
+                # Events may have passed in the meantime.
+                revision = await self._relist(kind)
+            else:
+                self._state.take(changes, 'store')
+
+    async def _relist(self, kind: SharedKind) -> int:
+        """List a kind as soon as the store answers; give the revision."""
+        while True:
+            await self.is_reachable.wait()
+            try:
+                return await self._list(kind, is_stale_allowed=False)
+            except CornelbeamError as error:
+                self._note_lost(error)
+
+    async def _write_own(self) -> None:
+        while True:
+            await self._wants_write.wait()
+            await self.is_reachable.wait()
+            self._wants_write.clear()
+            own = self._own
+            if own is None:
+                continue
+            try:
+                await self._store.put_member(own)
+            except CornelbeamError as error:
+                _log.warning('own entry not written', why=str(error))
+                self._wants_write.set()
+                await anyio.sleep(LOST_POLL_PERIOD_S)
+
+    def _note_answer(self) -> None:
+        if not self.is_reachable.is_set():
+            self.is_reachable.set()
+            _log.info('store reached')
+
+    def _note_lost(self, error: CornelbeamError) -> None:
+        if self.is_reachable.is_set():
+            _log.warning('store lost', why=str(error))
+        self.is_reachable.clear()
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -24,6 +24,8 @@
      - queue_length
      - service_time_us
      - is_leaving
+     - wait_ms
+     - slowdown_percent
 
     """
 
@@ -33,15 +35,19 @@
         'queue_length',
         'service_time_us',
         'is_leaving',
+        'wait_ms',
+        'slowdown_percent',
     )
 
 
-    def __init__(self, in_flight=None, limit=None, queue_length=None, service_time_us=None, is_leaving=None,):
+    def __init__(self, in_flight=None, limit=None, queue_length=None, service_time_us=None, is_leaving=None, wait_ms=None, slowdown_percent=None,):
         self.in_flight = in_flight
         self.limit = limit
         self.queue_length = queue_length
         self.service_time_us = service_time_us
         self.is_leaving = is_leaving
+        self.wait_ms = wait_ms
+        self.slowdown_percent = slowdown_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -77,6 +83,16 @@
                     self.is_leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.slowdown_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -107,6 +123,14 @@
             oprot.writeFieldBegin('is_leaving', TType.BOOL, 5)
             oprot.writeBool(self.is_leaving)
             oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 6)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.slowdown_percent is not None:
+            oprot.writeFieldBegin('slowdown_percent', TType.I32, 7)
+            oprot.writeI32(self.slowdown_percent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -326,6 +350,10 @@
      - body
      - is_complete
      - request_id
+     - priority
+     - is_nested
+     - is_repeat
+     - patience_ms
 
     """
 
@@ -343,10 +371,14 @@
         'body',
         'is_complete',
         'request_id',
+        'priority',
+        'is_nested',
+        'is_repeat',
+        'patience_ms',
     )
 
 
-    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None,):
+    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None, priority=None, is_nested=None, is_repeat=None, patience_ms=None,):
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service_name = service_name
@@ -360,6 +392,10 @@
         self.body = body
         self.is_complete = is_complete
         self.request_id = request_id
+        self.priority = priority
+        self.is_nested = is_nested
+        self.is_repeat = is_repeat
+        self.patience_ms = patience_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -440,6 +476,26 @@
                     self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.is_nested = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.is_repeat = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.patience_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -505,6 +561,22 @@
             oprot.writeFieldBegin('request_id', TType.STRING, 13)
             oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 14)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.is_nested is not None:
+            oprot.writeFieldBegin('is_nested', TType.BOOL, 15)
+            oprot.writeBool(self.is_nested)
+            oprot.writeFieldEnd()
+        if self.is_repeat is not None:
+            oprot.writeFieldBegin('is_repeat', TType.BOOL, 16)
+            oprot.writeBool(self.is_repeat)
+            oprot.writeFieldEnd()
+        if self.patience_ms is not None:
+            oprot.writeFieldBegin('patience_ms', TType.I32, 17)
+            oprot.writeI32(self.patience_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2797,6 +2869,8 @@
     (3, TType.I32, 'queue_length', None, None, ),  # 3
     (4, TType.I32, 'service_time_us', None, None, ),  # 4
     (5, TType.BOOL, 'is_leaving', None, None, ),  # 5
+    (6, TType.I32, 'wait_ms', None, None, ),  # 6
+    (7, TType.I32, 'slowdown_percent', None, None, ),  # 7
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
@@ -2826,6 +2900,10 @@
     (11, TType.STRING, 'body', 'BINARY', None, ),  # 11
     (12, TType.BOOL, 'is_complete', None, None, ),  # 12
     (13, TType.STRING, 'request_id', 'UTF8', None, ),  # 13
+    (14, TType.I32, 'priority', None, None, ),  # 14
+    (15, TType.BOOL, 'is_nested', None, None, ),  # 15
+    (16, TType.BOOL, 'is_repeat', None, None, ),  # 16
+    (17, TType.I32, 'patience_ms', None, None, ),  # 17
 )
 all_structs.append(BodyPart)
 BodyPart.thrift_spec = (
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -6,6 +6,8 @@
   3: required i32 queue_length
   4: required i32 service_time_us
   5: required bool is_leaving
+  6: optional i32 wait_ms
+  7: optional i32 slowdown_percent
 }
 
 struct Hello {
@@ -34,6 +36,10 @@
   11: required binary body
   12: required bool is_complete
   13: required string request_id
+  14: optional i32 priority
+  15: optional bool is_nested
+  16: optional bool is_repeat
+  17: optional i32 patience_ms
 }
 
 struct BodyPart {
