Count refused arrivals as repeats, restart watches that lost the store

Such a refusal has an error code of its own now.

Watches start anew when the store is lost, and when polls show a revision that none of them brought. Ruled out: the peers' pulls, which brought the changes during the cut.

--- a/packages/core/src/cornelbeam_core/errors.py
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -41,6 +41,7 @@
     TOO_MANY_HOPS = 'too_many_hops'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     BACKEND_UNREACHABLE = 'backend_unreachable'
+    BACKEND_REFUSED = 'backend_refused'
     BACKEND_FAILED = 'backend_failed'
     ANSWER_TRUNCATED = 'answer_truncated'
     PEER_UNREACHABLE = 'peer_unreachable'
--- a/packages/core/src/cornelbeam_core/shared_objects.py
+++ b/packages/core/src/cornelbeam_core/shared_objects.py
@@ -34,11 +34,15 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind that existed at a revision of the store."""
+    """All objects of a kind that existed at a revision of the store.
+
+    ``newest_revision`` is the revision at which the last of them changed.
+    """
 
     kind: SharedKind
     objects: tuple[SharedObject, ...]
     revision: int
+    newest_revision: int
 
 
 @final
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -67,6 +67,7 @@
         'service',
         'started_s',
         'used',
+        'waited',
     )
 
     def __init__(
@@ -86,9 +87,11 @@
         self.headers: list[bytes] = []
         self.request_id = ''
         self.is_nested = False
-        # Targets that may have run it, and how many attempts that were.
+        # Targets that it reached, and how often one may have run it.
         self.used: set[str] = set()
         self.run_count = 0
+        # Targets at whose gate it waited for a slot.
+        self.waited: set[str] = set()
         # A failure that a target answered, for want of something better.
         self.fallback: Answer | None = None
 
@@ -324,6 +327,7 @@
                 self._state.evacuated_domains,
             )
             if record.name not in forwarded.used
+            and record.name not in forwarded.waited
         ]
         if not records or now_s >= forwarded.deadline_s:
             return None
@@ -342,9 +346,9 @@
             waitable = _find_waitable(ranked, refusals, left_ms)
             if waitable is None:
                 return None
-            # Each target waits for it at most once.
+            # It waits at a target at most once.
             refusals.pop(waitable.name)
-            forwarded.used.add(waitable.name)
+            forwarded.waited.add(waitable.name)
             chosen, patience = waitable, left_ms
         record = self._state.members.record(chosen.name)
         return None if record is None else (record, patience)
@@ -390,10 +394,14 @@
         is_lost = error.code is ErrorCode.PEER_UNREACHABLE
         if error.code is ErrorCode.WRONG_INCARNATION:
             self._on_stale_peer(member)
-        if error.run_state is not RunState.NOT_RUN:
-            forwarded.used.add(record.name)
+        is_refused = error.code is ErrorCode.BACKEND_REFUSED
+        may_have_run = error.run_state is not RunState.NOT_RUN
+        if may_have_run:
             forwarded.run_count += 1
-        if is_lost or error.run_state is not RunState.NOT_RUN:
+        if may_have_run or is_refused:
+            # It has reached the target: another attempt is a repeat.
+            forwarded.used.add(record.name)
+        if may_have_run or is_refused or is_lost:
             record.note_failure(now_s, is_lost=is_lost)
         _log.info(
             'attempt failed',
@@ -428,7 +436,7 @@
             body=forwarded.body,
             priority=forwarded.route.priority,
             is_nested=forwarded.is_nested,
-            is_repeat=forwarded.run_count > 0,
+            is_repeat=bool(forwarded.used),
             patience_ms=int(patience),
             objective_ms=self._objective_left_ms(forwarded),
             route=forwarded.route.name,
--- a/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
+++ b/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
@@ -488,7 +488,7 @@
         _log.info('target refused', status=status)
         self.on_suspicion()
         return CornelbeamError(
-            ErrorCode.OVERLOADED,
+            ErrorCode.BACKEND_REFUSED,
             'backend answer',
             self.name,
             f'the target refused with status {status}',
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -13,7 +13,7 @@
 
 import anyio
 from cornelbeam_core.errors import CornelbeamError
-from cornelbeam_core.shared_objects import SharedKind, SharedObject
+from cornelbeam_core.shared_objects import Listing, SharedKind, SharedObject
 from cornelbeam_daemon.logs import get_log
 
 from cornelbeam_mesh.edge import HistoryGoneError, Store
@@ -30,8 +30,6 @@
 # Polls of a store that doesn't answer; a change must hold some seconds after
 # its return.
 LOST_POLL_PERIOD_S: Final = 0.8
-# A full listing after a change that no watch has brought.
-MISSED_CHANGE_DELAY_S: Final = 0.6
 _WATCHED: Final = (SharedKind.CONFIGURATION, SharedKind.EVACUATION)
 
 
@@ -41,11 +39,13 @@
 
     __slots__ = (
         '_known_revision',
+        '_missed_since_revision',
         '_own',
         '_rng',
         '_state',
         '_store',
         '_wants_write',
+        '_watches',
         'is_listed',
         'is_reachable',
     )
@@ -63,6 +63,8 @@
         self._own: SharedObject | None = None
         self._wants_write = asyncio.Event()
         self._known_revision = 0
+        self._missed_since_revision = 0
+        self._watches: set[anyio.CancelScope] = set()
         # Set while the store answers.
         self.is_reachable = asyncio.Event()
         # Set after the first listing of all kinds.
@@ -86,7 +88,7 @@
         while not self.is_listed.is_set():
             try:
                 for kind in SharedKind:
-                    await self._list(kind, is_stale_allowed=False)
+                    await self._list(kind)
             except CornelbeamError as error:
                 self._note_lost(error)
                 await anyio.sleep(LOST_POLL_PERIOD_S)
@@ -94,11 +96,8 @@
                 self.is_listed.set()
                 self._note_answer()
 
-    async def _list(self, kind: SharedKind, *, is_stale_allowed: bool) -> int:
-        listing = await self._store.list_objects(
-            kind,
-            is_stale_allowed=is_stale_allowed,
-        )
+    async def _list(self, kind: SharedKind) -> int:
+        listing = await self._store.list_objects(kind, is_stale_allowed=False)
         self._state.take_listing(listing, 'store')
         return listing.revision
 
@@ -115,30 +114,61 @@
 
     async def _poll_once(self) -> None:
         try:
-            await self._list(SharedKind.MEMBER, is_stale_allowed=True)
+            listing = await self._store.list_objects(
+                SharedKind.MEMBER,
+                is_stale_allowed=True,
+            )
         except CornelbeamError as error:
             self._note_lost(error)
+            return
+        self._state.take_listing(listing, 'store')
+        self._note_answer()
+        self._check_watches(listing)
+
+    def _check_watches(self, listing: Listing) -> None:
+        """Restart watches that went silent.
+
+        A revision that no member entry explains belongs to a change that a
+        watch should have brought by the next poll.
+        """
+        known = max(self._known_revision, listing.newest_revision)
+        if listing.revision <= known:
+            self._missed_since_revision = 0
+        elif self._missed_since_revision:
+            _log.warning('watches restarted, a change was missed')
+            self._known_revision = listing.revision
+            self._missed_since_revision = 0
+            self._restart_watches()
         else:
-            self._note_answer()
+            self._missed_since_revision = listing.revision
+
+    def _restart_watches(self) -> None:
+        for scope in tuple(self._watches):
+            scope.cancel()
 
     async def _watch(self, kind: SharedKind) -> None:
         revision = await self._relist(kind)
         while True:
-            await self.is_reachable.wait()
-            try:
-                changes, revision = await self._store.watch(
-                    kind,
-                    revision,
-                    WATCH_WAIT_MS,
-                )
-            except HistoryGoneError:
-                _log.info('watch restarted, history is gone', kind=kind.value)
-                revision = await self._relist(kind)
-            except CornelbeamError as error:
-                self._note_lost(error)
-                # Events may have passed in the meantime.
+            changes: list[SharedObject] | None = None
+            with anyio.CancelScope() as scope:
+                self._watches.add(scope)
+                try:
+                    changes, revision = await self._store.watch(
+                        kind,
+                        revision,
+                        WATCH_WAIT_MS,
+                    )
+                except HistoryGoneError:
+                    _log.info('history is gone', kind=kind.value)
+                except CornelbeamError as error:
+                    self._note_lost(error)
+                finally:
+                    self._watches.discard(scope)
+            if changes is None:
+                # Events may have passed unseen.
                 revision = await self._relist(kind)
             else:
+                self._known_revision = max(self._known_revision, revision)
                 self._state.take(changes, 'store')
 
     async def _relist(self, kind: SharedKind) -> int:
@@ -146,9 +176,12 @@
         while True:
             await self.is_reachable.wait()
             try:
-                return await self._list(kind, is_stale_allowed=False)
+                revision = await self._list(kind)
             except CornelbeamError as error:
                 self._note_lost(error)
+            else:
+                self._known_revision = max(self._known_revision, revision)
+                return revision
 
     async def _write_own(self) -> None:
         while True:
@@ -174,3 +207,5 @@
         if self.is_reachable.is_set():
             _log.warning('store lost', why=str(error))
         self.is_reachable.clear()
+        # A watch that waits on a dead connection would hear nothing.
+        self._restart_watches()
