--- /dev/null
+++ b/tests/adapter/test_edge.py
@@ -0,0 +1,113 @@
+"""What targets and operators put on the wire, decoded."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+from cornelbeam_adapter import names
+from cornelbeam_adapter.configuration import decode_configuration
+from cornelbeam_adapter.edge import PlatformEdge
+from cornelbeam_core.routes import DEFAULT_ROUTE_TIMEOUT_MS, RequestKind
+from cornelbeam_mesh.edge import Departure
+from test_store import CONFIGURATION
+
+ROOT = Path(__file__).parents[2]
+BEAT = {
+    'address': '10.0.0.9:8080',
+    'information': {
+        'service': 'a',
+        'version': 'v1',
+        'zone': 'north',
+        'capacity_slots': 6,
+    },
+    'status': {'state': 'ready', 'sequence': 4, 'cold_remaining_ms': 0},
+    'born': 1_700_000_000_000,
+}
+PATH = b'/cornelbeam/Instances.Heartbeat/i-1'
+
+
+def read(beat, path=PATH):
+    """Read a heartbeat."""
+    return PlatformEdge().read_registration(
+        b'POST',
+        path,
+        json.dumps(beat).encode(),
+    )
+
+
+class TestRegistration:
+    """Guards against targets that other writers made up."""
+
+    def test_heartbeat(self):
+        beat = read(BEAT)
+        assert (beat.instance, beat.started_ms) == ('i-1', BEAT['born'])
+        assert beat.slot_count == 6
+        assert not beat.is_draining
+
+    def test_departure(self):
+        message = read({}, b'/cornelbeam/Instances.Leave/i-1')
+        assert message == Departure('i-1')
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'address': 9},
+            {'status': {'state': 'ready'}},
+            {'status': {**BEAT['status'], 'state': 'fine'}},
+            {'status': {**BEAT['status'], 'sequence': '4'}},
+            {'information': {**BEAT['information'], 'capacity_slots': 0}},
+            {'information': None},
+            {'born': 1.5},
+        ],
+    )
+    def test_forged_heartbeat(self, change):
+        with pytest.raises(ValueError):
+            read({**BEAT, **change})
+
+    def test_load(self):
+        load = PlatformEdge().read_load(b'3,1,8,400')
+        assert (load.running_count, load.slowdown_percent) == (3, 400)
+        assert PlatformEdge().read_load(b'3,1') is None
+
+
+class TestConfiguration:
+    """Guards against routes that mean something else than written."""
+
+    def test_route(self):
+        decoded = decode_configuration(json.dumps(CONFIGURATION).encode())
+        route = decoded.routes[0]
+        assert decoded.version == 12
+        assert route.host == 'yard.example'
+        assert route.kind is RequestKind.NON_IDEMPOTENT
+        assert [share.weight for share in route.shares] == [90, 10]
+
+    @pytest.mark.parametrize(
+        'action',
+        [{}, {'service': 'none'}, {'weighted_services': []}],
+    )
+    def test_route_that_leads_nowhere(self, action):
+        broken = json.loads(json.dumps(CONFIGURATION))
+        broken['listeners'][0]['rules'][0]['action'] = action
+        with pytest.raises(ValueError):
+            decode_configuration(json.dumps(broken).encode())
+
+    def test_route_without_time_limit(self):
+        free = json.loads(json.dumps(CONFIGURATION))
+        free['listeners'][0]['rules'][0]['action'].pop('timeout_ms')
+        decoded = decode_configuration(json.dumps(free).encode())
+        assert decoded.routes[0].timeout_ms == DEFAULT_ROUTE_TIMEOUT_MS
+
+
+class TestNames:
+    """Guards against wire names that leave the adapter."""
+
+    def test_only_the_adapter_knows_them(self):
+        headers = names.HEADERS
+        known = [
+            getattr(headers, field).decode() for field in headers.__slots__
+        ]
+        known += [names.HEARTBEAT_PATH, names.LEAVE_PATH, names.OBJECTS_PATH]
+        pattern = re.compile('|'.join(map(re.escape, known)), re.IGNORECASE)
+        for source in sorted(ROOT.glob('packages/*/src/**/*.py')):
+            assert not pattern.search(source.read_text()), source
