--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -376,6 +376,17 @@
         forwarded.used.add(record.name)
         forwarded.run_count += 1
         record.note_load(answer.load, now_s)
+        _log.debug(
+            'attempt answered',
+            request=forwarded.request_id,
+            route=forwarded.route.name,
+            target=record.name,
+            status=answer.status,
+            is_near=record.domain == self._domain,
+            sent_bytes=forwarded.body.kept_bytes,
+            received_bytes=answer.body.size_bytes,
+            elapsed_ms=int((now_s - forwarded.started_s) * MS_PER_S),
+        )
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             record.note_success((now_s - started_s) * MS_PER_S)
         else:
