Keep requests near unless that costs their callers more

Targets are now ranked by the service time that their gates measure, and crossing costs 120 ms instead of 40. The cold rate uses part of the tolerance that operators state.

--- a/packages/core/src/cornelbeam_core/placement.py
+++ b/packages/core/src/cornelbeam_core/placement.py
@@ -13,6 +13,7 @@
 from cornelbeam_core.targets import USUAL_PERCENT, LoadReport
 
 MS_PER_S: Final = 1000
+US_PER_MS: Final = 1000
 # A report of a wait says little after this time: noisy neighbours come and
 # go within some 300 ms.
 REPORT_AGE_LIMIT_S: Final = 0.6
@@ -27,15 +28,16 @@
 # What a failed attempt costs its caller: the time until it is noticed and
 # the second attempt.
 FAILURE_COST_MS: Final = 400
-# Assumed until the first answer of a target is in.
-INITIAL_SERVICE_MS: Final = 200
-SERVICE_GAIN: Final = 0.1
+# A target that works this many times longer than the fastest of its service
+# is a straggler; smaller differences come from the mix of requests.
+STRAGGLER_FACTOR: Final = 1.5
 # A slow spell of a host rarely outlasts a request, so a slowdown costs at
 # most this much time.
 SLOWDOWN_LIMIT_MS: Final = 250
 # Bytes between failure domains are dear to operators: a request stays in its
-# own domain while that costs the caller less than this time.
-DOMAIN_CROSSING_MS: Final = 40
+# own domain while that costs the caller less than this time. It is about what
+# most answers have left of their latency objective.
+DOMAIN_CROSSING_MS: Final = 120
 DOMAIN_CROSSING_MS_PER_KB: Final = 4
 BYTES_PER_KB: Final = 1024
 
@@ -43,10 +45,15 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A target that may serve the request, with the cost of choosing it."""
+    """A target that may serve the request, with the cost of choosing it.
+
+    ``delay_ms`` is the part of ``cost_ms`` that its gate decides about: the
+    wait for a slot and for the end of a slow spell.
+    """
 
     name: str
     cost_ms: float
+    delay_ms: float
     is_ejected: bool
 
 
@@ -64,7 +71,6 @@
         'load',
         'load_at_s',
         'name',
-        'service_ms',
     )
 
     def __init__(self, name: str, domain: str, *, is_local: bool) -> None:
@@ -78,7 +84,6 @@
         self.failure_streak = 0
         self.failure_share: float = 0
         self.ejected_until_s = float('-inf')
-        self.service_ms: float = INITIAL_SERVICE_MS
 
     def note_load(self, load: LoadReport | None, now_s: float) -> None:
         """Take the report that came with an answer or a refusal."""
@@ -86,12 +91,21 @@
             self.load = load
             self.load_at_s = now_s
 
-    def note_success(self, service_ms: float) -> None:
+    @property
+    def service_ms(self) -> float | None:
+        """Time that the target needs at the usual speed of its host.
+
+        Its gate measures it; ``None`` before the first report.
+        """
+        if self.load is None:
+            return None
+        return self.load.service_time_us / US_PER_MS
+
+    def note_success(self) -> None:
         """Note an answer that the caller can use."""
         self.failure_streak = 0
         self.ejected_until_s = float('-inf')
         self.failure_share -= FAILURE_GAIN * self.failure_share
-        self.service_ms += SERVICE_GAIN * (service_ms - self.service_ms)
 
     def note_failure(self, now_s: float, *, is_lost: bool) -> None:
         """Note a failure; ``is_lost`` says that its daemon can't be reached.
@@ -122,7 +136,8 @@
         if self.load is None or now_s - self.load_at_s > REPORT_AGE_LIMIT_S:
             return 0
         extra = max(0, self.load.slowdown_percent - USUAL_PERCENT)
-        slowdown_ms = self.service_ms * extra / USUAL_PERCENT
+        service_ms = self.load.service_time_us / US_PER_MS
+        slowdown_ms = service_ms * extra / USUAL_PERCENT
         return min(SLOWDOWN_LIMIT_MS, slowdown_ms)
 
 
@@ -145,18 +160,23 @@
     Ejected targets come last: with no other left they are better than a
     refusal.
     """
+    known = tuple(records)
+    usual_ms = fastest_service_ms(known)
     candidates = [
-        Candidate(
-            record.name,
-            _cost_ms(record, request),
-            request.now_s < record.ejected_until_s,
-        )
-        for record in records
+        _make_candidate(record, request, usual_ms) for record in known
     ]
     candidates.sort(key=lambda each: (each.is_ejected, each.cost_ms))
     return candidates
 
 
+def fastest_service_ms(records: Iterable[TargetRecord]) -> float:
+    """Give the service time of the fastest target, zero if none is known."""
+    times_ms = [
+        record.service_ms for record in records if record.service_ms is not None
+    ]
+    return min(times_ms, default=0)
+
+
 def patience_ms(
     candidates: list[Candidate],
     index: int,
@@ -170,15 +190,27 @@
     """
     if index + 1 >= len(candidates) or candidates[index + 1].is_ejected:
         return left_ms
-    gap_ms = candidates[index + 1].cost_ms - candidates[index].cost_ms
+    here = candidates[index]
+    undelayed_ms = here.cost_ms - here.delay_ms
+    gap_ms = candidates[index + 1].cost_ms - undelayed_ms
     return min(left_ms, max(min_ms, gap_ms))
 
 
-def _cost_ms(record: TargetRecord, request: PlacementRequest) -> float:
-    cost_ms = record.wait_ms(request.now_s) + record.service_ms
-    cost_ms += record.slowdown_ms(request.now_s)
+def _make_candidate(
+    record: TargetRecord,
+    request: PlacementRequest,
+    usual_ms: float,
+) -> Candidate:
+    service_ms = record.service_ms or usual_ms
+    cost_ms = max(0, service_ms - STRAGGLER_FACTOR * usual_ms)
     cost_ms += record.failure_share * FAILURE_COST_MS
     if record.domain != request.domain:
         size_kb = request.size_bytes / BYTES_PER_KB
         cost_ms += DOMAIN_CROSSING_MS + DOMAIN_CROSSING_MS_PER_KB * size_kb
-    return cost_ms
+    delay_ms = record.wait_ms(request.now_s) + record.slowdown_ms(request.now_s)
+    return Candidate(
+        record.name,
+        cost_ms + delay_ms,
+        delay_ms,
+        request.now_s < record.ejected_until_s,
+    )
--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -23,9 +23,8 @@
 SERVICE_TIME_GAIN: Final = 0.1
 # Assumed until the first answers are in.
 INITIAL_SERVICE_TIME_S: Final = 0.2
-# Calls of a cold target that may start at the same moment, as a share of its
-# rate for one second.
-COLD_BURST_SHARE: Final = 0.25
+# Share of the tolerance above the cold rate that is used.
+COLD_TOLERANCE_SHARE: Final = 0.6
 # Waiting calls for each call in work; more would wait longer than most
 # callers do.
 QUEUE_PER_SLOT: Final = 4
@@ -43,6 +42,27 @@
     REPEATS = 'repeats'
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class ColdBound:
+    """What a cold target gets at most in one second.
+
+    That is ``factor`` times the rate it accepts, plus ``slack_count``.
+    """
+
+    factor: float
+    slack_count: float
+
+    def usable_per_s(self, cold_per_s: float) -> float:
+        """Give the rate at which calls may start."""
+        return cold_per_s * (1 + (self.factor - 1) * COLD_TOLERANCE_SHARE)
+
+    @property
+    def usable_burst_count(self) -> float:
+        """Give the calls that may start at the same moment."""
+        return max(1, self.slack_count * COLD_TOLERANCE_SHARE)
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Ticket:
@@ -71,13 +91,14 @@
 class TargetGate:
     """Slots, queue and cold rate of one target.
 
-    >>> gate = TargetGate()
+    >>> gate = TargetGate(ColdBound(factor=1.5, slack_count=5))
     >>> gate.open(slot_count=5)
     >>> gate.limit
     4
     """
 
     __slots__ = (
+        '_cold_bound',
         '_cold_bucket',
         '_cold_per_s',
         '_cold_until_s',
@@ -92,8 +113,9 @@
         'speed',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, cold_bound: ColdBound) -> None:
         """Start without slots; ``open`` gives it some."""
+        self._cold_bound = cold_bound
         self.slot_count = 0
         self.limit = 0
         self.running_count = 0
@@ -128,9 +150,12 @@
             self._cold_until_s = now_s
             return
         if self._cold_bucket is None or not self.is_cold(now_s):
-            capacity = max(1.0, cold_per_s * COLD_BURST_SHARE)
-            self._cold_bucket = TokenBucket(capacity, cold_per_s)
-            self._cold_per_s = cold_per_s
+            bound = self._cold_bound
+            self._cold_per_s = bound.usable_per_s(cold_per_s)
+            self._cold_bucket = TokenBucket(
+                bound.usable_burst_count,
+                self._cold_per_s,
+            )
         self._cold_until_s = now_s + cold_s
 
     def is_cold(self, now_s: float) -> bool:
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -8,11 +8,13 @@
 )
 from cornelbeam_core.targets import LoadReport
 
+SERVICE_US = 100_000
+
 
 def record(name, domain='north', wait_ms=0, now_s=0):
     """Make a record with a load report."""
     made = TargetRecord(name, domain, is_local=False)
-    made.note_load(LoadReport(0, 1, 0, 0, False, wait_ms), now_s)
+    made.note_load(LoadReport(0, 1, 0, SERVICE_US, False, wait_ms), now_s)
     return made
 
 
@@ -76,6 +78,29 @@
         ranked = rank_targets([record('near'), record('far', 'south')], request)
         assert 10 <= patience_ms(ranked, 0, 5000, 10) < 500
 
+    def test_large_body_waits_for_the_end_of_a_spell(self):
+        """Going elsewhere costs it more than the spell."""
+        near = record('near')
+        near.note_load(LoadReport(0, 1, 0, SERVICE_US, False, 0, 400), 0)
+        request = PlacementRequest('north', 60_000, 0)
+        ranked = rank_targets([near, record('far', 'south')], request)
+        assert ranked[0].name == 'near'
+        assert patience_ms(ranked, 0, 5000, 10) > ranked[0].delay_ms
+
     def test_last_one_may_take_all_the_time(self):
         ranked = rank_targets([record('near')], PlacementRequest('north', 0, 0))
         assert patience_ms(ranked, 0, 5000, 10) == 5000
+
+
+class TestStragglers:
+    """Guards against a target that is slow for all, unlike its host."""
+
+    def test_straggler_is_avoided(self):
+        near = record('near')
+        near.note_load(LoadReport(0, 1, 0, 4 * SERVICE_US, False), 0)
+        assert names([near, record('far', 'south')], 0)[0] == 'far'
+
+    def test_mix_of_requests_is_no_reason_to_cross(self):
+        near = record('near')
+        near.note_load(LoadReport(0, 1, 0, SERVICE_US * 13 // 10, False), 0)
+        assert names([near, record('far', 'south')], 0)[0] == 'near'
--- a/packages/core/tests/test_slow_spells.py
+++ b/packages/core/tests/test_slow_spells.py
@@ -8,7 +8,7 @@
 import heapq
 import random
 
-from cornelbeam_core.target_gate import TargetGate, Ticket
+from cornelbeam_core.target_gate import ColdBound, TargetGate, Ticket
 
 HOST_COUNT = 4
 SPELL_S = 0.3
@@ -27,7 +27,7 @@
 
     def __init__(self, rng, *, tells_speed) -> None:
         """Draw the spells of the whole run."""
-        self.gate = TargetGate()
+        self.gate = TargetGate(ColdBound(factor=1.5, slack_count=5))
         self.gate.open(20)
         self.tells_speed = tells_speed
         self.spells = [
--- a/packages/core/tests/test_target_gate.py
+++ b/packages/core/tests/test_target_gate.py
@@ -1,9 +1,11 @@
 """The gate beside a target lets in what can be served in its time."""
 
-from cornelbeam_core.target_gate import Refusal, TargetGate, Ticket
+from cornelbeam_core.target_gate import ColdBound, Refusal, TargetGate, Ticket
 
 SLOTS = 10
 LIMIT = 8
+COLD_FACTOR = 1.5
+COLD_SLACK = 5
 
 
 def ticket(call, *, nested=False, priority=1, give_up=9.0, objective=0.5):
@@ -13,7 +15,7 @@
 
 def open_gate():
     """Open a gate of ten slots, of which eight are used."""
-    gate = TargetGate()
+    gate = TargetGate(ColdBound(COLD_FACTOR, COLD_SLACK))
     gate.open(SLOTS)
     return gate
 
@@ -80,7 +82,7 @@
     def test_rate_holds_in_every_second(self):
         """Plays three seconds of calls at five times the cold rate."""
         gate = open_gate()
-        rate, factor, slack = 6, 1.5, 5
+        rate = 6
         gate.set_cold(0, 3, rate)
         started = []
         for tick in range(3 * 30):
@@ -94,7 +96,7 @@
         assert len(started) >= rate * 3 - 3
         for start_s in started:
             window = [each for each in started if start_s <= each < start_s + 1]
-            assert len(window) <= rate * factor + slack
+            assert len(window) <= rate * COLD_FACTOR + COLD_SLACK
 
     def test_rate_is_free_when_warm(self):
         gate = open_gate()
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -12,6 +12,7 @@
     Candidate,
     PlacementRequest,
     TargetRecord,
+    fastest_service_ms,
     patience_ms,
     rank_targets,
 )
@@ -311,7 +312,7 @@
             forwarded.service,
             self._state.evacuated_domains,
         )
-        return min((record.service_ms for record in records), default=0)
+        return fastest_service_ms(records)
 
     def _choose(
         self,
@@ -331,6 +332,7 @@
         ]
         if not records or now_s >= forwarded.deadline_s:
             return None
+        self._note_own_load(records, now_s)
         ranked = rank_targets(
             records,
             PlacementRequest(self._domain, forwarded.body.kept_bytes, now_s),
@@ -353,6 +355,16 @@
         record = self._state.members.record(chosen.name)
         return None if record is None else (record, patience)
 
+    def _note_own_load(
+        self,
+        records: list[TargetRecord],
+        now_s: float,
+    ) -> None:
+        """Take the load of the own target, which is known without a report."""
+        for record in records:
+            if record.is_local:
+                record.note_load(self._keeper.load, now_s)
+
     async def _attempt(
         self,
         forwarded: Forwarded,
@@ -363,7 +375,6 @@
         if member is None:
             raise CornelbeamError(ErrorCode.NO_ELIGIBLE_TARGET, 'placement')
         call = self._new_call(forwarded, member, patience)
-        started_s = self._loop.time()
         record.in_flight_count += 1
         try:
             answer = await self._send(member, call)
@@ -388,7 +399,7 @@
             elapsed_ms=int((now_s - forwarded.started_s) * MS_PER_S),
         )
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            record.note_success((now_s - started_s) * MS_PER_S)
+            record.note_success()
         else:
             record.note_failure(now_s, is_lost=False)
         return answer
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -47,13 +47,17 @@
     """Promises to the operators.
 
     In a window of ``retry_window_s`` seconds a service gets at most
-    ``retry_ratio`` repeats for each request plus ``retry_slack_count``. A
+    ``retry_ratio`` repeats for each request plus ``retry_slack_count``. A cold
+    target gets at most ``cold_factor`` times its stated rate plus
+    ``cold_slack_count`` requests in a second. A
     stopping daemon ends within ``grace_s`` seconds.
     """
 
     retry_ratio: float = 0.2
     retry_slack_count: float = 60
     retry_window_s: float = 10
+    cold_factor: float = 1.5
+    cold_slack_count: float = 5
     grace_s: float = 6
 
 
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -13,7 +13,7 @@
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.routes import ServiceRule
 from cornelbeam_core.shared_objects import SharedKind
-from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_core.target_gate import ColdBound, TargetGate
 from cornelbeam_daemon.backend_client import BackendClient
 from cornelbeam_daemon.exchange import Messenger
 from cornelbeam_daemon.http_message import HttpRequest, Responder
@@ -123,8 +123,10 @@
             self._publish,
             self._on_heartbeat,
         )
-        self._gate = TargetGate()
         bounds = settings.bounds
+        self._gate = TargetGate(
+            ColdBound(bounds.cold_factor, bounds.cold_slack_count),
+        )
         self._repeats = RepeatBudget(
             bounds.retry_ratio,
             bounds.retry_slack_count,
