Refuse at once what a line would make late

A call is now refused at once when the line would make it miss its objective, so that its caller has time to come back; expected waits are corrected by real ones. With that, lines are served in order of arrival again: those in it are in time.

--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -25,9 +25,12 @@
 INITIAL_SERVICE_TIME_S: Final = 0.2
 # Share of the tolerance above the cold rate that is used.
 COLD_TOLERANCE_SHARE: Final = 0.6
-# A line of this share of the calls in work is long: it is not worked off
-# within the time of one call.
-LONG_LINE_SHARE: Final = 0.5
+# Smoothing and range of the correction of expected waits; shorter waits than
+# the least one say more about the order of events than about the load.
+WAIT_GAIN: Final = 0.1
+MIN_WAIT_FACTOR: Final = 0.5
+MAX_WAIT_FACTOR: Final = 3
+MIN_LEARNED_WAIT_S: Final = 0.01
 # Waiting calls for each call in work; more would wait longer than most
 # callers do.
 QUEUE_PER_SLOT: Final = 4
@@ -103,7 +106,9 @@
         '_cold_until_s',
         '_waiting',
         'limit',
+        '_expected',
         '_service_times_s',
+        '_wait_factor',
         'running_count',
         'service_time_s',
         'slot_count',
@@ -121,6 +126,9 @@
         self._service_times_s: dict[str, float] = {}
         # In order of arrival.
         self._waiting: dict[Hashable, Ticket] = {}
+        # Time of arrival and expected wait of each of them.
+        self._expected: dict[Hashable, tuple[float, float]] = {}
+        self._wait_factor: float = 1
         self._cold_until_s = float('-inf')
         self._cold_per_s = 1.0
         self._cold_bucket: TokenBucket | None = None
@@ -159,8 +167,13 @@
         return now_s < self._cold_until_s
 
     def service_s(self, route: str) -> float:
-        """Estimate how long work of a route takes at the usual speed."""
-        return self._service_times_s.get(route, self.service_time_s)
+        """Estimate how long work of a route takes at the usual speed.
+
+        A route that was not seen yet is taken for the fastest, so that
+        nothing is refused for want of a measurement.
+        """
+        fastest_s = min(self._service_times_s.values(), default=0)
+        return self._service_times_s.get(route, fastest_s)
 
     def wait_s(self, now_s: float, *, is_nested: bool = False) -> float:
         """Estimate how long a call that arrives now waits for a slot."""
@@ -170,6 +183,7 @@
         if self.running_count >= limit or ahead_count:
             over_count = max(0, self.running_count - limit + 1 + ahead_count)
             wait_s = over_count * self.service_time_s / max(limit, 1)
+            wait_s *= self._wait_factor
         if self.is_cold(now_s) and self._cold_bucket is not None:
             missing = ahead_count + 1 - self._cold_bucket.tokens(now_s)
             wait_s = max(wait_s, missing / self._cold_per_s)
@@ -195,31 +209,36 @@
         extra_s = wait_s + self.slowness_s(ticket.route)
         if now_s + extra_s > ticket.give_up_at_s:
             return Refusal.FULL
-        if now_s + wait_s >= ticket.deadline_s:
+        ready_s = now_s + wait_s + self.service_s(ticket.route)
+        if ready_s > ticket.deadline_s:
             return Refusal.TOO_LATE
+        if wait_s and not ticket.is_nested and ready_s > ticket.objective_at_s:
+            # The line is as long as its callers can wait. One more would be
+            # late, and would make those behind it late too.
+            return Refusal.FULL
         if self.waiting_count >= QUEUE_PER_SLOT * max(1, self.limit):
             return Refusal.FULL
         self._waiting[ticket.call] = ticket
+        self._expected[ticket.call] = (now_s, wait_s)
         return None
 
     def withdraw(self, call: Hashable) -> None:
         """Take a waiting call out of the line."""
         self._waiting.pop(call, None)
+        self._expected.pop(call, None)
 
     def take_next(self, now_s: float) -> Ticket | None:
         """Give the next call that may run now, counted as in work.
 
         Calls that running requests wait for go first, then those that can
-        still meet their objective, by priority. A short line is served in
-        order of arrival. A long one is served from its end: in order, each
-        call would have waited until its objective is just missed.
+        still meet their objective, by priority and in order of arrival.
         """
         if not self._waiting or self.running_count >= self.slot_count:
             return None
-        line = list(self._waiting.values())
-        if len(line) > self.limit * LONG_LINE_SHARE:
-            line.reverse()
-        line.sort(key=lambda ticket: self._rank(ticket, now_s))
+        line = sorted(
+            self._waiting.values(),
+            key=lambda ticket: self._rank(ticket, now_s),
+        )
         for ticket in line:
             if not self._has_slot(ticket):
                 return None
@@ -227,6 +246,7 @@
                 continue
             if not self._may_start(now_s):
                 return None
+            self._learn_wait(ticket, now_s)
             self.withdraw(ticket.call)
             self.running_count += 1
             return ticket
@@ -237,6 +257,22 @@
         is_late = now_s + usual_s > ticket.objective_at_s
         return not ticket.is_nested, is_late, ticket.priority
 
+    def _learn_wait(self, ticket: Ticket, now_s: float) -> None:
+        """Correct later estimates by how long this call really waited.
+
+        Calls that running requests wait for go first, and their number is not
+        known in advance.
+        """
+        offered_at_s, expected_s = self._expected[ticket.call]
+        if ticket.is_nested or expected_s < MIN_LEARNED_WAIT_S:
+            return
+        ratio = self._wait_factor * (now_s - offered_at_s) / expected_s
+        self._wait_factor += WAIT_GAIN * (ratio - self._wait_factor)
+        self._wait_factor = min(
+            MAX_WAIT_FACTOR,
+            max(MIN_WAIT_FACTOR, self._wait_factor),
+        )
+
     def next_start_s(self, now_s: float) -> float | None:
         """Give the time until the cold rate lets a waiting call start."""
         if not self._waiting or not self.is_cold(now_s):
--- a/packages/core/tests/test_target_gate.py
+++ b/packages/core/tests/test_target_gate.py
@@ -20,6 +20,15 @@
     return gate
 
 
+def measured_gate():
+    """Open a gate that has seen work of 0.2 s."""
+    gate = open_gate()
+    gate.offer(ticket('first'), 0)
+    gate.take_next(0)
+    gate.finish('windows', 0.2)
+    return gate
+
+
 def fill(gate, now_s=0):
     """Bring as many calls into work as the limit allows."""
     for call in range(LIMIT):
@@ -109,7 +118,7 @@
     """Guards against work that starts while a neighbour slows the host."""
 
     def test_call_that_would_be_late_waits_for_the_end(self):
-        gate = open_gate()
+        gate = measured_gate()
         gate.speed.note(400, 0)
         assert gate.offer(ticket('spell'), 0) is None
         assert gate.take_next(0) is None
@@ -117,20 +126,20 @@
         assert gate.take_next(0.1).call == 'spell'
 
     def test_short_call_behind_a_long_one_starts(self):
-        gate = open_gate()
+        gate = measured_gate()
         gate.speed.note(400, 0)
         gate.offer(ticket('long'), 0)
         gate.offer(ticket('ample', objective=2), 0)
         assert gate.take_next(0).call == 'ample'
 
     def test_late_call_does_not_wait(self):
-        gate = open_gate()
+        gate = measured_gate()
         gate.speed.note(400, 0)
         gate.offer(ticket('late', objective=0), 0)
         assert gate.take_next(0).call == 'late'
 
     def test_impatient_call_goes_elsewhere(self):
-        gate = open_gate()
+        gate = measured_gate()
         gate.speed.note(400, 0)
         assert gate.offer(ticket('next', give_up=0.05), 0) is Refusal.FULL
 
@@ -143,7 +152,7 @@
     """
 
     def test_most_of_the_capacity_is_in_time(self):
-        gate = open_gate()
+        gate = measured_gate()
         work_s, arrivals_per_s, length_s = 0.2, 80, 3
         ends: list[float] = []
         in_time_count = 0
@@ -162,3 +171,12 @@
                 taken = gate.take_next(now_s)
         capacity = LIMIT / work_s * length_s
         assert in_time_count >= 0.9 * capacity
+
+    def test_call_that_would_be_late_is_refused_at_once(self):
+        """Its caller has the most time to come back."""
+        gate = measured_gate()
+        fill(gate)
+        refusals = [gate.offer(ticket(call), 0) for call in range(40)]
+        assert refusals[0] is None
+        assert refusals[-1] is Refusal.FULL
+        assert gate.waiting_count <= 0.5 * LIMIT / 0.2
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -9,6 +9,7 @@
 from cornelbeam_core.deadlines import MS_PER_S, check_deadline, remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.placement import (
+    US_PER_MS,
     Candidate,
     PlacementRequest,
     TargetRecord,
@@ -345,7 +346,11 @@
             if len(ranked) > 1 and len(fresh) == 1:
                 patience = min(patience, MIN_PATIENCE_MS)
         else:
-            waitable = _find_waitable(ranked, refusals, left_ms)
+            waitable = _find_waitable(
+                ranked,
+                refusals,
+                self._objective_left_ms(forwarded),
+            )
             if waitable is None:
                 return None
             # It waits at a target at most once.
@@ -581,19 +586,25 @@
 def _find_waitable(
     ranked: list[Candidate],
     refusals: dict[str, CornelbeamError],
-    left_ms: float,
+    objective_left_ms: float,
 ) -> Candidate | None:
-    """Give the target with the shortest wait that ends in time."""
-    waits = [
-        (error.load.wait_ms, candidate)
-        for candidate in ranked
-        for error in (refusals[candidate.name],)
-        if error.code is ErrorCode.OVERLOADED and error.load is not None
-    ]
+    """Give the target with the shortest wait that is worth it.
+
+    A line that is too long to meet the objective is not: the caller had
+    better come back. The end of a slow spell is, even if the answer is late.
+    """
+    waits: list[tuple[float, Candidate]] = []
+    for candidate in ranked:
+        error = refusals[candidate.name]
+        load = error.load
+        if error.code is not ErrorCode.OVERLOADED or load is None:
+            continue
+        ready_ms = load.wait_ms + load.service_time_us / US_PER_MS
+        if not load.wait_ms or ready_ms <= objective_left_ms:
+            waits.append((load.wait_ms, candidate))
     if not waits:
         return None
-    wait_ms, best = min(waits, key=lambda each: each[0])
-    return best if wait_ms < left_ms else None
+    return min(waits, key=lambda each: each[0])[1]
 
 
 async def _pass_on(
--- a/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
+++ b/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
@@ -278,9 +278,13 @@
         turn: 'asyncio.Future[None]',
         ticket: Ticket,
     ) -> None:
-        limit_s = min(
-            ticket.deadline_s,
-            max(ticket.give_up_at_s, self._loop.time() + LEAST_WAIT_S),
+        limit_s = max(
+            min(
+                ticket.give_up_at_s,
+                # Later, it could not be served before its deadline.
+                ticket.deadline_s - self._gate.service_s(call.route),
+            ),
+            self._loop.time() + LEAST_WAIT_S,
         )
         try:
             async with asyncio.timeout_at(limit_s):
