--- a/packages/daemon/src/cornelbeam_daemon/logs.py
+++ b/packages/daemon/src/cornelbeam_daemon/logs.py
@@ -14,7 +14,7 @@
 import json
 import sys
 from collections.abc import Callable, Mapping
-from typing import TYPE_CHECKING, Final, TextIO, final
+from typing import TYPE_CHECKING, Final, Protocol, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
 from loguru import logger
@@ -43,6 +43,16 @@
 _SEPARATORS: Final = frozenset(' ="')
 
 
+class LineStream(Protocol):
+    """Takes whole lines."""
+
+    def write(self, line: str, /) -> int:
+        """Write one line; give its length."""
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+
+
 @final
 class PartLog:
     """Writes the lines of one part of the daemon.
@@ -87,7 +97,7 @@
 def set_up_logs(
     level: str,
     is_json: bool,
-    stream: TextIO | None = None,
+    stream: LineStream | None = None,
 ) -> None:
     """Write all lines from ``level`` up to ``stream``, by default stderr.
 
@@ -152,7 +162,7 @@
     def __init__(
         self,
         render: Callable[['Record'], str],
-        stream: TextIO,
+        stream: LineStream,
     ) -> None:
         """Write what ``render`` gives to ``stream``."""
         self._render = render
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -1,5 +1,6 @@
 """Exchanges shared objects with peers while the store can't be reached."""
 
+import asyncio
 import random
 from typing import Final, final
 
@@ -29,7 +30,14 @@
 class PeerSync:
     """Pulls objects from peers and answers their pulls."""
 
-    __slots__ = ('_domain', '_messenger', '_rng', '_state', '_store_sync')
+    __slots__ = (
+        '_domain',
+        '_messenger',
+        '_rng',
+        '_state',
+        '_store_sync',
+        'has_pulled',
+    )
 
     def __init__(
         self,
@@ -45,6 +53,8 @@
         self._store_sync = store_sync
         self._messenger = messenger
         self._rng = rng
+        # Set after the first answer of a peer.
+        self.has_pulled = asyncio.Event()
 
     async def run(self) -> None:
         """Pull while the store is out of reach."""
@@ -53,22 +63,23 @@
             if self._store_sync.is_reachable.is_set():
                 continue
             for peer in self._choose_peers():
-                await self.pull(peer)
+                await self.pull(peer.name, peer.address)
 
-    async def pull(self, peer: MemberEntry) -> None:
+    async def pull(self, name: str, address: str) -> None:
         """Take what a peer knows and this daemon doesn't."""
         try:
             frame = await self._messenger.ask(
-                peer.address,
+                address,
                 config_pull=messages.ConfigPull(
                     since_revision=self._state.store_revision,
                 ),
             )
         except CornelbeamError as error:
-            _log.info('peer not asked', peer=peer.name, why=str(error))
+            _log.info('peer not asked', peer=name, why=str(error))
             return
         if frame.config_push is not None:
-            self.take_push(frame.config_push, peer.name)
+            self.take_push(frame.config_push, name)
+            self.has_pulled.set()
 
     def take_push(self, push: messages.ConfigPush, sender: str) -> None:
         """Take the objects of a peer."""
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -106,6 +106,7 @@
         self._rng = random.Random()
         self._stop = asyncio.Event()
         self._is_leaving = False
+        self._has_joined = False
         self._callers: set[HttpServerConnection] = set()
         self._others: set[HttpServerConnection] = set()
         self._accepted: set[PeerConnection] = set()
@@ -248,18 +249,26 @@
         self._backend.close()
 
     async def _join(self) -> None:
-        """Announce this run once the entry of an earlier one is known."""
-        await self.store_sync.is_listed.wait()
+        """Announce this run once the entry of an earlier one is known.
+
+        A daemon that starts while the store is away learns it from the first
+        peer that contacts it.
+        """
+        await _wait_for_first(
+            self.store_sync.is_listed,
+            self.peer_sync.has_pulled,
+        )
         name = self.settings.instance.name
         held = self.state.get(SharedKind.MEMBER, name)
         entry = None if held is None else decode_member(held)
         if entry is not None:
             self.registration.restore(entry.target)
+        self._has_joined = True
         self._publish()
 
     def _publish(self) -> None:
         """Tell the store and the peers what this daemon serves."""
-        if not self.store_sync.is_listed.is_set():
+        if not self._has_joined:
             return
         self._sequence += 1
         entry = MemberEntry(
@@ -296,7 +305,7 @@
         self.keeper.recheck()
 
     def _on_stale_peer(self, member: MemberEntry) -> None:
-        self._start(self.peer_sync.pull(member))
+        self._start(self.peer_sync.pull(member.name, member.address))
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         if self._group is None:
@@ -396,8 +405,15 @@
             self.peer_sync.take_push(frame.config_push, peer)
         elif frame.ping is not None:
             self._answer_ping(stream)
+        self._learn_from(stream.connection)
         return None
 
+    def _learn_from(self, connection: PeerConnection) -> None:
+        """Ask a peer that made contact before this daemon has joined."""
+        peer = connection.peer
+        if peer is not None and not self._has_joined:
+            self._start(self.peer_sync.pull(peer.name, peer.address))
+
     def _answer_ping(self, stream: Stream) -> None:
         self._messenger.reply(
             stream,
@@ -420,6 +436,17 @@
     await work
 
 
+async def _wait_for_first(*events: asyncio.Event) -> None:
+    async with anyio.create_task_group() as group:
+
+        async def wait_for(event: asyncio.Event) -> None:  # noqa: WPS430
+            await event.wait()
+            group.cancel_scope.cancel()
+
+        for event in events:
+            group.start_soon(wait_for, event)
+
+
 def _refuse_streams(stream: Stream, frame: messages.Frame) -> None:
     """Ignore streams that a peer opens on a connection of this daemon."""
 
--- a/packages/mesh/tests/test_leaving.py
+++ b/packages/mesh/tests/test_leaving.py
@@ -7,7 +7,7 @@
 from cornelbeam_core.routes import RequestKind
 from cornelbeam_core.shared_objects import SharedKind
 from cornelbeam_mesh.edge import Departure
-from mesh_bed import configuration, head, read_message, route, wait_until
+from mesh_bed import Place, configuration, head, read_message, route, wait_until
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
@@ -131,6 +131,19 @@
         await wait_until(lambda: far.sidecar.state.table.version == 2)
         await wait_until(lambda: near.sidecar.state.table.version == 2)
 
+    async def test_daemon_that_starts_without_the_store_joins(self, bed):
+        """Its first knowledge comes from a peer that asks it for news."""
+        near = await bed.add()
+        late = Place(2, 'south', DownStore())
+        bed.places.append(late)
+        await late.start(bed.group)
+        assert (await late.ask())[0].startswith('HTTP/1.1 503')
+        await near.sidecar.peer_sync.pull(late.name, late.addresses['peers'])
+        await wait_until(lambda: late.sidecar.state.table)
+        assert (await late.ask())[0] == OK
+        late.beat()
+        await wait_until(lambda: near.knows(late))
+
 
 class DownStore:
     """A store that refuses one daemon."""
