Ping lost daemons instead of trying them with requests

Ruled out: the gates' lines, which refused nothing at that time.

The outcome is asked for 0.6 s at most; a lost daemon stays out until a ping reaches it; silence is noticed after 300 ms.

--- a/packages/core/src/cornelbeam_core/placement.py
+++ b/packages/core/src/cornelbeam_core/placement.py
@@ -68,6 +68,7 @@
         'failure_streak',
         'in_flight_count',
         'is_local',
+        'is_lost',
         'load',
         'load_at_s',
         'name',
@@ -82,6 +83,8 @@
         self.load_at_s = float('-inf')
         self.in_flight_count = 0
         self.failure_streak = 0
+        # True while its daemon can't be reached.
+        self.is_lost = False
         self.failure_share: float = 0
         self.ejected_until_s = float('-inf')
 
@@ -104,6 +107,7 @@
     def note_success(self) -> None:
         """Note an answer that the caller can use."""
         self.failure_streak = 0
+        self.is_lost = False
         self.ejected_until_s = float('-inf')
         self.failure_share -= FAILURE_GAIN * self.failure_share
 
@@ -111,17 +115,24 @@
         """Note a failure; ``is_lost`` says that its daemon can't be reached.
 
         Whoever can't reach the daemon can't reach its target, so the first
-        such failure ejects it.
+        such failure ejects it until ``note_reached``.
         """
+        self.is_lost = self.is_lost or is_lost
         self.failure_streak += 1
         self.failure_share += FAILURE_GAIN * (1 - self.failure_share)
         beyond = self.failure_streak - EJECTION_STREAK
-        if is_lost:
-            beyond = self.failure_streak - 1
         if beyond >= 0:
             ejection_s = min(MAX_EJECTION_S, MIN_EJECTION_S * 2**beyond)
             self.ejected_until_s = now_s + ejection_s
 
+    def note_reached(self) -> None:
+        """Note that its daemon answers again."""
+        self.is_lost = False
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Tell whether requests had better go elsewhere."""
+        return self.is_lost or now_s < self.ejected_until_s
+
     def wait_ms(self, now_s: float) -> float:
         """Estimate the wait for a slot from the last report."""
         if self.load is None:
@@ -212,5 +223,5 @@
         record.name,
         cost_ms + delay_ms,
         delay_ms,
-        request.now_s < record.ejected_until_s,
+        record.is_ejected(request.now_s),
     )
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -44,6 +44,9 @@
 # The least time that an attempt waits for a slot before it goes elsewhere:
 # two crossings of a failure domain boundary.
 MIN_PATIENCE_MS: Final = 10
+# A daemon that has lost a connection only answers within this time; one that
+# is gone would make the caller wait in vain.
+ASK_TIMEOUT_S: Final = 0.6
 # Refused attempts of one request; then the load is everywhere.
 MAX_REFUSAL_COUNT: Final = 12
 # Time that a request and its answer need between caller and daemon.
@@ -507,8 +510,9 @@
         error: CornelbeamError,
     ) -> Answer | None:
         """Ask what became of a call whose connection was lost."""
+        limit_s = min(call.deadline_s, self._loop.time() + ASK_TIMEOUT_S)
         try:
-            async with asyncio.timeout_at(call.deadline_s):
+            async with asyncio.timeout_at(limit_s):
                 run_state, answer = await self._client.ask_outcome(
                     peer_target(member),
                     call,
--- a/packages/mesh/src/cornelbeam_mesh/members.py
+++ b/packages/mesh/src/cornelbeam_mesh/members.py
@@ -43,6 +43,16 @@
         """Order of the entries of one daemon, over its restarts too."""
         return member_version(self.incarnation, self.sequence)
 
+    def serves(self, service: str) -> bool:
+        """Tell whether its target is one of a service."""
+        return self.target is not None and self.target.service == service
+
+    @property
+    def is_serving(self) -> bool:
+        """Tell whether its target takes new requests."""
+        has_target = self.target is not None and not self.target.is_draining
+        return has_target and not self.is_leaving
+
 
 _decoder = msgspec.json.Decoder(MemberEntry)
 
@@ -132,27 +142,14 @@
         return [
             self._records[entry.name]
             for entry in self._entries.values()
-            if is_serving(entry, service)
+            if entry.is_serving
+            and entry.serves(service)
             and entry.domain not in evacuated_domains
         ]
 
     def count_service(self, service: str) -> int:
         """Count the targets of a service, those that leave included."""
-        return sum(
-            entry.target is not None and entry.target.service == service
-            for entry in self._entries.values()
-        )
-
-
-def is_serving(entry: MemberEntry, service: str) -> bool:
-    """Tell whether a daemon's target takes new requests of a service."""
-    target = entry.target
-    return (
-        target is not None
-        and target.service == service
-        and not target.is_draining
-        and not entry.is_leaving
-    )
+        return sum(entry.serves(service) for entry in self._entries.values())
 
 
 def peer_target(entry: MemberEntry) -> Target:
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -6,6 +6,7 @@
 
 import anyio
 from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.placement import TargetRecord
 from cornelbeam_core.shared_objects import SharedKind, SharedObject
 from cornelbeam_daemon.exchange import Messenger
 from cornelbeam_daemon.logs import get_log
@@ -20,6 +21,8 @@
 # A configuration must hold within seconds also where the store refuses one
 # daemon and serves the others.
 PULL_PERIOD_S: Final = 0.8
+# Requests don't find out whether a lost daemon is back; these pings do.
+LOST_PEER_PERIOD_S: Final = 0.4
 # Several peers are asked in a round: one alone may be cut off too.
 PULL_PEER_COUNT: Final = 2
 # A frame holds objects up to this size; the rest follows by the next pull.
@@ -65,6 +68,39 @@
             for peer in self._choose_peers():
                 await self.pull(peer.name, peer.address)
 
+    async def find_lost(self) -> None:
+        """Ask daemons that were lost whether they are back."""
+        while True:
+            await anyio.sleep(LOST_PEER_PERIOD_S)
+            async with anyio.create_task_group() as group:
+                for peer, record in self._lost_peers():
+                    group.start_soon(self._reach, peer, record)
+
+    def _lost_peers(self) -> list[tuple[MemberEntry, TargetRecord]]:
+        members = self._state.members
+        paired = [
+            (peer, members.record(peer.name)) for peer in members.others()
+        ]
+        return [
+            (peer, record)
+            for peer, record in paired
+            if record is not None and record.is_lost and peer.is_serving
+        ]
+
+    async def _reach(self, peer: MemberEntry, record: TargetRecord) -> None:
+        try:
+            frame = await self._messenger.ask(
+                peer.address,
+                ping=messages.Ping(updates=[], revision=0, service_name=''),
+            )
+        except CornelbeamError:
+            # It stays lost; the failure that made it so has its line.
+            return
+        _log.info('peer reached again', peer=peer.name)
+        record.note_reached()
+        if frame.ack is not None and frame.ack.incarnation != peer.incarnation:
+            await self.pull(peer.name, peer.address)
+
     async def pull(self, name: str, address: str) -> None:
         """Take what a peer knows and this daemon doesn't."""
         try:
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -67,8 +67,9 @@
 # Left of the grace period when the last connections are cut.
 STOP_MARGIN_S: Final = 0.5
 STOP_POLL_S: Final = 0.05
-# Silence of a peer connection with open calls before it is given up.
-SILENCE_MS: Final = 400
+# Silence of a peer connection with open calls before it is given up. Calls
+# between services have half a second in all.
+SILENCE_MS: Final = 300
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
 
@@ -225,6 +226,7 @@
             self._group = group
             group.start_soon(self.store_sync.run)
             group.start_soon(self.peer_sync.run)
+            group.start_soon(self.peer_sync.find_lost)
             group.start_soon(self._probe.run)
             group.start_soon(self._silence.run)
             group.start_soon(self._expire_attempts)
