Split forwarding, gate and sidecar by concern

Reading requests, calling targets, the exchange with the target, listeners and the endpoint of peers are modules of their own.

--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -0,0 +1,201 @@
+"""A caller's request on its way, and how its head is read."""
+
+import asyncio
+from typing import Final, final
+
+from cornelbeam_core.deadlines import MS_PER_S, check_deadline, remaining_ms
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_core.routes import RouteRule, RouteTable
+from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.bodies import RequestBody
+from cornelbeam_daemon.calls import Answer
+from cornelbeam_daemon.http_message import HttpRequest, malformed
+
+from cornelbeam_mesh.edge import Edge
+from cornelbeam_mesh.fleet_state import FleetState
+
+# Bodies up to this size are kept, so that a refused request can go elsewhere.
+KEPT_BODY_BYTES: Final = 1_048_576
+# Time that a request and its answer need between caller and daemon.
+CALLER_TRIP_S: Final = 0.02
+_MAX_DIGITS: Final = 9
+
+
+@final
+class Forwarded:
+    """A request on its way."""
+
+    __slots__ = (
+        'body',
+        'deadline_s',
+        'fallback',
+        'headers',
+        'is_nested',
+        'request',
+        'request_id',
+        'route',
+        'run_count',
+        'service',
+        'started_s',
+        'used',
+        'waited',
+    )
+
+    def __init__(
+        self,
+        request: HttpRequest,
+        route: RouteRule,
+        service: str,
+        started_s: float,
+    ) -> None:
+        """Start without attempts."""
+        self.request = request
+        self.route = route
+        self.service = service
+        self.started_s = started_s
+        self.deadline_s = started_s
+        self.body = RequestBody(request.body, KEPT_BODY_BYTES)
+        self.headers: list[bytes] = []
+        self.request_id = ''
+        self.is_nested = False
+        # Targets that it reached, and how often one may have run it.
+        self.used: set[str] = set()
+        self.run_count = 0
+        # Targets at whose gate it waited for a slot.
+        self.waited: set[str] = set()
+        # A failure that a target answered, for want of something better.
+        self.fallback: Answer | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether it may be sent to another target after a failure."""
+        return (
+            self.route.is_idempotent
+            and self.body.is_replayable
+            and self.run_count < self.route.max_target_count
+        )
+
+    def objective_left_ms(self, now_s: float) -> int:
+        """Give the time in which an answer is worth most to the caller."""
+        objective_s = self.route.objective_ms / MS_PER_S
+        return remaining_ms(
+            self.started_s + objective_s - CALLER_TRIP_S,
+            now_s,
+        )
+
+    async def gather(self) -> None:
+        """Wait for the body, unless it is too long to be kept.
+
+        Raises ``deadline_passed`` when it does not arrive in time.
+        """
+        if self.body.is_whole:
+            return
+        try:
+            async with asyncio.timeout_at(self.deadline_s):
+                await self.body.gather()
+        except TimeoutError as error:
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'request body',
+                detail='the body did not arrive in time',
+            ) from error
+
+
+@final
+class RequestReader:
+    """Reads the heads of requests by the configuration in force."""
+
+    __slots__ = ('_caller_service', '_edge', '_host', '_state')
+
+    def __init__(
+        self,
+        edge: Edge,
+        state: FleetState,
+        caller_service: str,
+        host: str,
+    ) -> None:
+        """Read for callers on the instance of ``caller_service``.
+
+        ``host`` is the IP number of the backend server.
+        """
+        self._edge = edge
+        self._state = state
+        self._caller_service = caller_service.encode()
+        self._host = host
+
+    def read(self, request: HttpRequest, started_s: float) -> Forwarded:
+        """Find route, service and deadline of a request.
+
+        Raises ``CornelbeamError`` with run state ``NOT_RUN``.
+        """
+        table = self._state.table
+        if table is None:
+            raise CornelbeamError(
+                ErrorCode.NO_ELIGIBLE_TARGET,
+                'routing',
+                detail='no configuration yet',
+            )
+        route = _find_route(request, table)
+        forwarded = Forwarded(
+            request,
+            route,
+            table.pick_service(route),
+            started_s,
+        )
+        names = self._edge.headers
+        headers = request.headers
+        forwarded.request_id = (
+            fields.find(headers, names.attempt_id) or b''
+        ).decode('latin-1')
+        left_ms = _read_number(headers, names.remaining_ms, route.timeout_ms)
+        forwarded.deadline_s = (
+            started_s + min(left_ms, route.timeout_ms) / MS_PER_S
+        )
+        check_deadline(forwarded.deadline_s, started_s, 'routing')
+        forwarded.headers = self._replace_own_fields(headers)
+        # The backend server calls from its own address.
+        forwarded.is_nested = request.peer_host == self._host
+        return forwarded
+
+    def _replace_own_fields(self, headers: list[bytes]) -> list[bytes]:
+        """Drop the fields that only daemons may set, and set the caller's."""
+        names = self._edge.headers
+        own = {
+            names.remaining_ms,
+            names.caller_service,
+            names.expected_instance,
+        }
+        stripped = fields.strip(headers)
+        kept: list[bytes] = []
+        for index in range(0, len(stripped), 2):
+            if stripped[index] not in own:
+                kept += stripped[index : index + 2]
+        return [*kept, names.caller_service, self._caller_service]
+
+
+def _find_route(request: HttpRequest, table: RouteTable) -> RouteRule:
+    try:
+        target = request.target.decode('ascii')
+        host = (fields.find(request.headers, b'host') or b'').decode('ascii')
+    except UnicodeDecodeError as error:
+        raise malformed('the head is not ASCII') from error
+    route = table.find(
+        host.partition(':')[0].lower(),
+        target.partition('?')[0],
+    )
+    if route is None:
+        raise CornelbeamError(
+            ErrorCode.UNKNOWN_SERVICE,
+            'routing',
+            detail=f'no route, configuration {table.version}',
+        )
+    return route
+
+
+def _read_number(headers: list[bytes], name: bytes, default: int) -> int:
+    stated = fields.find(headers, name)
+    if stated is None:
+        return default
+    if not stated.isdigit() or len(stated) > _MAX_DIGITS:
+        raise malformed(f'{name.decode()} is not a number')
+    return int(stated)
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import Final, final
 
-from cornelbeam_core.deadlines import MS_PER_S, check_deadline, remaining_ms
+from cornelbeam_core.deadlines import MS_PER_S, remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.placement import (
     US_PER_MS,
@@ -18,96 +18,24 @@
     rank_targets,
 )
 from cornelbeam_core.refusals import refusal_status, return_delay_s
-from cornelbeam_core.routes import RouteRule, RouteTable
-from cornelbeam_daemon import headers as fields
-from cornelbeam_daemon.bodies import RequestBody
-from cornelbeam_daemon.calls import Answer, Call
-from cornelbeam_daemon.http_message import (
-    BODILESS,
-    HttpRequest,
-    Responder,
-    broken_answer,
-    malformed,
-)
+from cornelbeam_daemon.calls import Answer
+from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.logs import get_log
-from cornelbeam_daemon.peer_client import PeerClient
 
-from cornelbeam_mesh.edge import Edge
 from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_mesh.forwarded_request import Forwarded, RequestReader
 from cornelbeam_mesh.gate_keeper import GateKeeper
-from cornelbeam_mesh.members import MemberEntry, peer_target
+from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.metrics import MeshMetrics
+from cornelbeam_mesh.passing_on import pass_on
+from cornelbeam_mesh.target_calls import TargetCaller
 
 _log = get_log('caller')
-# Bodies up to this size are kept, so that a refused request can go elsewhere.
-KEPT_BODY_BYTES: Final = 1_048_576
 # The least time that an attempt waits for a slot before it goes elsewhere:
 # two crossings of a failure domain boundary.
 MIN_PATIENCE_MS: Final = 10
-# A daemon that has lost a connection only answers within this time; one that
-# is gone would make the caller wait in vain.
-ASK_TIMEOUT_S: Final = 0.6
 # Refused attempts of one request; then the load is everywhere.
 MAX_REFUSAL_COUNT: Final = 12
-# Time that a request and its answer need between caller and daemon.
-CALLER_TRIP_S: Final = 0.02
-_ATTEMPT_ID_BYTES: Final = 16
-_MAX_DIGITS: Final = 9
-
-
-@final
-class Forwarded:
-    """A request on its way."""
-
-    __slots__ = (
-        'body',
-        'deadline_s',
-        'fallback',
-        'headers',
-        'is_nested',
-        'request',
-        'request_id',
-        'route',
-        'run_count',
-        'service',
-        'started_s',
-        'used',
-        'waited',
-    )
-
-    def __init__(
-        self,
-        request: HttpRequest,
-        route: RouteRule,
-        service: str,
-        started_s: float,
-    ) -> None:
-        """Start without attempts."""
-        self.request = request
-        self.route = route
-        self.service = service
-        self.started_s = started_s
-        self.deadline_s = started_s
-        self.body = RequestBody(request.body, KEPT_BODY_BYTES)
-        self.headers: list[bytes] = []
-        self.request_id = ''
-        self.is_nested = False
-        # Targets that it reached, and how often one may have run it.
-        self.used: set[str] = set()
-        self.run_count = 0
-        # Targets at whose gate it waited for a slot.
-        self.waited: set[str] = set()
-        # A failure that a target answered, for want of something better.
-        self.fallback: Answer | None = None
-
-    @property
-    def may_repeat(self) -> bool:
-        """Tell whether it may be sent to another target after a failure."""
-        return (
-            self.route.is_idempotent
-            and self.body.is_replayable
-            and self.run_count < self.route.max_target_count
-        )
 
 
 @final
@@ -115,16 +43,13 @@
     """Serves the callers on this instance."""
 
     __slots__ = (
-        '_caller_service',
-        '_client',
+        '_caller',
         '_domain',
-        '_edge',
-        '_host',
         '_keeper',
         '_loop',
         '_metrics',
-        '_name',
         '_on_stale_peer',
+        '_reader',
         '_rng',
         '_state',
         'in_flight_count',
@@ -132,33 +57,25 @@
 
     def __init__(
         self,
-        name: str,
         domain: str,
-        host: str,
-        caller_service: str,
-        edge: Edge,
         state: FleetState,
+        reader: RequestReader,
+        caller: TargetCaller,
         keeper: GateKeeper,
-        client: PeerClient,
         metrics: MeshMetrics,
         on_stale_peer: Callable[[MemberEntry], None],
         rng: random.Random,
     ) -> None:
-        """Serve locally by ``keeper`` and elsewhere by ``client``.
-
-        ``host`` is the IP number of the backend server.
+        """Forward from the failure domain ``domain``.
 
-        ``on_stale_peer`` is called when a daemon has restarted since its
-        entry was read.
+        ``keeper`` tells the load of the own target. ``on_stale_peer`` is
+        called when a daemon has restarted since its entry was read.
         """
-        self._name = name
         self._domain = domain
-        self._host = host
-        self._caller_service = caller_service.encode()
-        self._edge = edge
         self._state = state
+        self._reader = reader
+        self._caller = caller
         self._keeper = keeper
-        self._client = client
         self._metrics = metrics
         self._on_stale_peer = on_stale_peer
         self._rng = rng
@@ -172,11 +89,11 @@
         outcome = 'cancelled'
         forwarded: Forwarded | None = None
         try:
-            forwarded = self._read(request, started_s)
-            await self._gather(forwarded)
+            forwarded = self._reader.read(request, started_s)
+            await forwarded.gather()
             answer = await self._serve(forwarded)
             outcome = str(answer.status)
-            await _pass_on(request, answer, responder)
+            await pass_on(request, answer, responder)
         except CornelbeamError as error:
             outcome = error.code.value
             self._report(forwarded, error, responder, started_s)
@@ -198,59 +115,6 @@
             self._loop.time() - started_s,
         )
 
-    def _read(self, request: HttpRequest, started_s: float) -> Forwarded:
-        table = self._state.table
-        if table is None:
-            raise CornelbeamError(
-                ErrorCode.NO_ELIGIBLE_TARGET,
-                'routing',
-                detail='no configuration yet',
-            )
-        route = _find_route(request, table)
-        forwarded = Forwarded(
-            request,
-            route,
-            table.pick_service(route),
-            started_s,
-        )
-        names = self._edge.headers
-        headers = request.headers
-        forwarded.request_id = (
-            fields.find(headers, names.attempt_id) or b''
-        ).decode('latin-1')
-        left_ms = _read_number(headers, names.remaining_ms, route.timeout_ms)
-        forwarded.deadline_s = (
-            started_s + min(left_ms, route.timeout_ms) / MS_PER_S
-        )
-        check_deadline(forwarded.deadline_s, started_s, 'routing')
-        own = {
-            names.remaining_ms,
-            names.caller_service,
-            names.expected_instance,
-        }
-        kept = fields.strip(headers)
-        for index in range(0, len(kept), 2):
-            if kept[index] not in own:
-                forwarded.headers += kept[index : index + 2]
-        forwarded.headers += (names.caller_service, self._caller_service)
-        # The backend server calls from its own address.
-        forwarded.is_nested = request.peer_host == self._host
-        return forwarded
-
-    async def _gather(self, forwarded: Forwarded) -> None:
-        """Wait for the body, unless it is too long to be kept."""
-        if forwarded.body.is_whole:
-            return
-        try:
-            async with asyncio.timeout_at(forwarded.deadline_s):
-                await forwarded.body.gather()
-        except TimeoutError as error:
-            raise CornelbeamError(
-                ErrorCode.DEADLINE_PASSED,
-                'request body',
-                detail='the body did not arrive in time',
-            ) from error
-
     async def _serve(self, forwarded: Forwarded) -> Answer:
         refusals: dict[str, CornelbeamError] = {}
         refusal_count = 0
@@ -352,7 +216,7 @@
             waitable = _find_waitable(
                 ranked,
                 refusals,
-                self._objective_left_ms(forwarded),
+                forwarded.objective_left_ms(now_s),
             )
             if waitable is None:
                 return None
@@ -382,10 +246,9 @@
         member = self._state.members.get(record.name)
         if member is None:
             raise CornelbeamError(ErrorCode.NO_ELIGIBLE_TARGET, 'placement')
-        call = self._new_call(forwarded, member, patience)
         record.in_flight_count += 1
         try:
-            answer = await self._send(member, call)
+            answer = await self._caller.attempt(forwarded, member, patience)
         except CornelbeamError as error:
             self._note_error(forwarded, record, member, error)
             raise
@@ -445,91 +308,6 @@
             why=error.detail,
         )
 
-    def _new_call(
-        self,
-        forwarded: Forwarded,
-        member: MemberEntry,
-        patience: float,
-    ) -> Call:
-        return Call(
-            attempt_id=self._rng.randbytes(_ATTEMPT_ID_BYTES),
-            target_incarnation=member.incarnation,
-            service=forwarded.service,
-            method=forwarded.request.method,
-            path=forwarded.request.target,
-            headers=forwarded.headers,
-            deadline_s=forwarded.deadline_s,
-            is_repeatable=forwarded.route.is_idempotent,
-            caller=self._name,
-            hop_count=1,
-            request_id=forwarded.request_id,
-            body=forwarded.body,
-            priority=forwarded.route.priority,
-            is_nested=forwarded.is_nested,
-            is_repeat=bool(forwarded.used),
-            patience_ms=int(patience),
-            objective_ms=self._objective_left_ms(forwarded),
-            route=forwarded.route.name,
-        )
-
-    def _objective_left_ms(self, forwarded: Forwarded) -> int:
-        objective_s = forwarded.route.objective_ms / MS_PER_S
-        return remaining_ms(
-            forwarded.started_s + objective_s - CALLER_TRIP_S,
-            self._loop.time(),
-        )
-
-    async def _send(self, member: MemberEntry, call: Call) -> Answer:
-        if member.name == self._name:
-            return await self._keeper.serve(call)
-        target = peer_target(member)
-        try:
-            async with asyncio.timeout_at(call.deadline_s):
-                return await self._client.call(target, call)
-        except TimeoutError as error:
-            raise CornelbeamError(
-                ErrorCode.DEADLINE_PASSED,
-                'answer',
-                member.name,
-                run_state=RunState.UNKNOWN,
-            ) from error
-        except CornelbeamError as error:
-            is_unclear = error.run_state is not RunState.NOT_RUN
-            is_lost = error.code is ErrorCode.PEER_UNREACHABLE
-            if call.is_repeatable or not (is_lost and is_unclear):
-                raise
-            answer = await self._ask(member, call, error)
-            if answer is None:
-                raise
-            return answer
-
-    async def _ask(
-        self,
-        member: MemberEntry,
-        call: Call,
-        error: CornelbeamError,
-    ) -> Answer | None:
-        """Ask what became of a call whose connection was lost."""
-        limit_s = min(call.deadline_s, self._loop.time() + ASK_TIMEOUT_S)
-        try:
-            async with asyncio.timeout_at(limit_s):
-                run_state, answer = await self._client.ask_outcome(
-                    peer_target(member),
-                    call,
-                )
-        except TimeoutError:
-            run_state, answer = RunState.UNKNOWN, None
-        if run_state is RunState.RUNNING:
-            run_state = RunState.UNKNOWN
-        error.run_state = run_state
-        _log.info(
-            'outcome asked',
-            request=call.request_id,
-            target=member.name,
-            run_state=run_state.name.lower(),
-        )
-        return answer
-
     def _report(
         self,
         forwarded: Forwarded | None,
@@ -568,25 +346,6 @@
         responder.send_whole(status, headers, f'{error}\n'.encode())
 
 
-def _find_route(request: HttpRequest, table: RouteTable) -> RouteRule:
-    try:
-        target = request.target.decode('ascii')
-        host = (fields.find(request.headers, b'host') or b'').decode('ascii')
-    except UnicodeDecodeError as error:
-        raise malformed('the head is not ASCII') from error
-    route = table.find(
-        host.partition(':')[0].lower(),
-        target.partition('?')[0],
-    )
-    if route is None:
-        raise CornelbeamError(
-            ErrorCode.UNKNOWN_SERVICE,
-            'routing',
-            detail=f'no route, configuration {table.version}',
-        )
-    return route
-
-
 def _find_waitable(
     ranked: list[Candidate],
     refusals: dict[str, CornelbeamError],
@@ -609,39 +368,3 @@
     if not waits:
         return None
     return min(waits, key=lambda each: each[0])[1]
-
-
-async def _pass_on(
-    request: HttpRequest,
-    answer: Answer,
-    responder: Responder,
-) -> None:
-    headers = answer.headers
-    try:
-        content = answer.body.take_ready()
-        is_bodiless = request.method == b'HEAD' or answer.status in BODILESS
-        if answer.body.is_ended and not is_bodiless:
-            length = fields.find(headers, b'content-length')
-            if length is not None and int(length) != len(content):
-                raise broken_answer('not the announced length')
-            responder.send_whole(answer.status, headers, content)
-            return
-        responder.start(answer.status, headers)
-        if content:
-            await responder.send(content)
-        while not answer.body.is_ended:
-            content = await answer.body.read_answer()
-            if content:
-                await responder.send(content)
-        responder.finish()
-    finally:
-        answer.close()
-
-
-def _read_number(headers: list[bytes], name: bytes, default: int) -> int:
-    stated = fields.find(headers, name)
-    if stated is None:
-        return default
-    if not stated.isdigit() or len(stated) > _MAX_DIGITS:
-        raise malformed(f'{name.decode()} is not a number')
-    return int(stated)
--- a/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
+++ b/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
@@ -5,31 +5,20 @@
 from typing import Final, final
 
 from cornelbeam_core.attempts import AttemptLedger, RecordResult
-from cornelbeam_core.deadlines import remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.target_gate import Refusal, TargetGate, Ticket
 from cornelbeam_core.targets import LoadReport
-from cornelbeam_daemon import headers as fields
-from cornelbeam_daemon.backend_client import BackendClient
-from cornelbeam_daemon.backend_connection import (
-    BackendAnswer,
-    BackendConnection,
-)
 from cornelbeam_daemon.backend_side import is_recorded
-from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES, BodyBuffer
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.logs import get_log
 
-from cornelbeam_mesh.edge import Edge
 from cornelbeam_mesh.members import TargetEntry
+from cornelbeam_mesh.target_exchange import TargetExchange
 
 _log = get_log('backend')
 _MS_PER_S: Final = 1000
 _US_PER_S: Final = 1_000_000
-_ENCODING: Final = b'content-encoding'
-_BODY_METHODS: Final = frozenset((b'POST', b'PUT', b'PATCH'))
-_MISDIRECTED: Final = 421
 # A call that was let into the line waits at least until the next answers.
 LEAST_WAIT_S: Final = 0.02
 _REFUSAL_CODES: Final = {
@@ -54,8 +43,7 @@
     """Serves calls of this and other daemons by the target beside it."""
 
     __slots__ = (
-        '_client',
-        '_edge',
+        '_exchange',
         '_gate',
         '_is_evacuated',
         '_loop',
@@ -74,11 +62,10 @@
     def __init__(
         self,
         name: str,
-        edge: Edge,
         gate: TargetGate,
         repeats: RepeatBudget,
         ledger: AttemptLedger,
-        client: BackendClient,
+        exchange: TargetExchange,
         target: Callable[[], TargetEntry | None],
         is_evacuated: Callable[[], bool],
     ) -> None:
@@ -92,10 +79,9 @@
         self.on_hold: Callable[[], None] = _ignore
         # Asks the target for its speed.
         self.measure: Callable[[], Awaitable[None]] = _ignore_speed
-        self._edge = edge
         self._gate = gate
         self._repeats = repeats
-        self._client = client
+        self._exchange = exchange
         self._target = target
         self._is_evacuated = is_evacuated
         self._loop = asyncio.get_running_loop()
@@ -162,8 +148,12 @@
         running_count = self._gate.running_count
         service_time_s: float | None = None
         try:
-            answer = await self._exchange(call, target)
+            answer = await self._exchange.run(call, target)
+            answer.load = self.load
             service_time_s = self._loop.time() - started_s
+        except CornelbeamError as error:
+            self._note_failure(error)
+            raise
         finally:
             self._leave(call, service_time_s, factor)
             _log.debug(
@@ -177,6 +167,15 @@
             )
         return answer
 
+    def _note_failure(self, error: CornelbeamError) -> None:
+        if error.code is ErrorCode.BACKEND_UNREACHABLE:
+            self.is_reachable = False
+            self.recheck()
+        if error.code is ErrorCode.BACKEND_REFUSED:
+            _log.info('target refused', why=error.detail)
+        if error.code is not ErrorCode.DEADLINE_PASSED:
+            self.on_suspicion()
+
     def _leave(
         self,
         call: Call,
@@ -335,184 +334,6 @@
         self._timer = None
         self._let_in()
 
-    async def _exchange(self, call: Call, target: TargetEntry) -> Answer:
-        connection = await self._connect(call)
-        try:
-            async with asyncio.timeout_at(call.deadline_s):
-                head = await self._try_reused(call, target, connection)
-                if head is None:
-                    self._client.release(connection)
-                    connection = await self._open_again()
-                    head = await self._hand_over(call, target, connection)
-                content = await _read_short(head.body)
-        except TimeoutError as error:
-            self._break_off(call, connection)
-            raise CornelbeamError(
-                ErrorCode.DEADLINE_PASSED,
-                'backend answer',
-                self.name,
-                run_state=RunState.UNKNOWN,
-            ) from error
-        except CornelbeamError as error:
-            self._break_off(call, connection)
-            self.on_suspicion()
-            error.run_state = RunState.UNKNOWN
-            raise
-        except BaseException:
-            self._break_off(call, connection)
-            raise
-        return self._take_answer(call, connection, head, content)
-
-    async def _connect(self, call: Call) -> BackendConnection:
-        try:
-            idle = self._client.take_idle(is_fresh=is_recorded(call))
-            return idle or await self._client.open()
-        except CornelbeamError:
-            self._note_run_state(call, RunState.NOT_RUN)
-            self.is_reachable = False
-            self.on_suspicion()
-            self.recheck()
-            raise
-
-    async def _open_again(self) -> BackendConnection:
-        try:
-            return await self._client.open()
-        except CornelbeamError as error:
-            # The first connection took the request.
-            error.run_state = RunState.UNKNOWN
-            raise
-
-    async def _try_reused(
-        self,
-        call: Call,
-        target: TargetEntry,
-        connection: BackendConnection,
-    ) -> BackendAnswer | None:
-        """Hand over; None if the target had closed the idle connection."""
-        try:
-            return await self._hand_over(call, target, connection)
-        except CornelbeamError:
-            if connection.is_stale and call.is_repeatable:
-                return None
-            raise
-
-    async def _hand_over(
-        self,
-        call: Call,
-        target: TargetEntry,
-        connection: BackendConnection,
-    ) -> BackendAnswer:
-        reader = call.body.reader()
-        first_part, is_whole = reader.take_first()
-        names = self._edge.headers
-        headers = [
-            *call.headers,
-            names.remaining_ms,
-            str(remaining_ms(call.deadline_s, self._loop.time())).encode(),
-            names.expected_instance,
-            target.instance.encode(),
-        ]
-        length = fields.find(headers, b'content-length')
-        is_chunked = length is None and not is_whole
-        if is_chunked:
-            headers += (b'transfer-encoding', b'chunked')
-        elif length is None and (first_part or call.method in _BODY_METHODS):
-            headers += (b'content-length', str(len(first_part)).encode())
-        attempt = fields.find(call.headers, names.attempt_id)
-        return await connection.exchange(
-            fields.render(
-                b'%b %b HTTP/1.1' % (call.method, call.path),
-                headers,
-            ),
-            reader,
-            first_part,
-            is_complete=is_whole,
-            is_chunked=is_chunked,
-            is_head_request=call.method == b'HEAD',
-            length_bytes=None if length is None else int(length),
-            is_own=lambda answered: (
-                fields.find(answered, names.attempt_id) == attempt
-            ),
-        )
-
-    def _take_answer(
-        self,
-        call: Call,
-        connection: BackendConnection,
-        head: BackendAnswer,
-        content: bytes,
-    ) -> Answer:
-        self.note_load(head.headers)
-        is_refusal = fields.find(head.headers, self._edge.headers.not_run)
-        if is_refusal or head.status == _MISDIRECTED:
-            self._client.release(connection)
-            self._note_run_state(call, RunState.NOT_RUN)
-            raise self._shed(head.status)
-        if fields.find(head.headers, _ENCODING) is not None:
-            # Callers ask for none, so these are not the target's bytes.
-            self._break_off(call, connection)
-            raise CornelbeamError(
-                ErrorCode.BACKEND_FAILED,
-                'backend answer',
-                self.name,
-                'an encoded body',
-                run_state=RunState.UNKNOWN,
-            )
-        is_whole = head.body.is_ended
-        body = head.body
-        if is_whole:
-            body = BodyBuffer()
-            body.feed(content)
-            body.finish()
-            self._release_answered(call, connection)
-        else:
-            body.push_front(content)
-
-        def close() -> None:  # noqa: WPS430
-            if not is_whole:
-                self._release_answered(call, connection)
-
-        return Answer(
-            head.status,
-            fields.strip(head.headers),
-            body,
-            self.load,
-            close,
-        )
-
-    def _release_answered(
-        self,
-        call: Call,
-        connection: BackendConnection,
-    ) -> None:
-        self._client.release(connection)
-        self._note_run_state(call, RunState.RAN)
-
-    def _shed(self, status: int) -> CornelbeamError:
-        _log.info('target refused', status=status)
-        self.on_suspicion()
-        return CornelbeamError(
-            ErrorCode.BACKEND_REFUSED,
-            'backend answer',
-            self.name,
-            f'the target refused with status {status}',
-        )
-
-    def note_load(self, headers: list[bytes]) -> None:
-        """Take the load that the target told with an answer."""
-        stated = fields.find(headers, self._edge.headers.load)
-        load = None if stated is None else self._edge.read_load(stated)
-        if load is not None:
-            self._gate.speed.note(
-                load.slowdown_percent,
-                self._loop.time(),
-            )
-
-    def _break_off(self, call: Call, connection: BackendConnection) -> None:
-        connection.close()
-        self._client.release(connection)
-        self._note_run_state(call, RunState.UNKNOWN)
-
     def _note_run_state(self, call: Call, run_state: RunState) -> None:
         if is_recorded(call):
             self.ledger.finish(
@@ -533,16 +354,6 @@
         )
 
 
-async def _read_short(body: BodyBuffer) -> bytes:
-    """Read the body unless it is long: a broken one can then be replaced."""
-    parts = [body.take_ready()]
-    size_bytes = len(parts[0])
-    while not body.is_ended and size_bytes < BUFFER_LIMIT_BYTES:
-        parts.append(await body.read())
-        size_bytes += len(parts[-1])
-    return b''.join(parts)
-
-
 def _ignore() -> None:
     """Do nothing."""
 
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/listeners.py
@@ -0,0 +1,81 @@
+"""Sockets that the daemon accepts connections at."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Final, final
+
+from cornelbeam_daemon.http_message import HttpRequest, Responder
+from cornelbeam_daemon.http_server import HttpServerConnection
+
+from cornelbeam_mesh.settings import split_address
+
+LISTEN_BACKLOG: Final = 1024
+# Larger heads and bodies than any that operators allow; the configuration
+# may change these limits while connections are open.
+HEAD_LIMIT_BYTES: Final = 65_536
+BODY_LIMIT_BYTES: Final = 268_435_456
+
+Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+
+
+@final
+class Listeners:
+    """Bound sockets, their servers and the HTTP connections on them."""
+
+    __slots__ = ('_servers', '_sockets', 'others')
+
+    def __init__(self, addresses: Iterable[str]) -> None:
+        """Bind all addresses; raises ``OSError`` when one can't be."""
+        self._sockets = {address: _bind(address) for address in addresses}
+        self._servers: list[asyncio.Server] = []
+        # Connections other than those of callers.
+        self.others: set[HttpServerConnection] = set()
+
+    async def serve_http(
+        self,
+        address: str,
+        handler: Handler,
+        connections: set[HttpServerConnection] | None = None,
+    ) -> None:
+        """Answer requests at an address by ``handler``."""
+        held = self.others if connections is None else connections
+        await self.serve(
+            address,
+            lambda: HttpServerConnection(
+                handler,
+                HEAD_LIMIT_BYTES,
+                BODY_LIMIT_BYTES,
+                held,
+            ),
+        )
+
+    async def serve(
+        self,
+        address: str,
+        make_protocol: Callable[[], asyncio.Protocol],
+    ) -> None:
+        """Accept connections at an address."""
+        server = await asyncio.get_running_loop().create_server(
+            make_protocol,
+            sock=self._sockets[address],
+            backlog=LISTEN_BACKLOG,
+        )
+        self._servers.append(server)
+
+    def close(self) -> None:
+        """Accept nothing more, and end connections other than of callers."""
+        for server in self._servers:
+            server.close()
+        for connection in tuple(self.others):
+            connection.abort()
+
+
+def _bind(address: str) -> socket.socket:
+    listening = socket.create_server(
+        split_address(address),
+        backlog=LISTEN_BACKLOG,
+    )
+    # Accepted sockets inherit it; see ``cornelbeam_daemon.daemon``.
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listening
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/passing_on.py
@@ -0,0 +1,38 @@
+"""Passes the answer of a target on to the caller."""
+
+from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.calls import Answer
+from cornelbeam_daemon.http_message import (
+    BODILESS,
+    HttpRequest,
+    Responder,
+    broken_answer,
+)
+
+
+async def pass_on(
+    request: HttpRequest,
+    answer: Answer,
+    responder: Responder,
+) -> None:
+    """Write an answer; raises ``answer_truncated`` when it is not whole."""
+    headers = answer.headers
+    try:
+        content = answer.body.take_ready()
+        is_bodiless = request.method == b'HEAD' or answer.status in BODILESS
+        if answer.body.is_ended and not is_bodiless:
+            length = fields.find(headers, b'content-length')
+            if length is not None and int(length) != len(content):
+                raise broken_answer('not the announced length')
+            responder.send_whole(answer.status, headers, content)
+            return
+        responder.start(answer.status, headers)
+        if content:
+            await responder.send(content)
+        while not answer.body.is_ended:
+            content = await answer.body.read_answer()
+            if content:
+                await responder.send(content)
+        responder.finish()
+    finally:
+        answer.close()
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import random
-import socket
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, Final, final
 
 import anyio
@@ -20,21 +19,16 @@
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.peer_client import PeerClient
-from cornelbeam_daemon.peer_server import PeerServer
 from cornelbeam_daemon.silence import SilenceWatch
-from cornelbeam_wire import (
-    Identity,
-    PeerConnection,
-    PeerPool,
-    Stream,
-    StreamReceiver,
-)
+from cornelbeam_wire import Identity, PeerPool, Stream
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_mesh.edge import Edge, Heartbeat, Store
 from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_mesh.forwarded_request import RequestReader
 from cornelbeam_mesh.forwarding import Forwarder
 from cornelbeam_mesh.gate_keeper import GateKeeper
+from cornelbeam_mesh.listeners import Listeners
 from cornelbeam_mesh.members import (
     MemberEntry,
     TargetEntry,
@@ -42,14 +36,16 @@
     encode_member,
 )
 from cornelbeam_mesh.metrics import MeshMetrics
+from cornelbeam_mesh.peer_endpoint import PeerEndpoint
 from cornelbeam_mesh.peer_sync import PeerSync
 from cornelbeam_mesh.registration import Registration
 from cornelbeam_mesh.settings import MeshSettings, split_address
 from cornelbeam_mesh.store_sync import StoreSync
+from cornelbeam_mesh.target_calls import TargetCaller
+from cornelbeam_mesh.target_exchange import TargetExchange
 from cornelbeam_mesh.target_probe import TargetProbe
 
 _log = get_log('admin')
-LISTEN_BACKLOG: Final = 1024
 # More than the slots of a target; the gate keeps the number in use below.
 MAX_BACKEND_CONNECTIONS: Final = 200
 _MS_PER_S: Final = 1000
@@ -57,10 +53,6 @@
 LEDGER_CAPACITY: Final = 12_000
 LEDGER_KEEP_S: Final = 30.0
 LEDGER_EXPIRE_PERIOD_S: Final = 1.0
-# Larger heads and bodies than any that operators allow; the configuration
-# may change these limits while connections are open.
-HEAD_LIMIT_BYTES: Final = 65_536
-BODY_LIMIT_BYTES: Final = 268_435_456
 # After SIGTERM, readiness fails first; callers that check once a second and
 # leave after two misses are gone by then.
 LEAVE_S: Final = 2.2
@@ -73,8 +65,6 @@
 _OK: Final = 200
 _UNAVAILABLE: Final = 503
 
-_Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
-
 
 @final
 class Sidecar:
@@ -92,25 +82,21 @@
         """
         self.settings = settings
         listeners = settings.listeners
-        self._sockets = {
-            address: _bind(address)
-            for address in (
+        self._listeners = Listeners(
+            (
                 listeners.callers,
                 listeners.peers,
                 listeners.registration,
                 listeners.readiness,
                 listeners.metrics,
-            )
-        }
+            ),
+        )
         self._store = store
-        self._servers: list[asyncio.Server] = []
         self._rng = random.Random()
         self._stop = asyncio.Event()
         self._is_leaving = False
         self._has_joined = False
         self._callers: set[HttpServerConnection] = set()
-        self._others: set[HttpServerConnection] = set()
-        self._accepted: set[PeerConnection] = set()
         self._group: TaskGroup | None = None
         name, domain = settings.instance.name, settings.instance.domain
         self._incarnation = time.time_ns() // 1_000_000
@@ -136,13 +122,23 @@
         )
         host, port = split_address(settings.backend_server.address)
         self._backend = BackendClient(host, port, MAX_BACKEND_CONNECTIONS)
+        ledger = AttemptLedger(
+            self._incarnation,
+            LEDGER_CAPACITY,
+            LEDGER_KEEP_S,
+        )
         self.keeper = GateKeeper(
             name,
-            edge,
             self._gate,
             self._repeats,
-            AttemptLedger(self._incarnation, LEDGER_CAPACITY, LEDGER_KEEP_S),
-            self._backend,
+            ledger,
+            TargetExchange(
+                name,
+                edge,
+                self._backend,
+                ledger,
+                self._gate.speed,
+            ),
             self._own_target,
             lambda: domain in self.state.evacuated_domains,
         )
@@ -183,16 +179,29 @@
             self._messenger,
             self._rng,
         )
-        self._peer_server = PeerServer(self.keeper, self._accepted)
+        self._peers = PeerEndpoint(
+            self._identity,
+            self.keeper,
+            self.peer_sync,
+            self._messenger,
+            self._on_contact,
+        )
         self.forwarder = Forwarder(
-            name,
             domain,
-            host,
-            settings.instance.service,
-            edge,
             self.state,
+            RequestReader(
+                edge,
+                self.state,
+                settings.instance.service,
+                host,
+            ),
+            TargetCaller(
+                name,
+                self.keeper,
+                PeerClient(self._pool),
+                self._rng,
+            ),
             self.keeper,
-            PeerClient(self._pool),
             self.metrics,
             self._on_stale_peer,
             self._rng,
@@ -212,16 +221,12 @@
         _log.info('stopped', member=self.settings.instance.name)
 
     async def _serve(self) -> None:
-        listeners = self.settings.listeners
-        await self._listen_peers(listeners.peers)
-        await self._listen(listeners.registration, self.registration.handle)
-        await self._listen(listeners.readiness, self._answer_readiness)
-        await self._listen(listeners.metrics, self._answer_metrics)
-        await self._listen(
-            listeners.callers,
-            self.forwarder.handle,
-            self._callers,
-        )
+        addresses, serve = self.settings.listeners, self._listeners.serve_http
+        await self._listeners.serve(addresses.peers, self._peers.accept)
+        await serve(addresses.registration, self.registration.handle)
+        await serve(addresses.readiness, self._answer_readiness)
+        await serve(addresses.metrics, self._answer_metrics)
+        await serve(addresses.callers, self.forwarder.handle, self._callers)
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self.store_sync.run)
@@ -242,11 +247,10 @@
             group.cancel_scope.cancel()
 
     def _close(self) -> None:
-        for server in self._servers:
-            server.close()
-        for caller in (*self._callers, *self._others):
+        self._listeners.close()
+        for caller in tuple(self._callers):
             caller.abort()
-        for peer in (*self._accepted, *self._pool.connections()):
+        for peer in (*self._peers.connections, *self._pool.connections()):
             peer.close()
         self._backend.close()
 
@@ -309,6 +313,11 @@
     def _on_stale_peer(self, member: MemberEntry) -> None:
         self._start(self.peer_sync.pull(member.name, member.address))
 
+    def _on_contact(self, name: str, address: str) -> None:
+        """Ask a peer that made contact before this daemon has joined."""
+        if not self._has_joined:
+            self._start(self.peer_sync.pull(name, address))
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         if self._group is None:
             work.close()
@@ -354,79 +363,6 @@
             while self._callers or self.keeper.work_count:
                 await anyio.sleep(STOP_POLL_S)
 
-    async def _listen(
-        self,
-        address: str,
-        handler: _Handler,
-        connections: set[HttpServerConnection] | None = None,
-    ) -> None:
-        held = self._others if connections is None else connections
-        server = await asyncio.get_running_loop().create_server(
-            lambda: HttpServerConnection(
-                handler,
-                HEAD_LIMIT_BYTES,
-                BODY_LIMIT_BYTES,
-                held,
-            ),
-            sock=self._sockets[address],
-            backlog=LISTEN_BACKLOG,
-        )
-        self._servers.append(server)
-
-    async def _listen_peers(self, address: str) -> None:
-        server = await asyncio.get_running_loop().create_server(
-            self._accept_peer,
-            sock=self._sockets[address],
-            backlog=LISTEN_BACKLOG,
-        )
-        self._servers.append(server)
-
-    def _accept_peer(self) -> PeerConnection:
-        connection = PeerConnection(
-            self._identity,
-            self._accept_stream,
-            self._accepted.discard,
-            is_opener=False,
-        )
-        self._accepted.add(connection)
-        return connection
-
-    def _accept_stream(
-        self,
-        stream: Stream,
-        frame: messages.Frame,
-    ) -> StreamReceiver | None:
-        if frame.call_start is not None:
-            return self._peer_server.start_call(stream, frame.call_start)
-        if frame.outcome_query is not None:
-            return self._peer_server.answer_query(stream, frame.outcome_query)
-        if frame.config_pull is not None:
-            self.peer_sync.answer_pull(stream, frame.config_pull)
-        elif frame.config_push is not None:
-            peer = stream.connection.peer_name
-            self.peer_sync.take_push(frame.config_push, peer)
-        elif frame.ping is not None:
-            self._answer_ping(stream)
-        self._learn_from(stream.connection)
-        return None
-
-    def _learn_from(self, connection: PeerConnection) -> None:
-        """Ask a peer that made contact before this daemon has joined."""
-        peer = connection.peer
-        if peer is not None and not self._has_joined:
-            self._start(self.peer_sync.pull(peer.name, peer.address))
-
-    def _answer_ping(self, stream: Stream) -> None:
-        self._messenger.reply(
-            stream,
-            ack=messages.Ack(
-                updates=[],
-                revision=self.state.store_revision,
-                name=self.settings.instance.name,
-                incarnation=self._incarnation,
-            ),
-        )
-
     async def _expire_attempts(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -451,13 +387,3 @@
 
 def _refuse_streams(stream: Stream, frame: messages.Frame) -> None:
     """Ignore streams that a peer opens on a connection of this daemon."""
-
-
-def _bind(address: str) -> socket.socket:
-    listening = socket.create_server(
-        split_address(address),
-        backlog=LISTEN_BACKLOG,
-    )
-    # Accepted sockets inherit it; see ``cornelbeam_daemon.daemon``.
-    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return listening
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/target_calls.py
@@ -0,0 +1,130 @@
+"""Attempts at targets, by the own gate or by another daemon."""
+
+import asyncio
+import random
+from typing import Final, final
+
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.peer_client import PeerClient
+
+from cornelbeam_mesh.forwarded_request import Forwarded
+from cornelbeam_mesh.gate_keeper import GateKeeper
+from cornelbeam_mesh.members import MemberEntry, peer_target
+
+_log = get_log('caller')
+# A daemon that has lost a connection only answers within this time; one that
+# is gone would make the caller wait in vain.
+ASK_TIMEOUT_S: Final = 0.6
+_ATTEMPT_ID_BYTES: Final = 16
+
+
+@final
+class TargetCaller:
+    """Sends requests to the gate of a target."""
+
+    __slots__ = ('_client', '_keeper', '_loop', '_name', '_rng')
+
+    def __init__(
+        self,
+        name: str,
+        keeper: GateKeeper,
+        client: PeerClient,
+        rng: random.Random,
+    ) -> None:
+        """Use ``keeper`` for the target of the daemon ``name`` itself."""
+        self._name = name
+        self._keeper = keeper
+        self._client = client
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+
+    async def attempt(
+        self,
+        forwarded: Forwarded,
+        member: MemberEntry,
+        patience_ms: float,
+    ) -> Answer:
+        """Send a request to the target of a daemon.
+
+        It waits for a slot for ``patience_ms`` at most. Raises
+        ``CornelbeamError`` with the run state of this attempt.
+        """
+        call = self._new_call(forwarded, member, patience_ms)
+        if member.name == self._name:
+            return await self._keeper.serve(call)
+        target = peer_target(member)
+        try:
+            async with asyncio.timeout_at(call.deadline_s):
+                return await self._client.call(target, call)
+        except TimeoutError as error:
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'answer',
+                member.name,
+                run_state=RunState.UNKNOWN,
+            ) from error
+        except CornelbeamError as error:
+            is_unclear = error.run_state is not RunState.NOT_RUN
+            is_lost = error.code is ErrorCode.PEER_UNREACHABLE
+            if call.is_repeatable or not (is_lost and is_unclear):
+                raise
+            answer = await self._ask(member, call, error)
+            if answer is None:
+                raise
+            return answer
+
+    def _new_call(
+        self,
+        forwarded: Forwarded,
+        member: MemberEntry,
+        patience_ms: float,
+    ) -> Call:
+        return Call(
+            attempt_id=self._rng.randbytes(_ATTEMPT_ID_BYTES),
+            target_incarnation=member.incarnation,
+            service=forwarded.service,
+            method=forwarded.request.method,
+            path=forwarded.request.target,
+            headers=forwarded.headers,
+            deadline_s=forwarded.deadline_s,
+            is_repeatable=forwarded.route.is_idempotent,
+            caller=self._name,
+            hop_count=1,
+            request_id=forwarded.request_id,
+            body=forwarded.body,
+            priority=forwarded.route.priority,
+            is_nested=forwarded.is_nested,
+            is_repeat=bool(forwarded.used),
+            patience_ms=int(patience_ms),
+            objective_ms=forwarded.objective_left_ms(self._loop.time()),
+            route=forwarded.route.name,
+        )
+
+    async def _ask(
+        self,
+        member: MemberEntry,
+        call: Call,
+        error: CornelbeamError,
+    ) -> Answer | None:
+        """Ask what became of a call whose connection was lost."""
+        limit_s = min(call.deadline_s, self._loop.time() + ASK_TIMEOUT_S)
+        try:
+            async with asyncio.timeout_at(limit_s):
+                run_state, answer = await self._client.ask_outcome(
+                    peer_target(member),
+                    call,
+                )
+        except TimeoutError:
+            run_state, answer = RunState.UNKNOWN, None
+        if run_state is RunState.RUNNING:
+            run_state = RunState.UNKNOWN
+        error.run_state = run_state
+        _log.info(
+            'outcome asked',
+            request=call.request_id,
+            target=member.name,
+            run_state=run_state.name.lower(),
+        )
+        return answer
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -0,0 +1,244 @@
+"""One request to the target beside the daemon, and its answer."""
+
+import asyncio
+from typing import Final, final
+
+from cornelbeam_core.attempts import AttemptLedger
+from cornelbeam_core.deadlines import remaining_ms
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.host_speed import HostSpeed
+from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.backend_client import BackendClient
+from cornelbeam_daemon.backend_connection import (
+    BackendAnswer,
+    BackendConnection,
+)
+from cornelbeam_daemon.backend_side import is_recorded
+from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES, BodyBuffer
+from cornelbeam_daemon.calls import Answer, Call
+
+from cornelbeam_mesh.edge import Edge
+from cornelbeam_mesh.members import TargetEntry
+
+_ENCODING: Final = b'content-encoding'
+_BODY_METHODS: Final = frozenset((b'POST', b'PUT', b'PATCH'))
+_MISDIRECTED: Final = 421
+
+
+@final
+class TargetExchange:
+    """Sends requests to the target and tells its answers from other bytes."""
+
+    __slots__ = ('_client', '_edge', '_ledger', '_loop', '_name', '_speed')
+
+    def __init__(
+        self,
+        name: str,
+        edge: Edge,
+        client: BackendClient,
+        ledger: AttemptLedger,
+        speed: HostSpeed,
+    ) -> None:
+        """Note run states in ``ledger`` and what answers tell in ``speed``."""
+        self._name = name
+        self._edge = edge
+        self._client = client
+        self._ledger = ledger
+        self._speed = speed
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self, call: Call, target: TargetEntry) -> Answer:
+        """Send a call and give its answer, a short one with its whole body.
+
+        Raises ``backend_unreachable`` and ``backend_refused`` when the target
+        has not run it, and other errors with run state ``UNKNOWN``.
+        """
+        connection = await self._connect(call)
+        try:
+            async with asyncio.timeout_at(call.deadline_s):
+                head = await self._try_reused(call, target, connection)
+                if head is None:
+                    self._client.release(connection)
+                    connection = await self._open_again()
+                    head = await self._hand_over(call, target, connection)
+                content = await _read_short(head.body)
+        except TimeoutError as error:
+            self._break_off(call, connection)
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'backend answer',
+                self._name,
+                run_state=RunState.UNKNOWN,
+            ) from error
+        except CornelbeamError as error:
+            self._break_off(call, connection)
+            error.run_state = RunState.UNKNOWN
+            raise
+        except BaseException:
+            self._break_off(call, connection)
+            raise
+        return self._take_answer(call, connection, head, content)
+
+    async def _connect(self, call: Call) -> BackendConnection:
+        try:
+            idle = self._client.take_idle(is_fresh=is_recorded(call))
+            return idle or await self._client.open()
+        except CornelbeamError:
+            self._note_run_state(call, RunState.NOT_RUN)
+            raise
+
+    async def _open_again(self) -> BackendConnection:
+        try:
+            return await self._client.open()
+        except CornelbeamError as error:
+            # The first connection took the request.
+            error.run_state = RunState.UNKNOWN
+            raise
+
+    async def _try_reused(
+        self,
+        call: Call,
+        target: TargetEntry,
+        connection: BackendConnection,
+    ) -> BackendAnswer | None:
+        """Hand over; None if the target had closed the idle connection."""
+        try:
+            return await self._hand_over(call, target, connection)
+        except CornelbeamError:
+            if connection.is_stale and call.is_repeatable:
+                return None
+            raise
+
+    async def _hand_over(
+        self,
+        call: Call,
+        target: TargetEntry,
+        connection: BackendConnection,
+    ) -> BackendAnswer:
+        reader = call.body.reader()
+        first_part, is_whole = reader.take_first()
+        names = self._edge.headers
+        headers = [
+            *call.headers,
+            names.remaining_ms,
+            str(remaining_ms(call.deadline_s, self._loop.time())).encode(),
+            names.expected_instance,
+            target.instance.encode(),
+        ]
+        length = fields.find(headers, b'content-length')
+        is_chunked = length is None and not is_whole
+        if is_chunked:
+            headers += (b'transfer-encoding', b'chunked')
+        elif length is None and (first_part or call.method in _BODY_METHODS):
+            headers += (b'content-length', str(len(first_part)).encode())
+        attempt = fields.find(call.headers, names.attempt_id)
+        return await connection.exchange(
+            fields.render(
+                b'%b %b HTTP/1.1' % (call.method, call.path),
+                headers,
+            ),
+            reader,
+            first_part,
+            is_complete=is_whole,
+            is_chunked=is_chunked,
+            is_head_request=call.method == b'HEAD',
+            length_bytes=None if length is None else int(length),
+            is_own=lambda answered: (
+                fields.find(answered, names.attempt_id) == attempt
+            ),
+        )
+
+    def _take_answer(
+        self,
+        call: Call,
+        connection: BackendConnection,
+        head: BackendAnswer,
+        content: bytes,
+    ) -> Answer:
+        note_load(self._edge, self._speed, head.headers, self._loop.time())
+        is_refusal = fields.find(head.headers, self._edge.headers.not_run)
+        if is_refusal or head.status == _MISDIRECTED:
+            self._client.release(connection)
+            self._note_run_state(call, RunState.NOT_RUN)
+            raise CornelbeamError(
+                ErrorCode.BACKEND_REFUSED,
+                'backend answer',
+                self._name,
+                f'the target refused with status {head.status}',
+            )
+        if fields.find(head.headers, _ENCODING) is not None:
+            # Callers ask for none, so these are not the target's bytes.
+            self._break_off(call, connection)
+            raise CornelbeamError(
+                ErrorCode.BACKEND_FAILED,
+                'backend answer',
+                self._name,
+                'an encoded body',
+                run_state=RunState.UNKNOWN,
+            )
+        is_whole = head.body.is_ended
+        body = head.body
+        if is_whole:
+            body = BodyBuffer()
+            body.feed(content)
+            body.finish()
+            self._release_answered(call, connection)
+        else:
+            body.push_front(content)
+
+        def close() -> None:  # noqa: WPS430
+            if not is_whole:
+                self._release_answered(call, connection)
+
+        return Answer(
+            head.status,
+            fields.strip(head.headers),
+            body,
+            None,
+            close,
+        )
+
+    def _release_answered(
+        self,
+        call: Call,
+        connection: BackendConnection,
+    ) -> None:
+        self._client.release(connection)
+        self._note_run_state(call, RunState.RAN)
+
+    def _break_off(self, call: Call, connection: BackendConnection) -> None:
+        connection.close()
+        self._client.release(connection)
+        self._note_run_state(call, RunState.UNKNOWN)
+
+    def _note_run_state(self, call: Call, run_state: RunState) -> None:
+        if is_recorded(call):
+            self._ledger.finish(
+                call.attempt_id,
+                None,
+                self._loop.time(),
+                run_state,
+            )
+
+
+def note_load(
+    edge: Edge,
+    speed: HostSpeed,
+    headers: list[bytes],
+    now_s: float,
+) -> None:
+    """Take the load that the target told with an answer."""
+    stated = fields.find(headers, edge.headers.load)
+    load = None if stated is None else edge.read_load(stated)
+    if load is not None:
+        speed.note(load.slowdown_percent, now_s)
+
+
+async def _read_short(body: BodyBuffer) -> bytes:
+    """Read the body unless it is long: a broken one can then be replaced."""
+    parts = [body.take_ready()]
+    size_bytes = len(parts[0])
+    while not body.is_ended and size_bytes < BUFFER_LIMIT_BYTES:
+        parts.append(await body.read())
+        size_bytes += len(parts[-1])
+    return b''.join(parts)
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -17,6 +17,7 @@
 from cornelbeam_mesh.edge import Edge
 from cornelbeam_mesh.gate_keeper import GateKeeper
 from cornelbeam_mesh.members import TargetEntry
+from cornelbeam_mesh.target_exchange import note_load
 
 _log = get_log('backend')
 # A target may turn cold at any moment, and only its health answers say so:
@@ -154,7 +155,7 @@
             return
         load = fields.find(headers, self._edge.headers.load)
         self._tells_speed = load is not None
-        self._keeper.note_load(headers)
+        note_load(self._edge, self._gate.speed, headers, self._loop.time())
         self._note_cold(headers, service)
         if not self._keeper.is_reachable:
             self._keeper.is_reachable = True
