--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for developers and CI. VENV may name an existing environment.
 VENV ?= .venv
-PACKAGES := core wire settings platform daemon mesh operator report standins
+PACKAGES := core wire settings object_api daemon mesh operator report standins
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src)):$(CURDIR)/platform
--- a/packages/daemon/src/cornelbeam_daemon/config_part.py
+++ b/packages/daemon/src/cornelbeam_daemon/config_part.py
@@ -18,7 +18,7 @@
     PushConfig,
 )
 from cornelbeam_core.errors import CornelbeamError
-from cornelbeam_platform.client import ObjectApiClient, ObjectList
+from cornelbeam_object_api.client import ObjectApiClient, ObjectList
 from cornelbeam_wire import Stream
 from cornelbeam_wire.gen import messages
 
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -14,7 +14,7 @@
 from cornelbeam_core.directory import ServiceDirectory
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.introducers import WriteIntroducers
-from cornelbeam_platform.client import ObjectApiClient
+from cornelbeam_object_api.client import ObjectApiClient
 from cornelbeam_settings import DaemonSettings, ListenerSettings
 from cornelbeam_wire import (
     Identity,
--- a/packages/daemon/src/cornelbeam_daemon/routing_table.py
+++ b/packages/daemon/src/cornelbeam_daemon/routing_table.py
@@ -11,7 +11,7 @@
 from cornelbeam_core.selection import TargetState, compute_affinity
 from cornelbeam_core.selectors import Route, SelectorIndex, SelectorSpec
 from cornelbeam_core.targets import Target
-from cornelbeam_platform.kinds import (
+from cornelbeam_object_api.kinds import (
     FailureDomainSpec,
     LabelsSpec,
     SelectorObjectSpec,
--- a/packages/platform/src/cornelbeam_platform/__init__.py
+++ b/packages/object_api/src/cornelbeam_object_api/__init__.py
@@ -1,12 +1,12 @@
 """Client of the Object API and the kinds of configuration objects."""
 
-from cornelbeam_platform.client import (
+from cornelbeam_object_api.client import (
     ObjectApiClient,
     ObjectList,
     StoreConflictError,
     StoredObject,
 )
-from cornelbeam_platform.kinds import KINDS, SpecError, parse_spec
+from cornelbeam_object_api.kinds import KINDS, SpecError, parse_spec
 
 __all__ = (
     'KINDS',
--- a/packages/platform/tests/test_kinds.py
+++ b/packages/object_api/tests/test_kinds.py
@@ -4,7 +4,7 @@
 from cornelbeam_core.errors import ErrorCode
 from cornelbeam_core.requests import RepeatRule
 from cornelbeam_core.selectors import SelectorSpec
-from cornelbeam_platform.kinds import (
+from cornelbeam_object_api.kinds import (
     KINDS,
     SpecError,
     check_name,
--- a/packages/operator/src/cornelbeam_operator/checks.py
+++ b/packages/operator/src/cornelbeam_operator/checks.py
@@ -10,7 +10,7 @@
     find_contradictions,
 )
 from cornelbeam_core.selectors import ANY_SERVICE, SelectorSpec
-from cornelbeam_platform.kinds import LabelsSpec, SelectorObjectSpec, Spec
+from cornelbeam_object_api.kinds import LabelsSpec, SelectorObjectSpec, Spec
 
 from cornelbeam_operator.planning import Change, parse_or_none
 from cornelbeam_operator.store import ObjectStore, list_existing
--- a/packages/operator/src/cornelbeam_operator/object_files.py
+++ b/packages/operator/src/cornelbeam_operator/object_files.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any, Final, TypeAlias, final
 
-from cornelbeam_platform.kinds import SpecError, check_name, parse_spec
+from cornelbeam_object_api.kinds import SpecError, check_name, parse_spec
 from cornelbeam_settings import (
     Document,
     DocumentError,
--- a/packages/operator/src/cornelbeam_operator/planning.py
+++ b/packages/operator/src/cornelbeam_operator/planning.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Final, final
 
-from cornelbeam_platform.kinds import Spec, SpecError, parse_spec
+from cornelbeam_object_api.kinds import Spec, SpecError, parse_spec
 
 from cornelbeam_operator.differences import compare_specs, title_of
 from cornelbeam_operator.object_files import DesiredObject
--- a/packages/operator/src/cornelbeam_operator/reading.py
+++ b/packages/operator/src/cornelbeam_operator/reading.py
@@ -6,7 +6,7 @@
 
 from cornelbeam_core.errors import CornelbeamError, RunState
 from cornelbeam_core.requests import RequestFacts
-from cornelbeam_platform.kinds import KINDS
+from cornelbeam_object_api.kinds import KINDS
 from cornelbeam_settings import unknown_key_message
 
 from cornelbeam_operator.checks import read_inventory
--- a/packages/operator/src/cornelbeam_operator/session.py
+++ b/packages/operator/src/cornelbeam_operator/session.py
@@ -11,8 +11,8 @@
 import anyio
 import httpx
 from cornelbeam_core.errors import CornelbeamError
-from cornelbeam_platform.client import ObjectApiClient
-from cornelbeam_platform.kinds import SpecError
+from cornelbeam_object_api.client import ObjectApiClient
+from cornelbeam_object_api.kinds import SpecError
 from cornelbeam_settings import SettingsError
 
 from cornelbeam_operator.admin import AdminClient
--- a/packages/operator/src/cornelbeam_operator/targets.py
+++ b/packages/operator/src/cornelbeam_operator/targets.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from cornelbeam_platform.kinds import check_name, parse_spec
+from cornelbeam_object_api.kinds import check_name, parse_spec
 
 from cornelbeam_operator.changing import change_objects
 from cornelbeam_operator.context import Context
--- a/packages/operator/tests/conftest.py
+++ b/packages/operator/tests/conftest.py
@@ -7,9 +7,9 @@
 import httpx
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_object_api.client import StoreConflictError
 from cornelbeam_operator.cli import run
 from cornelbeam_operator.session import Environment
-from cornelbeam_platform.client import StoreConflictError
 from cornelbeam_standins.object_store import ObjectStore, VersionConflictError
 
 
--- a/packages/operator/tests/test_docs.py
+++ b/packages/operator/tests/test_docs.py
@@ -5,8 +5,8 @@
 
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_object_api.kinds import KINDS, SelectorObjectSpec
 from cornelbeam_operator.exit_codes import MEANINGS
-from cornelbeam_platform.kinds import KINDS, SelectorObjectSpec
 from cornelbeam_settings import documentation_table
 
 DOCS = Path(__file__).parents[3] / 'docs'
--- a/packages/operator/tests/test_examples.py
+++ b/packages/operator/tests/test_examples.py
@@ -6,8 +6,8 @@
 from cornelbeam_core.contradictions import find_contradictions
 from cornelbeam_core.requests import RequestFacts
 from cornelbeam_core.selectors import SelectorIndex
+from cornelbeam_object_api.kinds import parse_spec
 from cornelbeam_operator.object_files import read_objects
-from cornelbeam_platform.kinds import parse_spec
 from cornelbeam_settings import load_settings
 
 EXAMPLES = Path(__file__).parents[3] / 'examples'
--- a/packages/standins/src/cornelbeam_standins/bench_changes.py
+++ b/packages/standins/src/cornelbeam_standins/bench_changes.py
@@ -9,7 +9,7 @@
 
 import anyio
 import msgspec
-from cornelbeam_platform.client import ObjectApiClient
+from cornelbeam_object_api.client import ObjectApiClient
 
 from cornelbeam_standins.bench_fleet import BenchFleet, BenchNode
 
--- a/packages/standins/src/cornelbeam_standins/object_api.py
+++ b/packages/standins/src/cornelbeam_standins/object_api.py
@@ -13,7 +13,7 @@
 
 import anyio
 import msgspec
-from cornelbeam_platform.client import StoredObject
+from cornelbeam_object_api.client import StoredObject
 
 from cornelbeam_standins import asgi
 from cornelbeam_standins.object_store import (
--- a/packages/standins/src/cornelbeam_standins/object_store.py
+++ b/packages/standins/src/cornelbeam_standins/object_store.py
@@ -5,7 +5,7 @@
 from typing import Any, final
 
 import msgspec
-from cornelbeam_platform.client import ObjectList, StoredObject
+from cornelbeam_object_api.client import ObjectList, StoredObject
 
 
 @final
--- a/packages/standins/src/cornelbeam_standins/session_config.py
+++ b/packages/standins/src/cornelbeam_standins/session_config.py
@@ -13,7 +13,7 @@
     PullConfig,
     PushConfig,
 )
-from cornelbeam_platform.client import ObjectList, StoredObject
+from cornelbeam_object_api.client import ObjectList, StoredObject
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_standins.object_store import (
--- a/packages/standins/tests/test_object_api.py
+++ b/packages/standins/tests/test_object_api.py
@@ -4,7 +4,7 @@
 import httpx
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
-from cornelbeam_platform.client import ObjectApiClient, StoreConflictError
+from cornelbeam_object_api.client import ObjectApiClient, StoreConflictError
 from cornelbeam_standins.processes import start_standin
 
 SPEC = {'is_in_service': False}
