--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -28,7 +28,7 @@
 from cornelbeam_daemon.metrics import BACKEND_SIDE, Metrics, answer_code
 
 _BODY_METHODS: Final = frozenset((b'POST', b'PUT', b'PATCH'))
-_RECORD_ERRORS: Final = {
+RECORD_ERRORS: Final = {
     RecordResult.REPEAT: ErrorCode.ATTEMPT_REPEATED,
     RecordResult.FORBIDDEN: ErrorCode.ATTEMPT_FORBIDDEN,
     RecordResult.WRONG_INCARNATION: ErrorCode.WRONG_INCARNATION,
@@ -198,7 +198,7 @@
         )
         if recorded is not RecordResult.HAND_OVER:
             raise CornelbeamError(
-                _RECORD_ERRORS[recorded],
+                RECORD_ERRORS[recorded],
                 'attempt ledger',
                 self.name,
                 run_state=recorded.run_state,
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -22,13 +22,13 @@
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.hedging import Attempt, Hedger
 from cornelbeam_daemon.http_message import (
-    BODILESS,
     HttpRequest,
     Responder,
     send_error,
 )
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.metrics import CALLER_SIDE, Metrics, answer_code
+from cornelbeam_daemon.passing_on import pass_on
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.pending import Pending, gather_body, read_head
 from cornelbeam_daemon.routing_table import RoutingTable, no_target_error
@@ -100,7 +100,9 @@
             read_head(pending, self._table, self._limits)
             answer = await self._serve(pending)
             code = answer_code(answer.status)
-            await self._pass_on(pending, answer, responder)
+            request_id = pending.request_id.encode()
+            answer.headers = [*answer.headers, fields.REQUEST_ID, request_id]
+            await pass_on(request, answer, responder)
         except CornelbeamError as error:
             code = error.code.value
             self._report(pending, error, responder)
@@ -355,34 +357,6 @@
             self._metrics.count_retry(False, False)
         return decision
 
-    async def _pass_on(
-        self,
-        pending: Pending,
-        answer: Answer,
-        responder: Responder,
-    ) -> None:
-        headers = [*answer.headers, fields.REQUEST_ID]
-        headers.append(pending.request_id.encode())
-        try:
-            content = answer.body.take_ready()
-            is_bodiless = (
-                pending.request.method == b'HEAD' or answer.status in BODILESS
-            )
-            if answer.body.is_ended and not is_bodiless:
-                _check_length(headers, content)
-                responder.send_whole(answer.status, headers, content)
-                return
-            responder.start(answer.status, headers)
-            if content:
-                await responder.send(content)
-            while not answer.body.is_ended:
-                content = await answer.body.read_answer()
-                if content:
-                    await responder.send(content)
-            responder.finish()
-        finally:
-            answer.close()
-
     def _report(
         self,
         pending: Pending,
@@ -406,13 +380,3 @@
             responder.abort()
             return
         send_error(responder, error)
-
-
-def _check_length(headers: list[bytes], content: bytes) -> None:
-    length = fields.find(headers, b'content-length')
-    if length is not None and length != str(len(content)).encode():
-        raise CornelbeamError(
-            ErrorCode.ANSWER_TRUNCATED,
-            'answer',
-            run_state=RunState.RAN,
-        )
--- a/packages/mesh/src/cornelbeam_mesh/passing_on.py
+++ b/packages/daemon/src/cornelbeam_daemon/passing_on.py
@@ -22,7 +22,7 @@
         is_bodiless = request.method == b'HEAD' or answer.status in BODILESS
         if answer.body.is_ended and not is_bodiless:
             length = fields.find(headers, b'content-length')
-            if length is not None and int(length) != len(content):
+            if length not in {None, str(len(content)).encode()}:
                 raise broken_answer('not the announced length')
             responder.send_whole(answer.status, headers, content)
             return
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -21,13 +21,13 @@
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.passing_on import pass_on
 
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import Forwarded, RequestReader
 from cornelbeam_mesh.gate_keeper import GateKeeper
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.metrics import MeshMetrics
-from cornelbeam_mesh.passing_on import pass_on
 from cornelbeam_mesh.target_calls import TargetCaller
 
 _log = get_log('caller')
--- a/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
+++ b/packages/mesh/src/cornelbeam_mesh/gate_keeper.py
@@ -9,7 +9,7 @@
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.target_gate import Refusal, TargetGate, Ticket
 from cornelbeam_core.targets import LoadReport
-from cornelbeam_daemon.backend_side import is_recorded
+from cornelbeam_daemon.backend_side import RECORD_ERRORS, is_recorded
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.logs import get_log
 
@@ -29,13 +29,6 @@
     Refusal.TOO_LATE: ErrorCode.DEADLINE_PASSED,
     Refusal.REPEATS: ErrorCode.RETRY_BUDGET_SPENT,
 }
-_RECORD_ERRORS: Final = {
-    RecordResult.REPEAT: ErrorCode.ATTEMPT_REPEATED,
-    RecordResult.FORBIDDEN: ErrorCode.ATTEMPT_FORBIDDEN,
-    RecordResult.WRONG_INCARNATION: ErrorCode.WRONG_INCARNATION,
-    RecordResult.PAST_DEADLINE: ErrorCode.DEADLINE_PASSED,
-    RecordResult.FULL: ErrorCode.OVERLOADED,
-}
 
 
 @final
@@ -220,7 +213,7 @@
         )
         if recorded is not RecordResult.HAND_OVER:
             raise CornelbeamError(
-                _RECORD_ERRORS[recorded],
+                RECORD_ERRORS[recorded],
                 'attempt ledger',
                 self.name,
                 run_state=recorded.run_state,
