--- a/packages/core/src/cornelbeam_core/placement.py
+++ b/packages/core/src/cornelbeam_core/placement.py
@@ -66,7 +66,6 @@
         'ejected_until_s',
         'failure_share',
         'failure_streak',
-        'in_flight_count',
         'is_local',
         'is_lost',
         'load',
@@ -81,7 +80,6 @@
         self.is_local = is_local
         self.load: LoadReport | None = None
         self.load_at_s = float('-inf')
-        self.in_flight_count = 0
         self.failure_streak = 0
         # True while its daemon can't be reached.
         self.is_lost = False
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -246,14 +246,11 @@
         member = self._state.members.get(record.name)
         if member is None:
             raise CornelbeamError(ErrorCode.NO_ELIGIBLE_TARGET, 'placement')
-        record.in_flight_count += 1
         try:
             answer = await self._caller.attempt(forwarded, member, patience)
         except CornelbeamError as error:
             self._note_error(forwarded, record, member, error)
             raise
-        finally:
-            record.in_flight_count -= 1
         now_s = self._loop.time()
         forwarded.used.add(record.name)
         forwarded.run_count += 1
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final, final
 
+from cornelbeam_core.target_gate import TargetGate
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -57,16 +58,37 @@
         self._requests.labels(route, outcome).inc()
         self._latency_s.labels(route).observe(latency_s)
 
-    def add_gauge(
+    def add_gauges(
+        self,
+        gate: TargetGate,
+        is_store_reachable: Callable[[], bool],
+    ) -> None:
+        """Serve figures that are read at each scrape."""
+        self._add_gauge(
+            'cornelbeam_running',
+            'Requests that the target works on.',
+            lambda: gate.running_count,
+        )
+        self._add_gauge(
+            'cornelbeam_waiting',
+            'Calls that wait for a slot of the target.',
+            lambda: gate.waiting_count,
+        )
+        self._add_gauge(
+            'cornelbeam_store_reachable',
+            'Whether the store answers this daemon.',
+            is_store_reachable,
+        )
+
+    def render(self) -> bytes:
+        """Give all metrics as text."""
+        return generate_latest(self._registry)
+
+    def _add_gauge(
         self,
         name: str,
         description: str,
         read: Callable[[], float],
     ) -> None:
-        """Serve a figure that is read at each scrape."""
         gauge = Gauge(name, description, registry=self._registry)
         gauge.set_function(read)
-
-    def render(self) -> bytes:
-        """Give all metrics as text."""
-        return generate_latest(self._registry)
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -207,6 +207,11 @@
             self._rng,
         )
 
+        self.metrics.add_gauges(
+            self._gate,
+            self.store_sync.is_reachable.is_set,
+        )
+
     def stop(self) -> None:
         """Ask for a planned stop."""
         self._stop.set()
--- /dev/null
+++ b/packages/mesh/tests/test_metrics.py
@@ -0,0 +1,27 @@
+"""Figures that operators read."""
+
+import asyncio
+
+import pytest
+from mesh_bed import read_message
+
+pytestmark = pytest.mark.anyio
+
+
+class TestMetrics:
+    """Guards against a failure that leaves no trace in the figures."""
+
+    async def test_requests_and_store_are_counted(self, bed):
+        place = await bed.add()
+        await place.ask()
+        await place.ask('/other/')
+        reader, writer = await asyncio.open_connection(
+            *place.addresses['metrics'].split(':'),
+        )
+        writer.write(b'GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n')
+        _, _, body = await read_message(reader)
+        writer.close()
+        text = body.decode()
+        assert 'cornelbeam_requests_total{outcome="200",route="read"} 1' in text
+        assert 'outcome="unknown_service"' in text
+        assert 'cornelbeam_store_reachable 1' in text
