Say in the log whether a peer connection was lost or went silent

An on-call engineer who looks for the cause of a 502 found 'the connection was lost or silent' and could not tell a daemon that is gone from one that is slow. The line now names which of both it was, and 'connection is silent' says for how long nothing had arrived and how many calls were waiting on the connection.

--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -64,13 +64,14 @@
 
     def on_lost(self) -> None:
         """Fail with an unknown run state, as the connection was lost."""
-        peer = '' if self.stream is None else self.stream.connection.peer_name
+        connection = None if self.stream is None else self.stream.connection
+        is_silent = connection is not None and connection.is_silent
         self.fail(
             CornelbeamError(
                 ErrorCode.PEER_UNREACHABLE,
                 'peer connection',
-                peer,
-                'the connection was lost or silent',
+                '' if connection is None else connection.peer_name,
+                f'the connection {"went silent" if is_silent else "was lost"}',
                 run_state=RunState.UNKNOWN,
             ),
         )
--- a/packages/daemon/src/cornelbeam_daemon/silent_connections.py
+++ b/packages/daemon/src/cornelbeam_daemon/silent_connections.py
@@ -5,6 +5,7 @@
 from typing import Final, final
 
 import anyio
+from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_wire import PeerConnection, PeerPool, Stream
 from cornelbeam_wire.gen import messages
@@ -37,7 +38,7 @@
     ) -> None:
         """Watch the connections of ``pool``; pings carry ``revision()``."""
         self._pool = pool
-        self._silence_s = silence_ms / 1000
+        self._silence_s = silence_ms / MS_PER_S
         self._get_revision = revision
         self._service = service
         self._pinged: dict[PeerConnection, tuple[Stream, PendingReply]] = {}
@@ -75,7 +76,14 @@
         if connection not in self._pinged:
             self._ping(connection)
         elif quiet_s >= self._silence_s:
-            _log.warning('connection is silent', peer=connection.peer_name)
+            _log.warning(
+                'connection is silent',
+                peer=connection.peer_name,
+                quiet_ms=int(quiet_s * MS_PER_S),
+                # The ping has a stream too.
+                call_count=connection.open_count - 1,
+            )
+            connection.is_silent = True
             connection.close()
 
     def _ping(self, connection: PeerConnection) -> None:
