Add failing tests of calls at a daemon that is slow, not gone

The first test plays that: the other daemon leaves a connection unread for the time of a silence and goes on then. The second plays a booking that is in work when its connection goes silent. Both get 502 on the current code.

--- /dev/null
+++ b/packages/mesh/tests/test_silent_peers.py
@@ -0,0 +1,114 @@
+"""Calls that wait at a daemon whose connection has gone silent."""
+
+import asyncio
+import contextlib
+
+import pytest
+from cornelbeam_mesh import target_client
+from fake_target import read_message
+from mesh_harness import head, wait_until
+
+pytestmark = pytest.mark.anyio
+OK = 'HTTP/1.1 200 OK'
+READ = ('/read/1', 'GET')
+BOOK = ('/book/1', 'POST')
+
+
+def opened_connections(node):
+    """Return the connections that a daemon has opened to others."""
+    return node.sidecar._pool.connections()
+
+
+def accepted_connections(node):
+    """Return the connections that a daemon has accepted."""
+    return tuple(node.sidecar._peer_endpoint.acceptor.connections)
+
+
+@contextlib.contextmanager
+def paused(connections):
+    """Leave unread what arrives over connections."""
+    for connection in connections:
+        connection._transport.pause_reading()
+    try:
+        yield
+    finally:
+        for connection in connections:
+            if not connection.is_closed:
+                connection._transport.resume_reading()
+
+
+@contextlib.asynccontextmanager
+async def sent(node, path, method):
+    """Send a request of a caller and yield the reader of its answer."""
+    reader, writer = await asyncio.open_connection(
+        *node.addresses['callers'].split(':'),
+    )
+    writer.write(head(path, method))
+    try:
+        yield reader
+    finally:
+        writer.close()
+
+
+async def add_far_target(harness):
+    """Return a node without a target of its own, and the node that has one.
+
+    The connection between their daemons is open.
+    """
+    near = await harness.add_node()
+    far = await harness.add_node('south')
+    near.send_heartbeat(is_draining=True)
+    assert (await near.send_request())[0] == OK
+    return near, far
+
+
+async def wait_for_silence(node, connections):
+    """Wait until a daemon no longer uses connections for new calls."""
+    pool = node.sidecar._pool
+
+    def is_noticed() -> bool:
+        return all(
+            each.is_closed or each.is_silent or each not in pool.connections()
+            for each in connections
+        )
+
+    await wait_until(is_noticed)
+
+
+class TestSlowDaemon:
+    """Guards against giving up calls that the other daemon still serves."""
+
+    async def test_read_is_answered_after_a_silence(self, harness):
+        near, far = await add_far_target(harness)
+        opened = opened_connections(near)
+        async with sent(near, *READ) as reader:
+            with paused(accepted_connections(far)):
+                await wait_for_silence(near, opened)
+            assert (await read_message(reader))[0] == OK
+
+    async def test_booking_in_work_is_answered_after_a_silence(
+        self, harness, monkeypatch
+    ):
+        monkeypatch.setattr(target_client, 'OUTCOME_QUERY_TIMEOUT_S', 0.05)
+        near, far = await add_far_target(harness)
+        may_answer = asyncio.Event()
+
+        async def answer_late(writer, attempt) -> None:
+            far.target.is_hanging.set()
+            await may_answer.wait()
+            await far.target.answer(writer, attempt)
+
+        far.target.script = answer_late
+        opened = opened_connections(near)
+        loop = asyncio.get_running_loop()
+        async with sent(near, *BOOK) as reader:
+            await far.target.is_hanging.wait()
+            with paused(opened):
+                await wait_for_silence(near, opened)
+                later_s = (
+                    loop.time() + 4 * target_client.OUTCOME_QUERY_TIMEOUT_S
+                )
+                await wait_until(lambda: loop.time() > later_s)
+                may_answer.set()
+                assert (await read_message(reader))[0] == OK
+        assert len(far.target.requests) == 2
