Give an idle peer time to answer the ping before it is taken for silent

Cause: the silence was counted from the last byte on the connection. After an idle time the first call was pinged at the next check and its connection closed one check later, 75 ms after the ping, so a peer whose link delayed the answer that long was taken for lost. Now the ping has half of the silence at least. Between busy daemons nothing changes: there the quiet time still counts.

TestIdleConnection failed before: the connection was closed at the first check after the ping, 0.9 s into a silence of 2 s.

--- a/packages/daemon/src/cornelbeam_daemon/silent_connections.py
+++ b/packages/daemon/src/cornelbeam_daemon/silent_connections.py
@@ -23,8 +23,9 @@
 
     Silence alone does not show a fault, as a backend server may be slow, but
     the peer's daemon answers a ping at once. A ping is sent after half of
-    ``silence_ms`` without a byte. After ``silence_ms`` the connection is
-    closed, and its calls query their outcome over a new one.
+    ``silence_ms`` without a byte. After ``silence_ms``, of which the ping has
+    half at least, the connection is closed, and its calls query their outcome
+    over a new one.
     """
 
     __slots__ = ('_get_revision', '_pinged', '_pool', '_service', '_silence_s')
@@ -41,7 +42,7 @@
         self._silence_s = silence_ms / MS_PER_S
         self._get_revision = revision
         self._service = service
-        self._pinged: dict[PeerConnection, tuple[Stream, PendingReply]] = {}
+        self._pinged: dict[PeerConnection, _SentPing] = {}
 
     async def run(self) -> None:
         """Check all connections periodically until cancelled."""
@@ -60,12 +61,12 @@
         """Ping or close each quiet connection that has waiting calls."""
         for connection in self._pool.connections():
             self._check_connection(connection, now_s)
-        for connection, (stream, pending_reply) in tuple(self._pinged.items()):
-            if connection.is_closed or pending_reply.reply.done():
+        for connection, ping in tuple(self._pinged.items()):
+            if connection.is_closed or ping.pending_reply.reply.done():
                 self._pinged.pop(connection)
                 # Left open, the stream would count as a waiting call, and the
                 # connection would be pinged for ever.
-                stream.close()
+                ping.stream.close()
 
     def _check_connection(
         self, connection: PeerConnection, now_s: float
@@ -73,9 +74,10 @@
         quiet_s = now_s - connection.last_received_s
         if not connection.open_count or quiet_s < self._silence_s / 2:
             return
-        if connection not in self._pinged:
-            self._ping(connection)
-        elif quiet_s >= self._silence_s:
+        ping = self._pinged.get(connection)
+        if ping is None:
+            self._ping(connection, now_s)
+        elif self._is_silent(quiet_s, now_s - ping.sent_s):
             _log.warning(
                 'connection is silent',
                 peer=connection.peer_name,
@@ -86,13 +88,17 @@
             connection.is_silent = True
             connection.close()
 
-    def _ping(self, connection: PeerConnection) -> None:
+    def _is_silent(self, quiet_s: float, ping_age_s: float) -> bool:
+        # On a connection that was idle, only the time after the ping counts.
+        return quiet_s >= self._silence_s and ping_age_s >= self._silence_s / 2
+
+    def _ping(self, connection: PeerConnection, now_s: float) -> None:
         pending_reply = PendingReply()
         try:
             stream = connection.open_stream(pending_reply)
         except CornelbeamError:
             return
-        self._pinged[connection] = (stream, pending_reply)
+        self._pinged[connection] = _SentPing(stream, pending_reply, now_s)
         stream.send(
             ping=messages.Ping(
                 updates=[],
@@ -100,3 +106,20 @@
                 service_name=self._service,
             ),
         )
+
+
+@final
+class _SentPing:
+    """Ping that was sent at ``sent_s`` and is not answered."""
+
+    __slots__ = ('pending_reply', 'sent_s', 'stream')
+
+    def __init__(
+        self,
+        stream: Stream,
+        pending_reply: PendingReply,
+        sent_s: float,
+    ) -> None:
+        self.stream = stream
+        self.pending_reply = pending_reply
+        self.sent_s = sent_s
--- a/packages/daemon/tests/test_silent_connections.py
+++ b/packages/daemon/tests/test_silent_connections.py
@@ -19,10 +19,11 @@
 
 
 class FakeConnection:
-    is_closed = False
     peer_name = 'far'
 
     def __init__(self):
+        self.is_closed = False
+        self.is_silent = False
         self.last_received_s = 0
         self.pings = []
         self.streams = set()
@@ -31,6 +32,9 @@
     def open_count(self):
         return len(self.streams)
 
+    def close(self):
+        self.is_closed = True
+
     def open_stream(self, receiver):
         stream = FakeStream(self, receiver)
         self.streams.add(stream)
@@ -65,3 +69,23 @@
         assert not connection.streams
         monitor.check(10)
         assert len(connection.pings) == 1
+
+
+class TestIdleConnection:
+    """Guards against calls given up before the peer could answer a ping."""
+
+    def test_earlier_idle_time_is_not_silence(self):
+        asyncio.run(self._check())
+
+    async def _check(self):
+        connection = FakeConnection()
+        monitor = SilentConnectionMonitor(
+            FakePool(connection), 2000, int, 'near'
+        )
+        connection.open_stream(None)
+        monitor.check(60)
+        assert len(connection.pings) == 1
+        monitor.check(60.9)
+        assert not connection.is_silent
+        monitor.check(61)
+        assert connection.is_silent
