Keep the answer of a booking until it is delivered

Cause: the exchange with the target closed the ledger's entry when the answer had been read, and the ledger takes an answer only while the attempt is open. So on the users' platform no answer was ever kept, and a caller whose peer connection was lost just then got 'outcome unknown'. Now the entry is closed with the answer, as in cornelbeam-daemon.

Ruled out: the size limits of kept answers (the answer of the test has 10 bytes). test_answer_that_is_ready_is_fetched got 502 before and 200 now.

--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -173,13 +173,15 @@
             body = BodyBuffer()
             body.feed(content)
             body.finish()
-            self._release_answered(call, connection)
+            self._client.release(connection)
         else:
             body.push_front(content)
 
         def close() -> None:  # noqa: WPS430
             if not is_whole:
-                self._release_answered(call, connection)
+                self._client.release(connection)
+            # Not earlier: until then, the answer may be kept in the ledger.
+            self._note_run_state(call, RunState.RAN)
 
         return Answer(
             head.status,
@@ -189,14 +191,6 @@
             close,
         )
 
-    def _release_answered(
-        self,
-        call: Call,
-        connection: BackendConnection,
-    ) -> None:
-        self._client.release(connection)
-        self._note_run_state(call, RunState.RAN)
-
     def _abort(self, call: Call, connection: BackendConnection) -> None:
         connection.close()
         self._client.release(connection)
--- a/packages/mesh/tests/test_silent_peers.py
+++ b/packages/mesh/tests/test_silent_peers.py
@@ -112,3 +112,10 @@
                 may_answer.set()
                 assert (await read_message(reader))[0] == OK
         assert len(far.target.requests) == 2
+
+    async def test_answer_that_is_ready_is_fetched(self, harness):
+        near, far = await add_far_target(harness)
+        with paused(opened_connections(near)):
+            async with sent(near, *BOOK) as reader:
+                assert (await read_message(reader))[0] == OK
+        assert len(far.target.requests) == 2
