Go on waiting for a peer that is silent, and ask elsewhere too

Cause: a time-out was taken as proof. After 0.3 s without a byte the daemon closed the peer connection, and every call on it was lost: reads without another target that would take them got 502, bookings got 502 when the outcome query had lasted 0.6 s, even if its reply said that the booking was in work. The peer was only slow: processors were at 8 to 9 % and the links of the two daemons that most lines name carried 0.6 to 1.4 of their 1.5 MB/s.

The same cause acted in three more places: an outcome query made the peer close all older connections of the asking daemon and so cancelled the reads in work there; a control message without a reply closed the connection under the calls that waited on it; and a query's limit covered also the wait for an answer that the peer had announced.

Ruled out: the order of the planned stop (the answers came 0.5 and 1.0 s after SIGTERM, nothing is closed before 2.2 s) and busy processors (see above).

Change: silence is a state of the connection, not its end. New calls use another connection and prefer other targets. Calls on it go on waiting until an answer, a lost connection or their deadline; meanwhile a read is sent to another target and the outcome of a booking is asked over a new connection, and the first answer ends the other attempt. A peer is taken as gone only if it refuses connections, has restarted, or does not reply to a query within the time for a connection and a reply. Older connections are retired: they take no new calls, which is what the promise 'not run' needs, and close with their last call.

The race of two attempts is that of the hedges, moved to a module of its own.

--- a/packages/core/src/cornelbeam_core/attempts.py
+++ b/packages/core/src/cornelbeam_core/attempts.py
@@ -181,9 +181,9 @@
 
         ``NOT_RUN`` also promises that the attempt never runs later. The
         promise relies on the tombstone recorded here and on the code that
-        calls this method: it has to close older connections of the asking
-        peer before it answers, because a frame delayed in one of them may
-        arrive after the tombstone has expired.
+        calls this method: before it answers, it has to stop accepting
+        attempts from older connections of the asking peer, because a frame
+        delayed in one of them may arrive after the tombstone has expired.
         """
         if incarnation != self._incarnation:
             return RunState.UNKNOWN
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -21,7 +21,7 @@
 from cornelbeam_daemon.answer_forwarding import forward_answer
 from cornelbeam_daemon.backend_side import BackendSide
 from cornelbeam_daemon.calls import Answer, Call
-from cornelbeam_daemon.hedging import Attempt, Hedger
+from cornelbeam_daemon.hedging import Hedger
 from cornelbeam_daemon.http_message import (
     HttpRequest,
     Responder,
@@ -35,6 +35,7 @@
     buffer_body,
     read_head,
 )
+from cornelbeam_daemon.racing import Attempt
 from cornelbeam_daemon.routing_table import RoutingTable, no_target_error
 from cornelbeam_daemon.target_choice import TargetChooser
 
--- a/packages/daemon/src/cornelbeam_daemon/control_messages.py
+++ b/packages/daemon/src/cornelbeam_daemon/control_messages.py
@@ -45,6 +45,9 @@
             # Marks the exception as retrieved, as nobody may wait for it.
             self.reply.exception()
 
+    def on_silent(self) -> None:
+        """Do nothing: the wait for the reply is limited."""
+
 
 @final
 class Messenger:
@@ -61,9 +64,8 @@
         """Send a message and wait for the reply.
 
         Raise ``peer_unreachable`` after ``REPLY_TIMEOUT_S``. If the
-        connection was silent for that time, close it: the next message then
-        uses a new one, so that a silent connection is taken for a dead peer
-        only once.
+        connection was silent for that time, the next message uses a new one,
+        so that a silent connection is taken for a dead peer only once.
         """
         connection = await self._pool.connection(address)
         pending_reply = PendingReply()
@@ -73,7 +75,7 @@
             async with asyncio.timeout(REPLY_TIMEOUT_S):
                 frame = await pending_reply.reply
         except TimeoutError as error:
-            self._close_silent(connection)
+            self._note_silent(connection)
             raise _unreachable(address, 'no reply') from error
         finally:
             stream.close()
@@ -118,10 +120,10 @@
         name = next(iter(message))
         self._metrics.count_sent(name, connection.sent_bytes - sent_bytes)
 
-    def _close_silent(self, connection: PeerConnection) -> None:
+    def _note_silent(self, connection: PeerConnection) -> None:
         now_s = asyncio.get_running_loop().time()
         if now_s - connection.last_received_s >= REPLY_TIMEOUT_S:
-            connection.close()
+            connection.note_silent()
 
 
 def _unreachable(address: str, detail: str) -> CornelbeamError:
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -1,6 +1,7 @@
 """Send calls and outcome queries to other daemons."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, final
 
 from cornelbeam_core.attempts import interpret_outcome
@@ -17,6 +18,7 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.attempt_records import is_recorded
 from cornelbeam_daemon.bodies import BodyBuffer, BodyReader
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.convert import load_from_wire, refusal_from_wire
@@ -33,11 +35,30 @@
 class RemoteCall:
     """Receives the answer to a call or to an outcome query."""
 
-    __slots__ = ('_answer_body', '_sender', 'head', 'load', 'reply', 'stream')
+    __slots__ = (
+        '_answer_body',
+        '_deadline_s',
+        '_notify_silent',
+        '_sender',
+        'head',
+        'load',
+        'reply',
+        'stream',
+    )
+
+    def __init__(
+        self,
+        deadline_s: float,
+        notify_silent: Callable[[], None] | None = None,
+    ) -> None:
+        """Start without an answer.
 
-    def __init__(self) -> None:
-        """Start without an answer."""
+        ``notify_silent`` is called when the connection goes silent before the
+        head has arrived. Without it, the call fails then.
+        """
         loop = asyncio.get_running_loop()
+        self._deadline_s = deadline_s
+        self._notify_silent = notify_silent
         self.head: asyncio.Future[Answer] = loop.create_future()
         self.reply: asyncio.Future[messages.OutcomeReply] = loop.create_future()
         self.load: LoadReport | None = None
@@ -64,17 +85,20 @@
 
     def on_lost(self) -> None:
         """Fail with an unknown run state, as the connection was lost."""
-        connection = None if self.stream is None else self.stream.connection
-        is_silent = connection is not None and connection.is_silent
-        self.fail(
-            CornelbeamError(
-                ErrorCode.PEER_UNREACHABLE,
-                'peer connection',
-                '' if connection is None else connection.peer_name,
-                f'the connection {"went silent" if is_silent else "was lost"}',
-                run_state=RunState.UNKNOWN,
-            ),
-        )
+        self._fail_unreachable('the connection was lost')
+
+    def on_silent(self) -> None:
+        """Notify the caller, which may try another target or ask again.
+
+        The answer may still arrive: the peer is slow, cut off or gone.
+        """
+        if self.head.done():
+            loop = asyncio.get_running_loop()
+            loop.call_at(self._deadline_s, self._fail_if_silent)
+        elif self._notify_silent is None:
+            self._fail_if_silent()
+        else:
+            self._notify_silent()
 
     def fail(self, error: CornelbeamError) -> None:
         """Raise an error for those who wait for the answer or its body."""
@@ -101,14 +125,18 @@
 
     def close(self) -> None:
         """Close the stream; cancel the call if its answer is incomplete."""
-        if self._sender is not None:
-            self._sender.cancel()
-        if self.stream is None:
-            return
         body = self._answer_body
-        if body is None or not body.is_complete:
+        is_incomplete = body is None or not body.is_complete
+        if self.stream is not None and is_incomplete:
             self.stream.send(cancel=messages.Cancel(reason='not wanted'))
-        self.stream.close()
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Close the stream without cancelling the call."""
+        if self._sender is not None:
+            self._sender.cancel()
+        if self.stream is not None:
+            self.stream.close()
 
     async def _send_rest(self, reader: BodyReader) -> None:
         stream = self.stream
@@ -133,6 +161,22 @@
                 ),
             )
 
+    def _fail_if_silent(self) -> None:
+        if self.stream is not None and self.stream.connection.is_silent:
+            self._fail_unreachable('the connection went silent')
+
+    def _fail_unreachable(self, detail: str) -> None:
+        peer = '' if self.stream is None else self.stream.connection.peer_name
+        self.fail(
+            CornelbeamError(
+                ErrorCode.PEER_UNREACHABLE,
+                'peer connection',
+                peer,
+                detail,
+                run_state=RunState.UNKNOWN,
+            ),
+        )
+
     def _start_answer(self, start: messages.AnswerStart) -> None:
         stream = self.stream
         if stream is None or self.head.done():
@@ -161,15 +205,22 @@
         """Send over the connections of ``pool``."""
         self._pool = pool
 
-    async def call(self, target: Target, call: Call) -> Answer:
+    async def call(
+        self,
+        target: Target,
+        call: Call,
+        notify_silent: Callable[[], None] | None = None,
+    ) -> Answer:
         """Send a call and return its answer once the head has arrived.
 
         Raise ``CornelbeamError``. Its run state is ``NOT_RUN`` if no
         connection could be opened or the peer refused, and ``UNKNOWN`` if the
-        connection was lost.
+        connection was lost. If the connection goes silent, call
+        ``notify_silent`` and go on waiting; without it, raise the error as for
+        a lost connection.
         """
         connection = await self._connect(target)
-        remote = RemoteCall()
+        remote = RemoteCall(call.deadline_s, notify_silent)
         remote.stream = connection.open_stream(remote)
         reader = call.body.reader()
         first_part, is_whole = reader.take_first()
@@ -191,6 +242,14 @@
             remote.send_rest(reader)
         try:
             return await remote.head
+        except CornelbeamError as error:
+            is_lost = error.code is ErrorCode.PEER_UNREACHABLE
+            if is_lost and is_recorded(call):
+                # Not cancelled: its outcome may be queried.
+                remote.abandon()
+            else:
+                remote.close()
+            raise
         except BaseException:
             remote.close()
             raise
@@ -199,13 +258,41 @@
         self,
         target: Target,
         call: Call,
+        reply_timeout_s: float | None = None,
     ) -> tuple[RunState, Answer | None]:
         """Query the outcome of a call and forbid it if it has not arrived.
 
         Return the run state, with the answer if the peer still has it or is
         working on it. The run state is ``UNKNOWN`` if the target was replaced
-        or cannot be asked before the deadline.
+        or does not reply within ``reply_timeout_s``. An answer that the peer
+        has announced is waited for without that limit.
         """
+        while True:
+            try:
+                async with asyncio.timeout(reply_timeout_s):
+                    run_state, remote = await self._ask_until_replied(
+                        target, call
+                    )
+            except TimeoutError:
+                return RunState.UNKNOWN, None
+            if remote is None:
+                return run_state, None
+            try:
+                return run_state, await remote.head
+            except CornelbeamError as error:
+                remote.abandon()
+                if error.code is not ErrorCode.PEER_UNREACHABLE:
+                    return error.run_state, None
+            except BaseException:
+                remote.abandon()
+                raise
+
+    async def _ask_until_replied(
+        self,
+        target: Target,
+        call: Call,
+    ) -> tuple[RunState, RemoteCall | None]:
+        """Return the run state and the receiver of an announced answer."""
         refused_count = 0
         while refused_count < MAX_REFUSED_CONNECTIONS:
             try:
@@ -238,9 +325,9 @@
         self,
         target: Target,
         call: Call,
-    ) -> tuple[RunState, Answer | None]:
+    ) -> tuple[RunState, RemoteCall | None]:
         connection = await self._connect(target)
-        remote = RemoteCall()
+        remote = RemoteCall(call.deadline_s)
         remote.stream = connection.open_stream(remote)
         remote.stream.send(
             outcome_query=messages.OutcomeQuery(
@@ -253,24 +340,20 @@
                 ),
             ),
         )
-        is_returned = False
         try:
             reply = await remote.reply
-            if not reply.is_answer_kept:
-                run_state = interpret_outcome(
-                    RunState(reply.run_state),
-                    asyncio.get_running_loop().time(),
-                    call.deadline_s,
-                )
-                return run_state, None
-            answer = await remote.head
-            is_returned = True
-        finally:
-            if not is_returned:
-                # Not ``remote.close``, which would cancel the call: its outcome
-                # may be queried again.
-                remote.stream.close()
-        return RunState.RAN, answer
+        except BaseException:
+            remote.abandon()
+            raise
+        if reply.is_answer_kept:
+            return RunState.RAN, remote
+        remote.abandon()
+        run_state = interpret_outcome(
+            RunState(reply.run_state),
+            asyncio.get_running_loop().time(),
+            call.deadline_s,
+        )
+        return run_state, None
 
 
 def _send_start(
--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -106,19 +106,19 @@
         """Continue without a stream if the outcome may be queried later."""
         self.stream = None
         self._attached.clear()
-        if not self._body.is_complete:
-            self._body.fail(
-                CornelbeamError(
-                    ErrorCode.PEER_UNREACHABLE,
-                    'request body',
-                    run_state=RunState.UNKNOWN,
-                ),
-            )
+        self._fail_body()
         if not is_recorded(self._call):
             self.task.cancel()
 
+    def on_silent(self) -> None:
+        """Do nothing: the caller decides whether it still waits."""
+
     def attach(self, stream: Stream) -> None:
         """Send the answer over another stream from now on."""
+        if self.stream is not None:
+            # What still arrives on the old stream must not end the call.
+            self.stream.close()
+            self._fail_body()
         self.stream = stream
         stream.receiver = self
         self._attached.set()
@@ -238,6 +238,16 @@
         assert self.stream is not None  # noqa: S101
         return self.stream
 
+    def _fail_body(self) -> None:
+        if not self._body.is_complete:
+            self._body.fail(
+                CornelbeamError(
+                    ErrorCode.PEER_UNREACHABLE,
+                    'request body',
+                    run_state=RunState.UNKNOWN,
+                ),
+            )
+
     def _grant_credit(self, size_bytes: int) -> None:
         if self.stream is not None:
             self.stream.grant_credit(size_bytes)
@@ -296,7 +306,7 @@
         ledger = self._backend_side.ledger
         now_s = asyncio.get_running_loop().time()
         if query.is_forbidding:
-            self._close_older_connections(stream.connection)
+            self._retire_older_connections(stream.connection)
             run_state = ledger.forbid(
                 query.attempt_id,
                 query.target_incarnation,
@@ -331,14 +341,14 @@
         stream.close()
         return None
 
-    def _close_older_connections(self, newest: PeerConnection) -> None:
-        # A silent connection may still hold a frame in its buffers, which must
-        # not arrive after the reply.
+    def _retire_older_connections(self, newest: PeerConnection) -> None:
+        # A silent connection may still hold a call in its buffers, which must
+        # not start after the reply. Calls that have started go on.
         for connection in tuple(self._connections):
             if connection is newest or connection.peer is None:
                 continue
             if connection.peer_name == newest.peer_name:
-                connection.close()
+                connection.retire()
 
     def _remove(self, attempt_id: bytes, served: ServedCall) -> None:
         if self._served.get(attempt_id) is served:
--- a/packages/daemon/src/cornelbeam_daemon/silent_connections.py
+++ b/packages/daemon/src/cornelbeam_daemon/silent_connections.py
@@ -1,4 +1,4 @@
-"""Detect connections that went silent while calls wait on them."""
+"""Detect connections that are silent while calls wait on them."""
 
 import asyncio
 from collections.abc import Callable
@@ -19,13 +19,15 @@
 
 @final
 class SilentConnectionMonitor:
-    """Pings quiet connections that have waiting calls and closes silent ones.
+    """Pings quiet connections that have waiting calls and reports silent ones.
 
     Silence alone does not show a fault, as a backend server may be slow, but
     the peer's daemon answers a ping at once. A ping is sent after half of
     ``silence_ms`` without a byte. After ``silence_ms``, of which the ping has
-    half at least, the connection is closed, and its calls query their outcome
-    over a new one.
+    half at least, its calls are notified and new ones use another connection.
+
+    A silent peer is slow, cut off or gone, which cannot be told apart, so the
+    connection stays open until no call waits on it.
     """
 
     __slots__ = ('_get_revision', '_pinged', '_pool', '_service', '_silence_s')
@@ -58,7 +60,7 @@
             last_check_s = now_s
 
     def check(self, now_s: float) -> None:
-        """Ping or close each quiet connection that has waiting calls."""
+        """Ping or report each quiet connection that has waiting calls."""
         for connection in self._pool.connections():
             self._check_connection(connection, now_s)
         for connection, ping in tuple(self._pinged.items()):
@@ -71,6 +73,10 @@
     def _check_connection(
         self, connection: PeerConnection, now_s: float
     ) -> None:
+        if connection.is_silent:
+            if not connection.open_count:
+                connection.close()
+            return
         quiet_s = now_s - connection.last_received_s
         if not connection.open_count or quiet_s < self._silence_s / 2:
             return
@@ -85,8 +91,9 @@
                 # The ping has a stream too.
                 call_count=connection.open_count - 1,
             )
-            connection.is_silent = True
-            connection.close()
+            # An unanswered ping must not keep the connection open.
+            self._pinged.pop(connection).stream.close()
+            connection.note_silent()
 
     def _is_silent(self, quiet_s: float, ping_age_s: float) -> bool:
         # On a connection that was idle, only the time after the ping counts.
--- a/packages/daemon/tests/test_silent_connections.py
+++ b/packages/daemon/tests/test_silent_connections.py
@@ -35,6 +35,9 @@
     def close(self):
         self.is_closed = True
 
+    def note_silent(self):
+        self.is_silent = True
+
     def open_stream(self, receiver):
         stream = FakeStream(self, receiver)
         self.streams.add(stream)
@@ -89,3 +92,26 @@
         assert not connection.is_silent
         monitor.check(61)
         assert connection.is_silent
+
+
+class TestSilentConnection:
+    """Guards against cut calls and against connections left open."""
+
+    def test_stays_open_while_a_call_waits(self):
+        asyncio.run(self._check())
+
+    async def _check(self):
+        connection = FakeConnection()
+        monitor = SilentConnectionMonitor(
+            FakePool(connection), 2000, int, 'near'
+        )
+        call = connection.open_stream(None)
+        monitor.check(1)
+        monitor.check(2)
+        assert connection.is_silent
+        assert connection.streams == {call}
+        monitor.check(60)
+        assert not connection.is_closed
+        call.close()
+        monitor.check(61)
+        assert connection.is_closed
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/error_answers.py
@@ -0,0 +1,70 @@
+"""Answers to callers whose requests can't be served."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import final
+
+from cornelbeam_core.deadlines import MS_PER_S
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.refusals import refusal_status, retry_delay_s
+from cornelbeam_daemon.http_message import Responder
+from cornelbeam_daemon.logs import get_log
+
+from cornelbeam_mesh.forwarded_request import ForwardedRequest
+
+_log = get_log('caller')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ErrorTiming:
+    """Arrival of a request, the time of its error and a random number.
+
+    Times are those of the event loop; ``jitter`` is from 0 to 1.
+    """
+
+    started_s: float
+    now_s: float
+    jitter: float
+
+
+def send_error(
+    error: CornelbeamError,
+    responder: Responder,
+    forwarded: ForwardedRequest | None,
+    timing: ErrorTiming,
+) -> None:
+    """Log an error and answer the caller with it.
+
+    ``forwarded`` is ``None`` if the head of the request was not valid.
+    """
+    status = refusal_status(error)
+    now_s = timing.now_s
+    deadline_s = timing.started_s if forwarded is None else forwarded.deadline_s
+    left_s = max(0, deadline_s - now_s)
+    _log.info(
+        'request not answered',
+        request=forwarded.request_id if forwarded else '',
+        route=forwarded.route.name if forwarded else '',
+        status=status,
+        code=error.code.value,
+        step=error.step,
+        peer=error.peer,
+        run_state=error.run_state.name.lower(),
+        elapsed_ms=int((now_s - timing.started_s) * MS_PER_S),
+        left_ms=int(left_s * MS_PER_S),
+        why=error.detail,
+    )
+    if responder.is_started:
+        # Abort the connection, so that the truncated answer does not look
+        # complete.
+        responder.abort()
+        return
+    headers = [b'content-type', b'text/plain; charset=utf-8']
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        wait_ms = float(error.retry_after_ms)
+        if error.load is not None:
+            wait_ms = max(wait_ms, error.load.wait_ms)
+        delay_s = retry_delay_s(wait_ms, left_s, timing.jitter)
+        headers += (b'retry-after', f'{delay_s:.2f}'.encode())
+    responder.send_whole(status, headers, f'{error}\n'.encode())
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -39,7 +39,7 @@
         'request',
         'request_id',
         'route',
-        'run_count',
+        'run_targets',
         'service',
         'started_s',
     )
@@ -65,8 +65,8 @@
         self.caller_spent_ms = 0
         # Targets that received the request.
         self.reached_targets: set[str] = set()
-        # Number of attempts that may have run.
-        self.run_count = 0
+        # Targets that may have run it.
+        self.run_targets: set[str] = set()
         self.order = AttemptOrder()
         # Error answer of a target, used if no other target answers better.
         self.fallback: Answer | None = None
@@ -77,7 +77,7 @@
         return (
             self.route.is_idempotent
             and self.body.is_replayable
-            and self.run_count < self.route.max_target_count
+            and len(self.run_targets) < self.route.max_target_count
         )
 
     def objective_remaining_ms(self, now_s: float) -> int:
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -15,13 +15,14 @@
     fastest_service_ms,
     rank_targets,
 )
-from cornelbeam_core.refusals import refusal_status, retry_delay_s
 from cornelbeam_daemon.answer_forwarding import forward_answer
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.racing import SecondAttempt, race
 
 from cornelbeam_mesh.admission import AdmissionController
+from cornelbeam_mesh.error_answers import ErrorTiming, send_error
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import ForwardedRequest, RequestReader
 from cornelbeam_mesh.members import MemberEntry
@@ -89,7 +90,12 @@
             await forward_answer(request, answer, responder)
         except CornelbeamError as error:
             outcome = error.code.value
-            self._send_error(forwarded, error, responder, started_s)
+            send_error(
+                error,
+                responder,
+                forwarded,
+                ErrorTiming(started_s, self._loop.time(), self._rng.random()),
+            )
         finally:
             self._finish(forwarded, outcome, started_s)
 
@@ -134,15 +140,20 @@
                 continue
             if not self._should_retry(forwarded, answer):
                 return answer
-            if forwarded.fallback is not None:
-                forwarded.fallback.close()
-            forwarded.fallback = answer
+            self._keep_fallback(forwarded, answer)
         if forwarded.fallback is not None:
             fallback = forwarded.fallback
             forwarded.fallback = None
             return fallback
         raise self._final_error(forwarded, last_error)
 
+    def _keep_fallback(
+        self, forwarded: ForwardedRequest, answer: Answer
+    ) -> None:
+        if forwarded.fallback is not None:
+            forwarded.fallback.close()
+        forwarded.fallback = answer
+
     def _final_error(
         self,
         forwarded: ForwardedRequest,
@@ -154,7 +165,7 @@
                 'placement',
                 detail=f'no target of {forwarded.service}',
             )
-        if forwarded.run_count and last_error.run_state is RunState.NOT_RUN:
+        if forwarded.run_targets and last_error.run_state is RunState.NOT_RUN:
             # The last attempt did not run, but an earlier one may have.
             last_error.run_state = RunState.UNKNOWN
         return last_error
@@ -237,16 +248,71 @@
         member = self._state.members.get(record.name)
         if member is None:
             raise CornelbeamError(ErrorCode.NO_ELIGIBLE_TARGET, 'placement')
+        others = SecondAttempt(lambda: self._try_others(forwarded))
+
+        def on_silent() -> None:  # noqa: WPS430
+            self._note_silence(forwarded, record)
+            if forwarded.is_retryable:
+                others.start()
+
+        return await race(
+            self._attempt_at(
+                forwarded, record, member, max_slot_wait_ms, on_silent
+            ),
+            others,
+        )
+
+    def _note_silence(
+        self,
+        forwarded: ForwardedRequest,
+        record: TargetRecord,
+    ) -> None:
+        now_s = self._loop.time()
+        record.note_failure(now_s, is_unreachable=True)
+        if forwarded.route.is_idempotent:
+            forwarded.reached_targets.add(record.name)
+            forwarded.run_targets.add(record.name)
+        _log.info(
+            'attempt goes on, its peer is silent',
+            request=forwarded.request_id,
+            target=record.name,
+            elapsed_ms=int((now_s - forwarded.started_s) * MS_PER_S),
+        )
+
+    async def _try_others(self, forwarded: ForwardedRequest) -> Answer:
+        """Try other targets while an attempt at a silent peer goes on.
+
+        An error answer is kept as the fallback: that attempt may end better.
+        """
+        answer = await self._try_targets(forwarded)
+        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            return answer
+        self._keep_fallback(forwarded, answer)
+        raise CornelbeamError(
+            ErrorCode.BACKEND_FAILED,
+            'backend answer',
+            detail=f'status {answer.status}',
+            run_state=RunState.UNKNOWN,
+        )
+
+    async def _attempt_at(
+        self,
+        forwarded: ForwardedRequest,
+        record: TargetRecord,
+        member: MemberEntry,
+        max_slot_wait_ms: float,
+        on_silent: Callable[[], None],
+    ) -> Answer:
         try:
             answer = await self._client.attempt(
-                forwarded, member, max_slot_wait_ms
+                forwarded, member, max_slot_wait_ms, on_silent
             )
         except CornelbeamError as error:
             self._record_error(forwarded, record, member, error)
             raise
         now_s = self._loop.time()
         forwarded.reached_targets.add(record.name)
-        forwarded.run_count += 1
+        forwarded.run_targets.add(record.name)
         record.note_load(answer.load, forwarded.route.name, now_s)
         _log.debug(
             'attempt answered',
@@ -283,7 +349,10 @@
         is_refused = error.code is ErrorCode.BACKEND_REFUSED
         may_have_run = error.run_state is not RunState.NOT_RUN
         if may_have_run:
-            forwarded.run_count += 1
+            forwarded.run_targets.add(record.name)
+        else:
+            # It counted as run while the peer was silent.
+            forwarded.run_targets.discard(record.name)
         if may_have_run or is_refused:
             # The request has reached the target, so another attempt is a retry.
             forwarded.reached_targets.add(record.name)
@@ -300,41 +369,3 @@
             elapsed_ms=int((now_s - forwarded.started_s) * MS_PER_S),
             why=error.detail,
         )
-
-    def _send_error(
-        self,
-        forwarded: ForwardedRequest | None,
-        error: CornelbeamError,
-        responder: Responder,
-        started_s: float,
-    ) -> None:
-        status = refusal_status(error)
-        now_s = self._loop.time()
-        deadline_s = started_s if forwarded is None else forwarded.deadline_s
-        left_s = max(0, deadline_s - now_s)
-        _log.info(
-            'request not answered',
-            request=forwarded.request_id if forwarded else '',
-            route=forwarded.route.name if forwarded else '',
-            status=status,
-            code=error.code.value,
-            step=error.step,
-            peer=error.peer,
-            run_state=error.run_state.name.lower(),
-            elapsed_ms=int((now_s - started_s) * MS_PER_S),
-            left_ms=int(left_s * MS_PER_S),
-            why=error.detail,
-        )
-        if responder.is_started:
-            # Abort the connection, so that the truncated answer does not look
-            # complete.
-            responder.abort()
-            return
-        headers = [b'content-type', b'text/plain; charset=utf-8']
-        if status == HTTPStatus.SERVICE_UNAVAILABLE:
-            wait_ms = float(error.retry_after_ms)
-            if error.load is not None:
-                wait_ms = max(wait_ms, error.load.wait_ms)
-            delay_s = retry_delay_s(wait_ms, left_s, self._rng.random())
-            headers += (b'retry-after', f'{delay_s:.2f}'.encode())
-        responder.send_whole(status, headers, f'{error}\n'.encode())
--- a/packages/mesh/src/cornelbeam_mesh/target_client.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_client.py
@@ -2,21 +2,27 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Final, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_daemon.racing import SecondAttempt, race
+from cornelbeam_wire.pool import CONNECT_TIMEOUT_S
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.forwarded_request import ForwardedRequest
 from cornelbeam_mesh.members import MemberEntry, make_peer_target
 
 _log = get_log('caller')
-# A daemon that lost only the connection answers within this time. If it is
+# A daemon that lost only the connection replies within this time. If it is
 # gone, a longer wait would cost the caller time for nothing.
 OUTCOME_QUERY_TIMEOUT_S: Final = 0.6
+# A silent daemon may be slow. It is taken as gone if it doesn't even accept a
+# connection, which the query needs before it can be sent.
+SILENT_QUERY_TIMEOUT_S: Final = CONNECT_TIMEOUT_S + OUTCOME_QUERY_TIMEOUT_S
 _ATTEMPT_ID_BYTES: Final = 16
 
 
@@ -45,19 +51,32 @@
         forwarded: ForwardedRequest,
         member: MemberEntry,
         max_slot_wait_ms: float,
+        notify_silent: Callable[[], None],
     ) -> Answer:
         """Send a request to the target of a daemon and return its answer.
 
-        It waits for a slot for at most ``max_slot_wait_ms``. Raise
+        It waits for a slot for at most ``max_slot_wait_ms``. If the daemon
+        goes silent, ``notify_silent`` is called and the attempt goes on. Raise
         ``CornelbeamError`` with the run state of this attempt.
         """
         call = self._new_call(forwarded, member, max_slot_wait_ms)
         if member.name == self._name:
             return await self._admission.serve(call)
-        target = make_peer_target(member)
+        if call.is_repeatable:
+            return await self._call_peer(member, call, notify_silent)
+        return await self._call_once(member, call, notify_silent)
+
+    async def _call_peer(
+        self,
+        member: MemberEntry,
+        call: Call,
+        notify_silent: Callable[[], None],
+    ) -> Answer:
         try:
             async with asyncio.timeout_at(call.deadline_s):
-                return await self._peer_client.call(target, call)
+                return await self._peer_client.call(
+                    make_peer_target(member), call, notify_silent
+                )
         except TimeoutError as error:
             raise CornelbeamError(
                 ErrorCode.DEADLINE_PASSED,
@@ -65,15 +84,51 @@
                 member.name,
                 run_state=RunState.UNKNOWN,
             ) from error
+
+    async def _call_once(
+        self,
+        member: MemberEntry,
+        call: Call,
+        notify_silent: Callable[[], None],
+    ) -> Answer:
+        """Send a call that must not repeat, and query its outcome if needed."""
+        query = SecondAttempt(
+            lambda: self._query_silent_peer(member, call),
+            # The query forbids a call that has not run.
+            is_conclusive=True,
+        )
+
+        def ask_outcome() -> None:  # noqa: WPS430
+            notify_silent()
+            query.start()
+
+        try:
+            return await race(self._call_peer(member, call, ask_outcome), query)
         except CornelbeamError as error:
             is_unclear = error.run_state is not RunState.NOT_RUN
             is_lost = error.code is ErrorCode.PEER_UNREACHABLE
-            if call.is_repeatable or not (is_lost and is_unclear):
+            if query.is_started or not (is_lost and is_unclear):
                 raise
-            answer = await self._query_outcome(member, call, error)
-            if answer is None:
-                raise
-            return answer
+            return await self._query_outcome(
+                member, call, error, OUTCOME_QUERY_TIMEOUT_S
+            )
+
+    async def _query_silent_peer(
+        self,
+        member: MemberEntry,
+        call: Call,
+    ) -> Answer:
+        """Query the outcome of a call that may still be answered."""
+        error = CornelbeamError(
+            ErrorCode.PEER_UNREACHABLE,
+            'peer connection',
+            member.name,
+            'the connection went silent',
+            run_state=RunState.UNKNOWN,
+        )
+        return await self._query_outcome(
+            member, call, error, SILENT_QUERY_TIMEOUT_S
+        )
 
     def _new_call(
         self,
@@ -107,20 +162,19 @@
         member: MemberEntry,
         call: Call,
         error: CornelbeamError,
-    ) -> Answer | None:
-        """Query the outcome of a call whose connection was lost.
+        reply_timeout_s: float,
+    ) -> Answer:
+        """Return the answer of a call whose connection is lost or silent.
 
-        Set the run state of ``error``, and return the answer if the peer has
-        kept it.
+        Raise ``error`` with the run state that the peer reports if there is no
+        answer.
         """
-        query_until_s = min(
-            call.deadline_s, self._loop.time() + OUTCOME_QUERY_TIMEOUT_S
-        )
         try:
-            async with asyncio.timeout_at(query_until_s):
+            async with asyncio.timeout_at(call.deadline_s):
                 run_state, answer = await self._peer_client.ask_outcome(
                     make_peer_target(member),
                     call,
+                    reply_timeout_s,
                 )
         except TimeoutError:
             run_state, answer = RunState.UNKNOWN, None
@@ -133,4 +187,6 @@
             target=member.name,
             run_state=run_state.name.lower(),
         )
+        if answer is None:
+            raise error
         return answer
--- a/packages/mesh/tests/test_silent_peers.py
+++ b/packages/mesh/tests/test_silent_peers.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import pytest
+from cornelbeam_daemon import control_messages
 from cornelbeam_mesh import target_client
 from fake_target import read_message
 from mesh_harness import head, wait_until
@@ -38,12 +39,12 @@
 
 
 @contextlib.asynccontextmanager
-async def sent(node, path, method):
+async def sent(node, path, method, **fields):
     """Send a request of a caller and yield the reader of its answer."""
     reader, writer = await asyncio.open_connection(
         *node.addresses['callers'].split(':'),
     )
-    writer.write(head(path, method))
+    writer.write(head(path, method, **fields))
     try:
         yield reader
     finally:
@@ -119,3 +120,79 @@
             async with sent(near, *BOOK) as reader:
                 assert (await read_message(reader))[0] == OK
         assert len(far.target.requests) == 2
+
+    async def test_outcome_query_leaves_other_calls_in_work(self, harness):
+        near, far = await add_far_target(harness)
+        may_answer = asyncio.Event()
+
+        async def answer_late(writer, attempt) -> None:
+            if attempt == b'a2':
+                far.target.is_hanging.set()
+                await may_answer.wait()
+            await far.target.answer(writer, attempt)
+
+        far.target.script = answer_late
+        opened = opened_connections(near)
+        async with sent(near, *READ, x_attempt='a2') as read_reader:
+            await far.target.is_hanging.wait()
+            with paused(opened):
+                async with sent(near, *BOOK) as book_reader:
+                    assert (await read_message(book_reader))[0] == OK
+                may_answer.set()
+            assert (await read_message(read_reader))[0] == OK
+        assert len(far.target.requests) == 3
+
+    async def test_unanswered_ping_leaves_calls_in_work(
+        self, harness, monkeypatch
+    ):
+        monkeypatch.setattr(control_messages, 'REPLY_TIMEOUT_S', 0.05)
+        near, far = await add_far_target(harness)
+        opened = opened_connections(near)
+        async with sent(near, *READ) as reader:
+            with paused(accepted_connections(far)):
+                await near.sidecar.peer_sync.pull(
+                    far.name, far.addresses['peers']
+                )
+                assert all(each.is_silent for each in opened)
+            assert (await read_message(reader))[0] == OK
+
+
+class TestGoneDaemon:
+    """Guards against calls that wait for a daemon that will not answer."""
+
+    async def test_read_is_answered_by_another_target(self, harness):
+        near, far = await add_far_target(harness)
+        other = await harness.add_node('south')
+        opened = opened_connections(near)
+        far.target.script = far.target.hang
+        other.target.script = other.target.hang
+        async with sent(near, *READ) as reader:
+            chosen, spare = await first_hanging(far, other)
+            spare.target.script = spare.target.answer
+            with paused(opened), paused(accepted_connections(chosen)):
+                assert (await read_message(reader))[0] == OK
+            await wait_until(lambda: not chosen.sidecar.admission.work_count)
+
+    async def test_booking_that_has_not_arrived_runs_elsewhere(self, harness):
+        near, far = await add_far_target(harness)
+        other = await harness.add_node('south')
+        with paused(accepted_connections(far)):
+            with paused(accepted_connections(other)):
+                async with sent(near, *BOOK) as reader:
+                    assert (await read_message(reader))[0] == OK
+        await wait_until(lambda: not far.sidecar.admission.work_count)
+        runs = [
+            line
+            for node in (far, other)
+            for line, _, _ in node.target.requests
+            if line.startswith('POST')
+        ]
+        assert len(runs) == 1
+
+
+async def first_hanging(*nodes):
+    """Return the node whose target got a request, then the other one."""
+    await wait_until(
+        lambda: any(node.target.is_hanging.is_set() for node in nodes)
+    )
+    return sorted(nodes, key=lambda node: not node.target.is_hanging.is_set())
--- a/packages/standins/src/cornelbeam_standins/bench_connections.py
+++ b/packages/standins/src/cornelbeam_standins/bench_connections.py
@@ -30,6 +30,9 @@
         if not self.frame.done():
             self.frame.set_result(frame)
 
+    def on_silent(self) -> None:
+        """Do nothing: the peer of this measurement is never silent."""
+
     def on_lost(self) -> None:
         if not self.frame.done():
             self.frame.set_exception(ConnectionError('connection lost'))
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -28,6 +28,9 @@
     def on_lost(self) -> None:
         """Handle a connection that closed before the stream did."""
 
+    def on_silent(self) -> None:
+        """Handle a connection that has gone silent; it may recover."""
+
 
 @final
 class Stream:
@@ -163,6 +166,7 @@
         self.last_received_s: float = 0
         self.sent_bytes = 0
         self.received_bytes = 0
+        self._is_retired = False
         self._acceptor = acceptor
         self._on_closed = on_closed
         self._handshake = Handshake(identity, is_opener=is_opener)
@@ -200,6 +204,7 @@
         if self.is_closed:
             return
         self.last_received_s = self._time()
+        self.is_silent = False
         self.received_bytes += len(received)
         try:
             for frame in self._decoder.feed(received):
@@ -235,6 +240,7 @@
     def remove_stream(self, stream: Stream) -> None:
         """Remove a stream; frames that still arrive for it are ignored."""
         self._streams.pop(stream.stream_id, None)
+        self._close_if_unused()
 
     def write(self, frame: Frame) -> None:
         """Write one frame; do nothing on a closed connection.
@@ -248,6 +254,24 @@
         self.sent_bytes += len(encoded)
         self._transport.write(encoded)
 
+    def note_silent(self) -> None:
+        """Notify the receivers that nothing arrives.
+
+        Their streams stay open: the peer may only be slow. ``is_silent`` holds
+        until the next byte arrives.
+        """
+        if self.is_silent or self.is_closed:
+            return
+        self.is_silent = True
+        for stream in tuple(self._streams.values()):
+            if stream.receiver is not None:
+                stream.receiver.on_silent()
+
+    def retire(self) -> None:
+        """Accept no new streams and close once the open ones have ended."""
+        self._is_retired = True
+        self._close_if_unused()
+
     def close(self) -> None:
         """Close immediately, without reading what still arrives.
 
@@ -292,7 +316,7 @@
         # Late frames of the peer's closed streams are dropped too, and so are
         # replayed opening frames. Deadlines are relative, so a replayed frame
         # could run its attempt again after the ledger has dropped the entry.
-        if frame.stream_id <= self._last_accepted_id:
+        if self._is_retired or frame.stream_id <= self._last_accepted_id:
             return
         self._last_accepted_id = frame.stream_id
         if len(self._streams) >= _MAX_OPEN_STREAMS:
@@ -306,6 +330,11 @@
         stream.receiver = receiver
         self._streams[stream.stream_id] = stream
 
+    def _close_if_unused(self) -> None:
+        if self._is_retired and not self._streams and self._transport:
+            # Not aborted, as the last answer may not be sent yet.
+            self._transport.close()
+
     def _finish_close(self) -> None:
         if self.is_closed:
             return
--- a/packages/wire/src/cornelbeam_wire/pool.py
+++ b/packages/wire/src/cornelbeam_wire/pool.py
@@ -19,7 +19,13 @@
     may still arrive, and new streams use the new one.
     """
 
-    __slots__ = ('_acceptor', '_connecting', '_connections', '_identity')
+    __slots__ = (
+        '_acceptor',
+        '_connecting',
+        '_connections',
+        '_identity',
+        '_replaced',
+    )
 
     def __init__(self, identity: Identity, acceptor: Acceptor) -> None:
         """Start without connections; ``acceptor`` gets streams of peers."""
@@ -27,6 +33,8 @@
         self._acceptor = acceptor
         self._connections: dict[str, PeerConnection] = {}
         self._connecting: dict[str, asyncio.Task[PeerConnection]] = {}
+        # Silent connections with streams that wait for an answer.
+        self._replaced: set[PeerConnection] = set()
 
     def ready_connection(self, address: str) -> PeerConnection | None:
         """Return the connection in use, or ``None`` if one must be opened."""
@@ -54,8 +62,8 @@
         return await asyncio.shield(task)
 
     def connections(self) -> list[PeerConnection]:
-        """Return the connections in use."""
-        return list(self._connections.values())
+        """Return the connections in use and those that were replaced."""
+        return [*self._connections.values(), *self._replaced]
 
     def close(self) -> None:
         """Close all connections."""
@@ -87,7 +95,11 @@
                 address,
                 str(error),
             ) from error
+        replaced = self._connections.get(address)
         self._connections[address] = connection
+        if replaced is not None:
+            self._replaced.add(replaced)
+            replaced.retire()
         return connection
 
     def _on_open_done(
@@ -101,6 +113,7 @@
             task.exception()
 
     def _remove(self, connection: PeerConnection) -> None:
+        self._replaced.discard(connection)
         for address, pooled in tuple(self._connections.items()):
             if pooled is connection:
                 self._connections.pop(address)
