Test backend servers that send without end

Purpose: a backend server in trouble may send bytes that are no answer, in a head or a body, until its connection is closed. No test played it.

--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -18,6 +18,7 @@
         self.requests: list[Received] = []
         self.port = 0
         self.script = self.answer
+        self.health_script = self.answer_health
         self.is_hanging = asyncio.Event()
         self._server = None
         self._writers: list[asyncio.StreamWriter] = []
@@ -41,6 +42,13 @@
         """Answer a request with status 200."""
         writer.write(self.whole(attempt))
 
+    async def answer_health(self, writer, attempt) -> None:
+        """Answer a health request."""
+        writer.write(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-load: 100\r\n'
+            b'x-instance: ' + self.instance.encode() + b'\r\n\r\n',
+        )
+
     async def shed(self, writer, attempt) -> None:
         """Refuse a request without running it."""
         writer.write(self.whole(attempt, b'503 Full', (b'x-not-run: 1',)))
@@ -101,10 +109,7 @@
     async def _serve_one(self, reader, writer) -> None:
         line, fields, body = await read_message(reader)
         if ' /health ' in line:
-            writer.write(
-                b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-load: 100\r\n'
-                b'x-instance: ' + self.instance.encode() + b'\r\n\r\n',
-            )
+            await self.health_script(writer, b'')
             return
         self.requests.append((line, fields, body))
         await self.script(writer, fields.get(b'x-attempt', b''))
