Bound the answers of other requests that are skipped

What callers saw: when the target sent answers of other requests without end, a request waited until its time limit and got 504; a read was not repeated elsewhere. And a request failed with 502 although its own answer followed, if the late answer ahead of it had over 64 KiB without a line end. Cause: a skipped answer was not counted. Its body went through the check of an unfinished header line, which resets at each line end. Ruled out: the head limit for skipped answers too, which would fail own answers behind a late one of usual size. Change: skipped answers are counted, with their heads and bodies, up to SKIPPED_LIMIT_BYTES, the size of one buffered answer (64 KiB + 256 KiB). An answer after which the connection ends, such as one without a length, fails the exchange at its head, as no own answer can follow. Memory: skipped bytes are not kept; one read at a time.

--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -19,6 +19,9 @@
 _CLOSED: Final = 'the backend server closed the connection'
 # The head of an answer and a body part must fit into one frame between daemons.
 HEAD_LIMIT_BYTES: Final = 65_536
+# Answers of other requests are skipped up to the size of one buffered answer: a
+# server that sends more of them may never send the expected one.
+SKIPPED_LIMIT_BYTES: Final = HEAD_LIMIT_BYTES + BUFFER_LIMIT_BYTES
 # Bytes of a header line in addition to name and value.
 _LINE_OVERHEAD_BYTES: Final = 4
 
@@ -55,6 +58,7 @@
         self._is_own_answer: Callable[[list[bytes]], bool] | None = None
         self._is_skipping = False
         self._has_skipped = False
+        self._skipped_bytes = 0
         self._body: BodyBuffer | None = None
         self._head: asyncio.Future[BackendAnswer] | None = None
         self._is_head_request = False
@@ -103,7 +107,7 @@
             self._fail(_failure_code(self._body), f'malformed answer: {error}')
             self.close()
         else:
-            self._check_unfinished_line(received)
+            self._check_size(received)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request, or finish a body that ends by close."""
@@ -152,8 +156,7 @@
         if self._is_own_answer is not None and not self._is_own_answer(
             self._headers
         ):
-            self._is_skipping = True
-            self._has_skipped = True
+            self._skip_answer()
             return
         assert self._head is not None  # noqa: S101
         self._body = BodyBuffer(self._on_consumed)
@@ -324,13 +327,33 @@
             self._fail(_failure_code(self._body), 'the head is too large')
             self.close()
 
+    def _skip_answer(self) -> None:
+        self._is_skipping = True
+        self._has_skipped = True
+        if not self._parser.should_keep_alive():
+            # The connection ends with this answer.
+            self._fail(ErrorCode.BACKEND_FAILED, 'only a foreign answer')
+            self.close()
+
+    def _check_size(self, received: bytes) -> None:
+        if self._body is not None:
+            return
+        if self._has_skipped:
+            self._count_skipped(len(received))
+        else:
+            self._check_unfinished_line(received)
+
+    def _count_skipped(self, size_bytes: int) -> None:
+        self._skipped_bytes += size_bytes
+        if self._skipped_bytes > SKIPPED_LIMIT_BYTES:
+            self._fail(ErrorCode.BACKEND_FAILED, 'too many foreign answers')
+            self.close()
+
     def _check_unfinished_line(self, received: bytes) -> None:
         """Enforce the head limit on a line that is still incomplete.
 
         The parser reports a header field only when its line is complete.
         """
-        if self._body is not None:
-            return
         rest_bytes = len(received) - received.rfind(b'\n') - 1
         if rest_bytes == len(received):
             rest_bytes += self._line_bytes
