Bound blank lines and interim answers ahead of an answer

What callers saw: a target that sent blank lines or 1xx answers without end held a request, its slot and a connection until the time limit; the caller got 504, and a read was not repeated elsewhere. Health probes read on until their own limit. Cause: the head limit counted header fields of one message and the unfinished line. The parser skips blank lines without a call, and each interim answer started the count anew. Ruled out: a limit on the number of interim answers, which leaves their size and blank lines open. Change: all bytes that arrive ahead of the head count towards the limit of 64 KiB for a head (with skipped answers, towards theirs). This replaces the check of the unfinished line, which it includes. Memory: a head is held up to HEAD_LIMIT_BYTES and one read (256 KiB).

--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -50,7 +50,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[bytes] = []
         self._head_bytes = 0
-        self._line_bytes = 0
+        # Bytes of the pending exchange ahead of the answer's body.
+        self._ahead_bytes = 0
         self._sender: asyncio.Task[None] | None = None
         # True while no answer is expected: any input is then an error.
         self._is_answered = True
@@ -58,7 +59,6 @@
         self._is_own_answer: Callable[[list[bytes]], bool] | None = None
         self._is_skipping = False
         self._has_skipped = False
-        self._skipped_bytes = 0
         self._body: BodyBuffer | None = None
         self._head: asyncio.Future[BackendAnswer] | None = None
         self._is_head_request = False
@@ -107,7 +107,7 @@
             self._fail(_failure_code(self._body), f'malformed answer: {error}')
             self.close()
         else:
-            self._check_size(received)
+            self._check_size(len(received))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request, or finish a body that ends by close."""
@@ -219,7 +219,7 @@
         self._is_head_request = is_head_request
         self._is_own_answer = is_own_answer
         self._is_answered = False
-        self._line_bytes = 0
+        self._ahead_bytes = 0
         self.is_reusable = False
         self.has_no_answer_bytes = True
         assert self._transport is not None  # noqa: S101
@@ -335,31 +335,20 @@
             self._fail(ErrorCode.BACKEND_FAILED, 'only a foreign answer')
             self.close()
 
-    def _check_size(self, received: bytes) -> None:
+    def _check_size(self, size_bytes: int) -> None:
+        """Enforce the limit on all that arrives ahead of the answer's head.
+
+        The parser reports a header field only when its line is complete, and
+        blank lines not at all.
+        """
         if self._body is not None:
             return
+        limit_bytes = HEAD_LIMIT_BYTES
         if self._has_skipped:
-            self._count_skipped(len(received))
-        else:
-            self._check_unfinished_line(received)
-
-    def _count_skipped(self, size_bytes: int) -> None:
-        self._skipped_bytes += size_bytes
-        if self._skipped_bytes > SKIPPED_LIMIT_BYTES:
-            self._fail(ErrorCode.BACKEND_FAILED, 'too many foreign answers')
-            self.close()
-
-    def _check_unfinished_line(self, received: bytes) -> None:
-        """Enforce the head limit on a line that is still incomplete.
-
-        The parser reports a header field only when its line is complete.
-        """
-        rest_bytes = len(received) - received.rfind(b'\n') - 1
-        if rest_bytes == len(received):
-            rest_bytes += self._line_bytes
-        self._line_bytes = rest_bytes
-        if self._head_bytes + rest_bytes > HEAD_LIMIT_BYTES:
-            self._fail(ErrorCode.BACKEND_FAILED, 'the head is too large')
+            limit_bytes = SKIPPED_LIMIT_BYTES
+        self._ahead_bytes += size_bytes
+        if self._ahead_bytes > limit_bytes:
+            self._fail(ErrorCode.BACKEND_FAILED, 'too much ahead of an answer')
             self.close()
 
     def _ends_by_close(self) -> bool:
