Bound the framing of a body

What callers saw: after the head, a target that sent a chunk size, a chunk extension or trailers without end held a request until its time limit, or for good once the answer was streamed: no part of the body arrived, but with each read the caller's daemon stayed busy, and a single trailer line was gathered in the parser without bound. Cause: the check of unfinished lines ended with the head of the answer. Ruled out: a limit on all framing of a body, which would cut a long body in small chunks (a test holds that). Change: the count of bytes goes on after the head. A read that brings a part of the body resets it; over 64 KiB between two parts end the connection, and the answer is truncated: 502 or another target as long as nothing was passed on, an aborted connection of the caller after that. Memory: framing is held up to HEAD_LIMIT_BYTES and one read (256 KiB).

--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -50,8 +50,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[bytes] = []
         self._head_bytes = 0
-        # Bytes of the pending exchange ahead of the answer's body.
-        self._ahead_bytes = 0
+        # Bytes received since the request or the last part of the body.
+        self._framing_bytes = 0
+        # True if the current read brought the head or a part of the body.
+        self._has_progress = False
         self._sender: asyncio.Task[None] | None = None
         # True while no answer is expected: any input is then an error.
         self._is_answered = True
@@ -95,6 +97,7 @@
             self.close()
             return
         self.has_no_answer_bytes = False
+        self._has_progress = False
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
@@ -160,6 +163,7 @@
             return
         assert self._head is not None  # noqa: S101
         self._body = BodyBuffer(self._on_consumed)
+        self._has_progress = True
         if not self._head.done():
             self._head.set_result(
                 BackendAnswer(status, self._headers, self._body),
@@ -174,6 +178,7 @@
         """Buffer a part of the body; pause reading when the buffer is full."""
         if self._body is None or self._is_answered:
             return
+        self._has_progress = True
         self._body.feed(content)
         if self._body.size_bytes > BUFFER_LIMIT_BYTES and self._transport:
             self._is_read_paused = True
@@ -219,7 +224,7 @@
         self._is_head_request = is_head_request
         self._is_own_answer = is_own_answer
         self._is_answered = False
-        self._ahead_bytes = 0
+        self._framing_bytes = 0
         self.is_reusable = False
         self.has_no_answer_bytes = True
         assert self._transport is not None  # noqa: S101
@@ -336,19 +341,20 @@
             self.close()
 
     def _check_size(self, size_bytes: int) -> None:
-        """Enforce the limit on all that arrives ahead of the answer's head.
+        """Enforce the limit on bytes ahead of the head or between body parts.
 
         The parser reports a header field only when its line is complete, and
-        blank lines not at all.
+        blank lines, chunk sizes and chunk extensions not at all.
         """
-        if self._body is not None:
+        if self._has_progress or self._is_answered:
+            self._framing_bytes = 0
             return
         limit_bytes = HEAD_LIMIT_BYTES
-        if self._has_skipped:
+        if self._has_skipped and self._body is None:
             limit_bytes = SKIPPED_LIMIT_BYTES
-        self._ahead_bytes += size_bytes
-        if self._ahead_bytes > limit_bytes:
-            self._fail(ErrorCode.BACKEND_FAILED, 'too much ahead of an answer')
+        self._framing_bytes += size_bytes
+        if self._framing_bytes > limit_bytes:
+            self._fail(_failure_code(self._body), 'too much outside of a body')
             self.close()
 
     def _ends_by_close(self) -> bool:
