End a streamed answer at the time limit of its request

What callers saw: an answer of more than 256 KiB is passed on while it arrives, and nothing ended it while parts kept coming or the caller did not read: a target whose body has no end held its connection and the request at both daemons past the time limit, until the caller left or had not read for 60 s. Cause: the deadline covered the attempts, up to the first 256 KiB of an answer, not its forwarding. Ruled out: an end at the daemon of the target, which does not know whether the caller waits; its call is cancelled by the daemon of the caller. Change: the forwarding ends at the deadline as well. The caller's connection is aborted, so that the answer does not look complete, and the target's is closed. Routes of the daemon by service names are as before: their deadline covers only the head of an answer, as bodies.py states.

--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -87,7 +87,7 @@
             await forwarded.buffer_body()
             answer = await self._try_targets(forwarded)
             outcome = str(answer.status)
-            await forward_answer(request, answer, responder)
+            await _forward_in_time(forwarded, answer, responder)
         except CornelbeamError as error:
             outcome = error.code.value
             send_error(
@@ -369,3 +369,25 @@
             elapsed_ms=int((now_s - forwarded.started_s) * MS_PER_S),
             why=error.detail,
         )
+
+
+async def _forward_in_time(
+    forwarded: ForwardedRequest,
+    answer: Answer,
+    responder: Responder,
+) -> None:
+    """Forward an answer whose body must end before the deadline.
+
+    Raise ``deadline_passed`` if it does not: the caller has stopped waiting,
+    and the body may have no end.
+    """
+    try:
+        async with asyncio.timeout_at(forwarded.deadline_s):
+            await forward_answer(forwarded.request, answer, responder)
+    except TimeoutError as error:
+        raise CornelbeamError(
+            ErrorCode.DEADLINE_PASSED,
+            'answer',
+            detail='the body did not end in time',
+            run_state=RunState.RAN,
+        ) from error
