Test probes of the daemon for services with answers without end

Purpose: the prober beside a backend server reads health answers too. The tests play the same answers towards it, with its time limit far away.

--- a/packages/daemon/tests/test_endless_answers.py
+++ b/packages/daemon/tests/test_endless_answers.py
@@ -5,9 +5,12 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
+import anyio
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_daemon import probing
 from cornelbeam_daemon.backend_connection import (
     HEAD_LIMIT_BYTES,
     BackendConnection,
@@ -17,8 +20,11 @@
     BodyBuffer,
     RequestBody,
 )
+from cornelbeam_daemon.metrics import Metrics
+from prometheus_client import CollectorRegistry
 
 pytestmark = pytest.mark.anyio
+WAIT_LIMIT_S = 20
 SEED = 7
 PIECE_BYTES = 1024
 GET = b'GET /a HTTP/1.1\r\nhost: windows.mesh\r\n'
@@ -270,3 +276,38 @@
         bed.backend.script = bed.backend.answer_all
         answer = await bed.ask(POST + LAST)
         assert answer.endswith(b'\r\n\r\nok')
+
+
+class TestProbes:
+    """Guards against probes that read without end.
+
+    Their time limit is far away: only a bound on the bytes ends them.
+    """
+
+    @pytest.mark.parametrize(
+        ('start', 'piece'),
+        cases(NO_ANSWER | ENDLESS_FRAMING | LEGITIMATE),
+    )
+    async def test_probe_ends(self, remote, monkeypatch, start, piece):
+        monkeypatch.setattr(probing, 'PROBE_TIMEOUT_S', 3600)
+        remote.backend.script = send_endlessly(remote, start, piece)
+        settings = SimpleNamespace(
+            limits=SimpleNamespace(probe_burst_count=1, probe_per_s=0),
+            backend_server=SimpleNamespace(probe_path='/health'),
+        )
+        prober = probing.Prober(
+            settings,
+            remote.client,
+            remote.backend_side,
+            Metrics(CollectorRegistry()),
+        )
+        replies = []
+        messenger = SimpleNamespace(
+            reply=lambda stream, probe_reply: replies.append(probe_reply)
+        )
+        with anyio.fail_after(WAIT_LIMIT_S):
+            await prober.answer(None, messenger)
+        # Its head is that of a healthy server only where the body is at fault.
+        is_legitimate = (start, piece) in LEGITIMATE.values()
+        assert [reply.is_healthy for reply in replies] == [is_legitimate]
+        await remote.wait(lambda: not remote.backend.open_count)
