Add a failing test of a read that arrives on a retired connection

A read that arrives on a connection after a query has retired it is dropped without a refusal. While another call keeps the connection open, its caller waits for the deadline though the target has free slots.

--- a/packages/mesh/tests/test_calls_given_up.py
+++ b/packages/mesh/tests/test_calls_given_up.py
@@ -1,16 +1,21 @@
 """Calls that a daemon gives up or loses though their target is at work."""
 
 import asyncio
+import contextlib
 
 import pytest
 from cornelbeam_daemon.control_messages import PendingReply
+from cornelbeam_daemon.peer_server import PeerServer
 from cornelbeam_wire.gen import messages
 from fake_target import read_message
 from test_silent_peers import (
+    BOOK,
     OK,
     READ,
+    accepted_connections,
     add_far_target,
     opened_connections,
+    paused,
     sent,
 )
 
@@ -31,6 +36,21 @@
     return may_answer
 
 
+@pytest.fixture
+def queried(monkeypatch):
+    """Return an event that is set when a daemon has answered a query."""
+    event = asyncio.Event()
+    answer_query = PeerServer.answer_query
+
+    def answer(server, stream, query):
+        served = answer_query(server, stream, query)
+        event.set()
+        return served
+
+    monkeypatch.setattr(PeerServer, 'answer_query', answer)
+    return event
+
+
 class TestRetiredConnections:
     """Guards against calls that are lost on a connection that is retired."""
 
@@ -57,3 +77,26 @@
             may_answer.set()
             assert (await read_message(held))[0] == OK
         assert status == OK
+
+    async def test_call_that_arrives_after_a_query_is_answered(
+        self, harness, queried
+    ):
+        near, far = await add_far_target(harness)
+        may_answer = hold_attempt(far.target, b'a2')
+        async with contextlib.AsyncExitStack() as stack:
+            held = await stack.enter_async_context(
+                sent(near, *READ, x_attempt='a2'),
+            )
+            await far.target.is_hanging.wait()
+            with paused(accepted_connections(far)):
+                await stack.enter_async_context(
+                    sent(near, *BOOK, x_attempt='a4'),
+                )
+                delayed = await stack.enter_async_context(
+                    sent(near, *READ, x_attempt='a3'),
+                )
+                await queried.wait()
+            status = (await read_message(delayed))[0]
+            may_answer.set()
+            assert (await read_message(held))[0] == OK
+        assert status == OK
