Add a failing test of a ping on a retired connection

A retired connection accepts no stream, so a ping on it is never answered. The peer is taken for silent though it answers, and its target is avoided.

--- a/packages/mesh/tests/test_calls_given_up.py
+++ b/packages/mesh/tests/test_calls_given_up.py
@@ -8,6 +8,7 @@
 from cornelbeam_daemon.peer_server import PeerServer
 from cornelbeam_wire.gen import messages
 from fake_target import read_message
+from mesh_harness import wait_until
 from test_silent_peers import (
     BOOK,
     OK,
@@ -100,3 +101,24 @@
             may_answer.set()
             assert (await read_message(held))[0] == OK
         assert status == OK
+
+    async def test_quiet_retired_connection_is_not_taken_for_silent(
+        self, harness, queried
+    ):
+        near, far = await add_far_target(harness)
+        may_answer = hold_attempt(far.target, b'a2')
+        older = opened_connections(near)[0]
+        pinged = near.sidecar._silence_monitor._pinged
+        async with sent(near, *READ, x_attempt='a2') as held:
+            await far.target.is_hanging.wait()
+            with paused([older]):
+                async with sent(near, *BOOK, x_attempt='a3') as booked:
+                    await queried.wait()
+                    assert (await read_message(booked))[0] == OK
+            await wait_until(lambda: not older.is_silent)
+            await wait_until(lambda: older in pinged)
+            await wait_until(lambda: older not in pinged)
+            is_taken_for_silent = older.is_silent
+            may_answer.set()
+            assert (await read_message(held))[0] == OK
+        assert not is_taken_for_silent
