--- a/packages/mesh/tests/test_calls_given_up.py
+++ b/packages/mesh/tests/test_calls_given_up.py
@@ -21,6 +21,7 @@
 )
 
 pytestmark = pytest.mark.anyio
+UPLOAD = bytes(600_000)
 
 
 def hold_attempt(target, held_attempt):
@@ -122,3 +123,17 @@
             may_answer.set()
             assert (await read_message(held))[0] == OK
         assert not is_taken_for_silent
+
+
+class TestQueriedCall:
+    """Guards against outcome queries that end the call that they ask for."""
+
+    async def test_upload_goes_on_after_a_query(self, harness, queried):
+        near, _ = await add_far_target(harness)
+        path, method = BOOK
+        with paused(opened_connections(near)):
+            request = asyncio.ensure_future(
+                near.send_request(path, method, UPLOAD)
+            )
+            await queried.wait()
+        assert (await request)[0] == OK
