Add a failing test of a long answer of a booking after a query

A query whose reply is 'ran' without an answer ends the waiting attempt, whose answer is on its way. An answer that is being streamed is cut: its stream is closed when the query attaches the call to another one.

--- a/packages/mesh/tests/test_calls_given_up.py
+++ b/packages/mesh/tests/test_calls_given_up.py
@@ -22,6 +22,10 @@
 
 pytestmark = pytest.mark.anyio
 UPLOAD = bytes(600_000)
+# Longer than the answers that are kept, within the credit of a stream.
+UNKEPT_BODY = bytes(100_000)
+# Longer than the credit of a stream.
+STREAMED_BODY = bytes(400_000)
 
 
 def hold_attempt(target, held_attempt):
@@ -38,6 +42,15 @@
     return may_answer
 
 
+def answer_with(target, body):
+    """Answer all requests with a body."""
+
+    async def answer(writer, attempt) -> None:
+        writer.write(target.whole(attempt, body=body))
+
+    target.script = answer
+
+
 @pytest.fixture
 def queried(monkeypatch):
     """Return an event that is set when a daemon has answered a query."""
@@ -137,3 +150,15 @@
             )
             await queried.wait()
         assert (await request)[0] == OK
+
+    @pytest.mark.parametrize('body', [UNKEPT_BODY, STREAMED_BODY])
+    async def test_long_answer_arrives_after_a_query(
+        self, harness, queried, body
+    ):
+        near, far = await add_far_target(harness)
+        answer_with(far.target, body)
+        async with sent(near, *BOOK) as reader:
+            with paused(opened_connections(near)):
+                await queried.wait()
+            status, _, received = await read_message(reader)
+        assert (status, len(received)) == (OK, len(body))
