--- a/packages/mesh/tests/test_calls_given_up.py
+++ b/packages/mesh/tests/test_calls_given_up.py
@@ -6,6 +6,7 @@
 import pytest
 from cornelbeam_daemon.control_messages import PendingReply
 from cornelbeam_daemon.peer_server import PeerServer
+from cornelbeam_mesh import target_client
 from cornelbeam_wire.gen import messages
 from fake_target import read_message
 from mesh_harness import wait_until
@@ -162,3 +163,34 @@
                 await queried.wait()
             status, _, received = await read_message(reader)
         assert (status, len(received)) == (OK, len(body))
+
+    async def test_booking_in_work_outlasts_a_query_without_reply(
+        self, harness, monkeypatch
+    ):
+        monkeypatch.setattr(target_client, 'SILENT_QUERY_TIMEOUT_S', 0.05)
+        near, far = await add_far_target(harness)
+        may_answer = hold_attempt(far.target, b'a2')
+        is_given_up = asyncio.Event()
+        query_outcome = target_client.TargetClient._query_outcome
+
+        async def query(*facts):
+            try:
+                return await query_outcome(*facts)
+            finally:
+                is_given_up.set()
+
+        monkeypatch.setattr(target_client.TargetClient, '_query_outcome', query)
+
+        def is_unread_and_given_up() -> bool:
+            for each in accepted_connections(far):
+                if each._transport is not None:
+                    each._transport.pause_reading()
+            return is_given_up.is_set()
+
+        async with sent(near, *BOOK, x_attempt='a2') as reader:
+            await far.target.is_hanging.wait()
+            await wait_until(is_unread_and_given_up)
+            for each in accepted_connections(far):
+                each._transport.resume_reading()
+            may_answer.set()
+            assert (await read_message(reader))[0] == OK
