Add a failing test of an error answer during a second attempt

A 500 of the target that was silent wins the race, so the attempt in work at another target is cancelled. That target isn't counted: with a third attempt left, the same target or a further one is asked again.

--- a/packages/mesh/tests/test_calls_given_up.py
+++ b/packages/mesh/tests/test_calls_given_up.py
@@ -16,6 +16,7 @@
     READ,
     accepted_connections,
     add_far_target,
+    first_hanging,
     opened_connections,
     paused,
     sent,
@@ -194,3 +195,48 @@
                 each._transport.resume_reading()
             may_answer.set()
             assert (await read_message(reader))[0] == OK
+
+
+class TestOtherTargets:
+    """Guards against more attempts than needed while a target is silent."""
+
+    async def test_failure_at_silent_target_leaves_other_attempt_in_work(
+        self, harness
+    ):
+        near, far = await add_far_target(harness)
+        nodes = (far, await harness.add_node('south'))
+        may_fail, may_answer = asyncio.Event(), asyncio.Event()
+        for node in nodes:
+            fail_first(node, nodes, may_fail, may_answer)
+        async with sent(near, *READ, x_attempt='a2') as reader:
+            first, other = await first_hanging(*nodes)
+            silent = connection_to(near, first)
+            with paused([silent]):
+                await other.target.is_hanging.wait()
+            may_fail.set()
+            await wait_until(lambda: not silent.open_count)
+            may_answer.set()
+            assert (await read_message(reader))[0] == OK
+        assert len(other.target.requests) == 1
+
+
+def connection_to(node, peer):
+    """Return the connection that a node has opened to another one."""
+    by_name = {each.peer_name: each for each in opened_connections(node)}
+    return by_name[peer.name]
+
+
+def fail_first(node, nodes, may_fail, may_answer):
+    """Fail late at the node that is asked first, answer late elsewhere."""
+
+    async def answer_late(writer, attempt) -> None:
+        is_first = not any(each.target.is_hanging.is_set() for each in nodes)
+        node.target.is_hanging.set()
+        if is_first:
+            await may_fail.wait()
+            await node.target.fail(writer, attempt)
+        else:
+            await may_answer.wait()
+            await node.target.answer(writer, attempt)
+
+    node.target.script = answer_late
