Add a failing test of a long answer during a planned stop

The planned stop counts the slots in use, which are free once an answer's first 256 KB are read. It closes the peer connection under the rest.

--- a/packages/mesh/tests/test_calls_given_up.py
+++ b/packages/mesh/tests/test_calls_given_up.py
@@ -4,9 +4,10 @@
 import contextlib
 
 import pytest
+from anyio.lowlevel import checkpoint
 from cornelbeam_daemon.control_messages import PendingReply
 from cornelbeam_daemon.peer_server import PeerServer
-from cornelbeam_mesh import target_client
+from cornelbeam_mesh import sidecar, target_client
 from cornelbeam_wire.gen import messages
 from fake_target import read_message
 from mesh_harness import wait_until
@@ -23,6 +24,7 @@
 )
 
 pytestmark = pytest.mark.anyio
+STOP_ITERATION_COUNT = 20
 UPLOAD = bytes(600_000)
 # Longer than the answers that are kept, within the credit of a stream.
 UNKEPT_BODY = bytes(100_000)
@@ -240,3 +242,29 @@
             await node.target.answer(writer, attempt)
 
     node.target.script = answer_late
+
+
+class TestPlannedStop:
+    """Guards against answers that are cut by the stop of their daemon."""
+
+    async def test_stop_waits_for_a_long_answer(self, harness, monkeypatch):
+        monkeypatch.setattr(sidecar, 'READINESS_FAILURE_S', 0)
+        near, far = await add_far_target(harness)
+        may_go_on = asyncio.Event()
+
+        async def answer_in_parts(writer, attempt) -> None:
+            whole = far.target.whole(attempt, body=STREAMED_BODY)
+            writer.write(whole[:300_000])
+            await may_go_on.wait()
+            writer.write(whole[300_000:])
+
+        far.target.script = answer_in_parts
+        async with sent(near, *READ) as reader:
+            await reader.readuntil(b'\r\n\r\n')
+            far.sidecar.stop()
+            await wait_until(lambda: far.sidecar._is_refusing_callers)
+            for _ in range(STOP_ITERATION_COUNT):
+                await checkpoint()
+            may_go_on.set()
+            body = await reader.readexactly(len(STREAMED_BODY))
+        assert body == STREAMED_BODY
