Add a failing test of a ping that keeps a silent connection open

A control message without a reply can report the silence while a ping waits. The monitor then skips the connection, and the ping keeps it open for ever.

--- a/packages/daemon/tests/test_silent_connections.py
+++ b/packages/daemon/tests/test_silent_connections.py
@@ -115,3 +115,20 @@
         call.close()
         monitor.check(61)
         assert connection.is_closed
+
+    def test_unanswered_ping_keeps_no_unused_connection_open(self):
+        asyncio.run(self._check_ping())
+
+    async def _check_ping(self):
+        connection = FakeConnection()
+        monitor = SilentConnectionMonitor(
+            FakePool(connection), 2000, int, 'near'
+        )
+        call = connection.open_stream(None)
+        monitor.check(1)
+        # A control message without a reply reports the silence first.
+        connection.note_silent()
+        call.close()
+        monitor.check(2)
+        monitor.check(3)
+        assert connection.is_closed
