Drop the ping of a connection that is reported silent

A connection that a control message had reported as silent kept the stream of an unanswered ping, so it was never closed although no call waited on it. Callers did not notice; the daemon kept a connection for each such peer.

The monitor now drops its ping whenever it finds the connection silent.

--- a/packages/daemon/src/cornelbeam_daemon/silent_connections.py
+++ b/packages/daemon/src/cornelbeam_daemon/silent_connections.py
@@ -74,6 +74,7 @@
         self, connection: PeerConnection, now_s: float
     ) -> None:
         if connection.is_silent:
+            self._drop_ping(connection)
             if not connection.open_count:
                 connection.close()
             return
@@ -91,10 +92,15 @@
                 # The ping has a stream too.
                 call_count=connection.open_count - 1,
             )
-            # An unanswered ping must not keep the connection open.
-            self._pinged.pop(connection).stream.close()
+            self._drop_ping(connection)
             connection.note_silent()
 
+    def _drop_ping(self, connection: PeerConnection) -> None:
+        # Its stream must not keep an unused connection open.
+        ping = self._pinged.pop(connection, None)
+        if ping is not None:
+            ping.stream.close()
+
     def _is_silent(self, quiet_s: float, ping_age_s: float) -> bool:
         # On a connection that was idle, only the time after the ping counts.
         return quiet_s >= self._silence_s and ping_age_s >= self._silence_s / 2
