--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Final, final
 
@@ -201,14 +201,11 @@
                 pending.deadline_s,
                 is_idempotent=pending.is_idempotent,
             )
-        first = self._attempt(pending, state, call)
-        if delay_s is None:
-            return await first
-        return await self._hedger.race(
-            first,
-            delay_s,
-            lambda: self._make_hedge(pending, state),
-        )
+        second = self._hedger.prepare(lambda: self._make_hedge(pending, state))
+        # A silent peer may be slow, so a call that may repeat goes on.
+        notify_silent = second.start if pending.is_idempotent else None
+        first = self._attempt(pending, state, call, notify_silent)
+        return await self._hedger.race_prepared(first, delay_s, second)
 
     def _make_hedge(
         self,
@@ -276,11 +273,12 @@
         pending: PendingRequest,
         state: TargetState,
         call: Call,
+        notify_silent: Callable[[], None] | None = None,
     ) -> Answer:
         started_s = self._loop.time()
         state.note_start(started_s)
         try:
-            answer = await self._send(state, call)
+            answer = await self._send(state, call, notify_silent)
         except TimeoutError as error:
             self._chooser.note_timeout(state, self._loop.time() - started_s)
             raise CornelbeamError(
@@ -303,12 +301,17 @@
         self._budget.note_success(started_s)
         return answer
 
-    async def _send(self, state: TargetState, call: Call) -> Answer:
+    async def _send(
+        self,
+        state: TargetState,
+        call: Call,
+        notify_silent: Callable[[], None] | None,
+    ) -> Answer:
         if state.target.name == self._name:
             # The backend side enforces the deadline itself.
             return await self._backend_side.serve(call)
         async with asyncio.timeout_at(call.deadline_s):
-            return await self._client.call(state.target, call)
+            return await self._client.call(state.target, call, notify_silent)
 
     async def _query_outcome(
         self,
