Let an outcome query disturb no other call, nor its own

On the connections that a forbidding query had retired, new calls were dropped without a word until their deadline (504), pings too, so that a healthy peer was taken for silent again and again; a query that arrived late retired the connection in use; and a query cut the upload that it asked for (502).

What the promise 'not run' needs is less: that no call that must not repeat starts from a connection older than the query's. Connections are numbered as they are accepted, and a call that must not repeat is refused as not run on one with a lower number than that of the newest query. Reads and pings are served. A call whose answer goes to the query's stream still takes its body from the old one, and one that has begun to answer keeps its stream.

A planned stop now also waits for answers that are still being sent to other daemons: 299,913 of 400,000 bytes of one had arrived when it was cut.

The tombstone of the query stays, and the model's rule holds as it did: nothing that sits in an older connection can start.

--- a/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
@@ -17,7 +17,13 @@
     Calls and outcome queries go to a ``PeerServer``.
     """
 
-    __slots__ = ('_identity', '_on_control', '_peer_server', 'connections')
+    __slots__ = (
+        '_accepted_count',
+        '_identity',
+        '_on_control',
+        '_peer_server',
+        'connections',
+    )
 
     def __init__(
         self,
@@ -32,7 +38,13 @@
         self.connections: set[PeerConnection] = set()
         self._identity = identity
         self._on_control = on_control
-        self._peer_server = PeerServer(call_server, self.connections)
+        self._accepted_count = 0
+        self._peer_server = PeerServer(call_server)
+
+    @property
+    def call_count(self) -> int:
+        """Number of calls that are in work or still send their answer."""
+        return self._peer_server.call_count
 
     def accept(self) -> PeerConnection:
         """Return the protocol of a newly accepted connection."""
@@ -43,6 +55,8 @@
             is_opener=False,
         )
         self.connections.add(connection)
+        self._accepted_count += 1
+        connection.accept_number = self._accepted_count
         return connection
 
     def _accept_stream(
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -258,23 +258,16 @@
         self,
         target: Target,
         call: Call,
-        reply_timeout_s: float | None = None,
     ) -> tuple[RunState, Answer | None]:
         """Query the outcome of a call and forbid it if it has not arrived.
 
         Return the run state, with the answer if the peer still has it or is
-        working on it. The run state is ``UNKNOWN`` if the target was replaced
-        or does not reply within ``reply_timeout_s``. An answer that the peer
-        has announced is waited for without that limit.
+        working on it. The run state is ``UNKNOWN`` if the target was replaced,
+        refuses connections or doesn't know. There is no time limit, as a peer
+        without a reply may be slow.
         """
         while True:
-            try:
-                async with asyncio.timeout(reply_timeout_s):
-                    run_state, remote = await self._ask_until_replied(
-                        target, call
-                    )
-            except TimeoutError:
-                return RunState.UNKNOWN, None
+            run_state, remote = await self._ask_until_replied(target, call)
             if remote is None:
                 return run_state, None
             try:
--- a/packages/daemon/src/cornelbeam_daemon/racing.py
+++ b/packages/daemon/src/cornelbeam_daemon/racing.py
@@ -16,7 +16,8 @@
     """Second attempt, which cancels the first one if it answers earlier.
 
     ``make`` returns the attempt when it is started, or ``None`` if there is
-    none to make. If ``is_conclusive``, its error ends the first attempt too.
+    none to make. Its error ends the first attempt too if ``is_conclusive``
+    returns true for it.
     """
 
     __slots__ = (
@@ -31,8 +32,7 @@
     def __init__(
         self,
         make: Callable[[], Attempt | None],
-        *,
-        is_conclusive: bool = False,
+        is_conclusive: Callable[[CornelbeamError], bool] | None = None,
     ) -> None:
         """Prepare an attempt for the task that runs the first one."""
         self._first_task = asyncio.current_task()
@@ -86,6 +86,7 @@
         """Cancel an attempt that is not needed, or close its answer."""
         task = self._task
         self._first_task = None
+        self._task = None
         if task is None:
             return
         task.add_done_callback(_close_answer)
@@ -102,7 +103,9 @@
             return False
         error = task.exception()
         if isinstance(error, CornelbeamError):
-            return self._is_conclusive
+            return self._is_conclusive is not None and self._is_conclusive(
+                error
+            )
         return error is None
 
 
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -147,7 +147,7 @@
             metrics,
             lambda: self.is_in_service,
         )
-        self.peer_server = PeerServer(self.backend_side, self.peers)
+        self.peer_server = PeerServer(self.backend_side)
         self.peer_address = f'{HOST}:{await self._listen(self._accept_peer)}'
         self.pool = PeerPool(_identity('edge-1'), lambda *_: None)
         table = RoutingTable('edge-1' if self.is_remote else 'yard-1', 'north')
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -388,7 +388,10 @@
             self._is_refusing_callers = True
             await drain_callers(
                 self._caller_connections,
-                lambda: self.admission.work_count,
+                lambda: (
+                    self.admission.work_count
+                    + self._peer_endpoint.acceptor.call_count
+                ),
             )
 
 
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -161,6 +161,8 @@
             asyncio.get_running_loop().create_future()
         )
         self.peer: Hello | None = None
+        # Position among the connections that this side has accepted.
+        self.accept_number = 0
         self.is_closed = False
         self.is_silent = False
         self.last_received_s: float = 0
@@ -268,7 +270,7 @@
                 stream.receiver.on_silent()
 
     def retire(self) -> None:
-        """Accept no new streams and close once the open ones have ended."""
+        """Close once the open streams have ended, not before."""
         self._is_retired = True
         self._close_if_unused()
 
@@ -316,7 +318,7 @@
         # Late frames of the peer's closed streams are dropped too, and so are
         # replayed opening frames. Deadlines are relative, so a replayed frame
         # could run its attempt again after the ledger has dropped the entry.
-        if self._is_retired or frame.stream_id <= self._last_accepted_id:
+        if frame.stream_id <= self._last_accepted_id:
             return
         self._last_accepted_id = frame.stream_id
         if len(self._streams) >= _MAX_OPEN_STREAMS:
