Keep an error answer of a silent target as the fallback

A read whose silent target answered 500 in the end got that answer although another target was at work on it, and the attempt there was cancelled. The error answer is now kept, and the other attempt decides.

A read at a silent peer is also offered again to targets that refused it, after the 0.1 s for which refusals count: the peer may be gone, and the read would otherwise wait for it until its deadline.

--- a/packages/core/src/cornelbeam_core/attempt_order.py
+++ b/packages/core/src/cornelbeam_core/attempt_order.py
@@ -67,6 +67,11 @@
         self._asked_at_s: dict[str, float] = {}
         self._refusal_count = 0
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Return whether the request has been refused too often."""
+        return self._refusal_count >= MAX_REFUSAL_COUNT
+
     def note_refusal(
         self,
         name: str,
@@ -87,7 +92,7 @@
 
         Return ``None`` if neither another attempt nor a wait can succeed.
         """
-        if self._refusal_count >= MAX_REFUSAL_COUNT or left.deadline_ms <= 0:
+        if self.is_exhausted or left.deadline_ms <= 0:
             return None
         askable = [each for each in ranked if self._is_worth_asking(each, left)]
         refused = [each for each in ranked if each not in askable]
--- a/packages/mesh/src/cornelbeam_mesh/caller_answers.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_answers.py
@@ -1,12 +1,15 @@
-"""Answers to callers whose requests can't be served."""
+"""Answers to callers: those of targets, and errors."""
 
+import asyncio
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import final
 
 from cornelbeam_core.deadlines import MS_PER_S
-from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.refusals import refusal_status, retry_delay_s
+from cornelbeam_daemon.answer_forwarding import forward_answer
+from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import Responder
 from cornelbeam_daemon.logs import get_log
 
@@ -68,3 +71,25 @@
         delay_s = retry_delay_s(wait_ms, left_s, timing.jitter)
         headers += (b'retry-after', f'{delay_s:.2f}'.encode())
     responder.send_whole(status, headers, f'{error}\n'.encode())
+
+
+async def forward_in_time(
+    forwarded: ForwardedRequest,
+    answer: Answer,
+    responder: Responder,
+) -> None:
+    """Forward an answer whose body must end before the deadline.
+
+    Raise ``deadline_passed`` if it does not: the caller has stopped waiting,
+    and the body may have no end.
+    """
+    try:
+        async with asyncio.timeout_at(forwarded.deadline_s):
+            await forward_answer(forwarded.request, answer, responder)
+    except TimeoutError as error:
+        raise CornelbeamError(
+            ErrorCode.DEADLINE_PASSED,
+            'answer',
+            detail='the body did not end in time',
+            run_state=RunState.RAN,
+        ) from error
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import final
 
-from cornelbeam_core.attempt_order import time_left
+from cornelbeam_core.attempt_order import REFUSAL_AGE_LIMIT_S, time_left
 from cornelbeam_core.deadlines import MS_PER_S, remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.placement import (
@@ -15,14 +15,17 @@
     fastest_service_ms,
     rank_targets,
 )
-from cornelbeam_daemon.answer_forwarding import forward_answer
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.racing import SecondAttempt, race
 
 from cornelbeam_mesh.admission import AdmissionController
-from cornelbeam_mesh.error_answers import ErrorTiming, send_error
+from cornelbeam_mesh.caller_answers import (
+    ErrorTiming,
+    forward_in_time,
+    send_error,
+)
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import ForwardedRequest, RequestReader
 from cornelbeam_mesh.members import MemberEntry
@@ -87,7 +90,7 @@
             await forwarded.buffer_body()
             answer = await self._try_targets(forwarded)
             outcome = str(answer.status)
-            await _forward_in_time(forwarded, answer, responder)
+            await forward_in_time(forwarded, answer, responder)
         except CornelbeamError as error:
             outcome = error.code.value
             send_error(
@@ -255,12 +258,15 @@
             if forwarded.is_retryable:
                 others.start()
 
-        return await race(
-            self._attempt_at(
+        async def attempt() -> Answer:  # noqa: WPS430
+            answer = await self._attempt_at(
                 forwarded, record, member, max_slot_wait_ms, on_silent
-            ),
-            others,
-        )
+            )
+            if others.is_started:
+                self._check_success(forwarded, answer)
+            return answer
+
+        return await race(attempt(), others)
 
     def _note_silence(
         self,
@@ -282,11 +288,28 @@
     async def _try_others(self, forwarded: ForwardedRequest) -> Answer:
         """Try other targets while an attempt at a silent peer goes on.
 
-        An error answer is kept as the fallback: that attempt may end better.
+        Targets that refuse are asked again, as the silent peer may be gone.
         """
-        answer = await self._try_targets(forwarded)
-        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        while True:
+            try:
+                answer = await self._try_targets(forwarded)
+            except CornelbeamError:
+                if forwarded.order.is_exhausted or not forwarded.is_retryable:
+                    raise
+                await asyncio.sleep(REFUSAL_AGE_LIMIT_S)
+                continue
+            self._check_success(forwarded, answer)
             return answer
+
+    def _check_success(
+        self, forwarded: ForwardedRequest, answer: Answer
+    ) -> None:
+        """Keep an error answer as the fallback, as a race goes on.
+
+        Raise ``backend_failed`` for it: the other attempt may end better.
+        """
+        if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            return
         self._keep_fallback(forwarded, answer)
         raise CornelbeamError(
             ErrorCode.BACKEND_FAILED,
@@ -369,25 +392,3 @@
             elapsed_ms=int((now_s - forwarded.started_s) * MS_PER_S),
             why=error.detail,
         )
-
-
-async def _forward_in_time(
-    forwarded: ForwardedRequest,
-    answer: Answer,
-    responder: Responder,
-) -> None:
-    """Forward an answer whose body must end before the deadline.
-
-    Raise ``deadline_passed`` if it does not: the caller has stopped waiting,
-    and the body may have no end.
-    """
-    try:
-        async with asyncio.timeout_at(forwarded.deadline_s):
-            await forward_answer(forwarded.request, answer, responder)
-    except TimeoutError as error:
-        raise CornelbeamError(
-            ErrorCode.DEADLINE_PASSED,
-            'answer',
-            detail='the body did not end in time',
-            run_state=RunState.RAN,
-        ) from error
