--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -123,5 +123,16 @@
     for line in lines:
         name, _, value = line.partition(': ')
         fields[name.lower().encode()] = value.encode()
+    if fields.get(b'transfer-encoding') == b'chunked':
+        return first, fields, await _read_chunks(reader)
     body = await reader.readexactly(int(fields.get(b'content-length', b'0')))
     return first, fields, body
+
+
+async def _read_chunks(reader) -> bytes:
+    parts = []
+    while not parts or parts[-1]:
+        size_bytes = int(await reader.readuntil(b'\r\n'), 16)
+        parts.append(await reader.readexactly(size_bytes))
+        await reader.readexactly(2)
+    return b''.join(parts)
