Keep the parts of a body that arrive while a peer connects

Cause: `PeerClient.call` took all that had arrived of the body, and read it again from the start when that was too long for the first message. Parts beyond the replay limit are not kept, so those that had arrived since the body was buffered were lost. A body of 100 KB of which 30 KB came while the connection was opened reached the backend server with 70 KB.

Found while reading; no report of it is known.

--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -231,13 +231,13 @@
         remote = RemoteCall(call.deadline_s, notify_silent)
         remote.stream = connection.open_stream(remote)
         reader = call.body.reader()
-        if connection.has_body_grants and is_worth_holding(
-            call.body.kept_bytes
-        ):
-            first_part, is_whole = b'', False
+        first_part, is_whole = b'', False
+        kept_bytes = call.body.kept_bytes
+        if connection.has_body_grants and is_worth_holding(kept_bytes):
             remote.is_body_held = True
             remote.stream.hold_body()
-        else:
+        elif kept_bytes <= MAX_BODY_PART_BYTES:
+            # Parts taken beyond that may not be kept for another reader.
             first_part, is_whole = reader.take_first()
         if len(first_part) > MAX_BODY_PART_BYTES:
             first_part, is_whole = b'', False
--- a/packages/daemon/tests/test_peer_input.py
+++ b/packages/daemon/tests/test_peer_input.py
@@ -9,6 +9,7 @@
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.targets import Target
+from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 from cornelbeam_daemon.control_messages import PendingReply
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_wire.gen import messages
@@ -203,6 +204,25 @@
         assert state is RunState.NOT_RUN
         assert not remote.backend.requests
 
+    async def test_parts_that_arrive_while_connecting(
+        self, remote, make_call
+    ) -> None:
+        """A body too long to be kept reaches an old daemon without a gap."""
+        connection = await remote.pool.connection(remote.peer_address)
+        connection.peer.has_body_grants = None
+        arriving = BodyBuffer()
+        call = make_call('edge-1', b'/')
+        call.method = b'POST'
+        call.body = RequestBody(arriving)
+        arriving.feed(bytes(70_000))
+        await call.body.buffer_all()
+        arriving.feed(bytes(30_000))
+        arriving.finish()
+        target = Target('yard-1', 'windows', 'n', remote.peer_address, 1, {})
+        answer = await PeerClient(remote.pool).call(target, call)
+        answer.close()
+        assert [len(each[1]) for each in remote.backend.requests] == [100_000]
+
 
 async def start_held(bed):
     """Start a call with a body that is held back; return stream and reply."""
