Show that callers on an instance pass for its target

Cause: a request counts as a nested call when its connection comes from the address of the backend server. So nothing is kept for nested calls, they don't go first, no request is refused for being late, and returning callers are not recognized.

--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -237,11 +237,17 @@
         )
 
     async def send_request(
-        self, path='/read/1', method='GET', body=b'', **fields
+        self,
+        path='/read/1',
+        method='GET',
+        body=b'',
+        from_host=CALLER_HOST,
+        **fields,
     ):
         """Send a request; return status line, header fields and body."""
         reader, writer = await asyncio.open_connection(
             *self.addresses['callers'].split(':'),
+            local_addr=(from_host, 0),
         )
         try:
             writer.write(head(path, method, body, **fields) + body)
