Tell the calls of a target from those of callers at its address

Cause: a request counted as nested when it came from the address of the backend server, which callers of the instance share on the platform, so all requests were nested: none was refused for being late, new requests used the slots kept for nested calls, and these did not go first.

Ruled out: fields of requests and of routes, which are the same for both (read from the logs of two trials).

Change: a call whose deadline is later than those of all requests that the target runs was not made by it, and tells the origin of the other calls of its route. Requests whose connection broke count until their deadline.

Open: on machines whose target runs the longest requests, requests of callers pass for nested ones for some seconds after a start.

--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -8,6 +8,7 @@
 from typing import Final, final
 
 from cornelbeam_core.attempts import AttemptLedger
+from cornelbeam_core.call_origins import CallOrigins
 from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.repeat_budget import RepeatBudget
@@ -52,6 +53,7 @@
         'name',
         'on_failure',
         'on_slow_queue',
+        'origins',
     )
 
     def __init__(
@@ -70,6 +72,7 @@
         """
         self.name = name
         self.ledger = ledger
+        self.origins = CallOrigins()
         # False after a failed connection until the target answers again.
         self.is_reachable = False
         # Called when a call has failed at the target.
@@ -148,15 +151,19 @@
         factor = self._gate.speed.factor
         running_count = self._gate.running_count
         service_time_s: float | None = None
+        is_over = False
+        self.origins.start(call, call.deadline_s)
         try:
             answer = await self._exchange.run(call, target)
+            is_over = answer.body.is_ended
             answer.load = self.load_for(call.route)
             service_time_s = self._loop.time() - started_s
         except CornelbeamError as error:
+            is_over = error.run_state is RunState.NOT_RUN
             self._note_failure(error)
             raise
         finally:
-            self._release_slot(call, service_time_s, factor)
+            self._release_slot(call, service_time_s, factor, is_over=is_over)
             _log.debug(
                 'exchange ended',
                 request=call.request_id,
@@ -181,8 +188,11 @@
         self,
         call: Call,
         service_time_s: float | None,
-        factor: float = 1,
+        factor: float,
+        *,
+        is_over: bool,
     ) -> None:
+        self.origins.finish(call, is_over=is_over)
         self._gate.finish(call.route, service_time_s, factor)
         self._admit_waiting()
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -3,6 +3,7 @@
 from typing import Final, final
 
 from cornelbeam_core.attempt_order import AttemptOrder
+from cornelbeam_core.call_origins import CallOrigins
 from cornelbeam_core.caller_wait import CallerWaitEstimator
 from cornelbeam_core.deadlines import MS_PER_S, check_deadline, remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
@@ -111,6 +112,7 @@
         '_caller_service',
         '_caller_wait',
         '_host',
+        '_origins',
         '_state',
     )
 
@@ -120,15 +122,18 @@
         state: FleetState,
         caller_service: str,
         host: str,
+        origins: CallOrigins,
     ) -> None:
         """Read requests of callers on an instance of ``caller_service``.
 
-        ``host`` is the IP address of the backend server.
+        ``host`` is the IP address of the backend server, and ``origins`` knows
+        the requests that it runs.
         """
         self._adapter = adapter
         self._state = state
         self._caller_service = caller_service.encode()
         self._host = host
+        self._origins = origins
         self._caller_wait = CallerWaitEstimator()
 
     def read(self, request: HttpRequest, started_s: float) -> ForwardedRequest:
@@ -166,8 +171,7 @@
         )
         check_deadline(forwarded.deadline_s, started_s, 'routing')
         forwarded.headers = self._replace_control_fields(headers)
-        # Calls of the backend server come from its own address.
-        forwarded.is_nested = request.peer_host == self._host
+        forwarded.is_nested = self._is_nested(request, forwarded)
         if not forwarded.is_nested:
             # A nested call inherits the remaining time of its parent, which
             # says nothing about earlier attempts.
@@ -176,6 +180,24 @@
             )
         return forwarded
 
+    def _is_nested(
+        self, request: HttpRequest, forwarded: ForwardedRequest
+    ) -> bool:
+        """Return whether the backend server made this request.
+
+        It calls from its own address, which other callers may have too.
+        """
+        if request.peer_host != self._host:
+            return False
+        # The limit of the route says nothing about that of a parent request.
+        left_ms = read_number(
+            request.headers, self._adapter.headers.remaining_ms, 0, _MAX_DIGITS
+        )
+        return self._origins.is_nested(
+            forwarded.route.name,
+            min(forwarded.deadline_s, forwarded.started_s + left_ms / MS_PER_S),
+        )
+
     def _replace_control_fields(self, headers: list[bytes]) -> list[bytes]:
         """Replace the fields that only daemons may set."""
         names = self._adapter.headers
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -191,6 +191,7 @@
                 self.state,
                 settings.instance.service,
                 host,
+                self.admission.origins,
             ),
             TargetClient(
                 name,
--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-# Different from the address of callers: calls of targets are recognized by it.
+# Different from the address of most callers in the tests.
 TARGET_HOST = '127.0.0.2'
 SIGNATURE = b'x-signature: s'
 Received = tuple[str, dict[bytes, bytes], bytes]
