Let nested calls wait where the queue is that of other calls

Callers saw: with the origin of calls told, requests still failed as calls of their target were refused at once, with most of their time left.

Change: when all gates have refused, a nested call waits at the one with the shortest queue until its deadline. A gate that has just refused the longest wait is not asked again within 0.1 s: without that, one call was seen to ask a gate 14 times in a row.

The tests fail without the change.

--- a/packages/core/src/cornelbeam_core/attempt_order.py
+++ b/packages/core/src/cornelbeam_core/attempt_order.py
@@ -59,12 +59,21 @@
     True
     """
 
-    __slots__ = ('_asked_at_s', '_refusal_count', '_refusals')
-
-    def __init__(self) -> None:
+    __slots__ = (
+        '_asked_at_s',
+        '_is_nested',
+        '_refusal_count',
+        '_refusals',
+        '_waited_at_s',
+    )
+
+    def __init__(self, *, is_nested: bool = False) -> None:
         """Start without refusals."""
+        self._is_nested = is_nested
         self._refusals: dict[str, CornelbeamError] = {}
         self._asked_at_s: dict[str, float] = {}
+        # When a target was last asked for a wait until the deadline.
+        self._waited_at_s: dict[str, float] = {}
         self._refusal_count = 0
 
     @property
@@ -99,6 +108,7 @@
         if not askable or len(refused) >= REFUSALS_BEFORE_WAIT:
             shortest_wait = self._find_shortest_wait(refused, left)
             if shortest_wait is not None:
+                self._waited_at_s[shortest_wait.name] = left.now_s
                 return Choice(shortest_wait.name, left.deadline_ms)
         if not askable:
             return None
@@ -129,7 +139,8 @@
 
         A queue too long to meet the objective is not worthwhile: the caller
         should retry later. The end of a slowdown is, even if the answer is
-        late.
+        late. A nested call goes before the queue, and its refusal would fail
+        the request that waits for it.
         """
         waits: list[tuple[float, Candidate]] = []
         for candidate in refused:
@@ -137,13 +148,23 @@
             load = error.load
             if error.code is not ErrorCode.OVERLOADED or load is None:
                 continue
+            if self._has_just_waited(candidate, left):
+                continue
             ready_ms = load.wait_ms + load.service_time_us / US_PER_MS
-            if not load.wait_ms or ready_ms <= left.objective_ms:
+            is_in_time = not load.wait_ms or ready_ms <= left.objective_ms
+            if self._is_nested or is_in_time:
                 waits.append((load.wait_ms, candidate))
         if not waits:
             return None
         return min(waits, key=lambda each: each[0])[1]
 
+    def _has_just_waited(self, candidate: Candidate, left: TimeLeft) -> bool:
+        """Return whether a target has just refused the longest wait."""
+        waited_at_s = self._waited_at_s.get(candidate.name)
+        if waited_at_s is None:
+            return False
+        return left.now_s - waited_at_s <= REFUSAL_AGE_LIMIT_S
+
 
 def time_left(
     now_s: float,
--- a/packages/core/tests/test_attempt_order.py
+++ b/packages/core/tests/test_attempt_order.py
@@ -76,6 +76,20 @@
             order.note_refusal(f't{number}', refusal(wait_ms=100), 0)
         assert order.choose(candidates(30), LEFT).name == 't0'
 
+    def test_nested_call_is_not_given_up_for_the_queue_of_others(self):
+        order = AttemptOrder(is_nested=True)
+        order.note_refusal('t0', refusal(wait_ms=531), 0)
+        order.note_refusal('t1', refusal(ErrorCode.NO_ELIGIBLE_TARGET), 0)
+        choice = order.choose(candidates(2), LEFT)
+        assert (choice.name, choice.max_slot_wait_ms) == ('t0', 2000)
+
+    def test_gate_that_refused_the_longest_wait_is_not_asked_at_once(self):
+        order = AttemptOrder(is_nested=True)
+        order.note_refusal('t0', refusal(), 0)
+        assert order.choose(candidates(1), LEFT)
+        order.note_refusal('t0', refusal(), 0)
+        assert order.choose(candidates(1), LEFT) is None
+
     def test_queue_longer_than_the_objective_is_left(self):
         order = AttemptOrder()
         order.note_refusal('t0', refusal(wait_ms=600), 0)
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -172,6 +172,7 @@
         check_deadline(forwarded.deadline_s, started_s, 'routing')
         forwarded.headers = self._replace_control_fields(headers)
         forwarded.is_nested = self._is_nested(request, forwarded)
+        forwarded.order = AttemptOrder(is_nested=forwarded.is_nested)
         if not forwarded.is_nested:
             # A nested call inherits the remaining time of its parent, which
             # says nothing about earlier attempts.
