--- a/packages/daemon/src/cornelbeam_daemon/attempt_records.py
+++ b/packages/daemon/src/cornelbeam_daemon/attempt_records.py
@@ -43,9 +43,12 @@
     Peers ask only for the outcome of calls that must not, or should not, run
     twice, so reads skip the ledger.
     """
-    return not (
-        call.is_repeatable and is_idempotent_method(call.method.decode())
-    )
+    return may_be_queried(call.method, is_repeatable=call.is_repeatable)
+
+
+def may_be_queried(method: bytes, *, is_repeatable: bool) -> bool:
+    """Return whether a peer may ask for the outcome of such a call."""
+    return not (is_repeatable and is_idempotent_method(method.decode()))
 
 
 def record_attempt(
--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -9,6 +9,7 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_daemon import headers as fields
+from cornelbeam_daemon.attempt_records import may_be_queried
 from cornelbeam_daemon.calls import CallServer
 from cornelbeam_daemon.convert import refusal_to_wire
 from cornelbeam_daemon.served_call import ServedCall
@@ -46,7 +47,10 @@
         """
         if not fields.are_well_formed(start.headers, start.method, start.path):
             raise protocol_error('malformed head of a call')
-        if not start.is_repeatable and self._is_outdated(stream.connection):
+        is_recorded = may_be_queried(
+            start.method, is_repeatable=start.is_repeatable
+        )
+        if is_recorded and self._is_outdated(stream.connection):
             error = CornelbeamError(
                 ErrorCode.ATTEMPT_FORBIDDEN,
                 'peer connection',
--- a/packages/daemon/tests/test_peer_input.py
+++ b/packages/daemon/tests/test_peer_input.py
@@ -12,6 +12,7 @@
 from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 from cornelbeam_daemon.control_messages import PendingReply
 from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_wire import PeerPool
 from cornelbeam_wire.gen import messages
 
 pytestmark = pytest.mark.anyio
@@ -71,6 +72,41 @@
     is_lost.set()
 
 
+async def open_numbered(bed, number):
+    """Open a connection; return it with its accepted side numbered."""
+    known = set(bed.peers)
+    pool = PeerPool(bed.pool._identity, lambda *_: None)
+    connection = await pool.connection(bed.peer_address)
+    (accepted,) = bed.peers - known
+    accepted.accept_number = number
+    return connection
+
+
+class TestOlderConnection:
+    """Guards against calls that start after they were reported not run."""
+
+    @pytest.mark.parametrize('is_repeatable', [True, False])
+    async def test_call_is_refused_after_a_query(
+        self, remote, is_repeatable
+    ) -> None:
+        older = await open_numbered(remote, 1)
+        newer = await open_numbered(remote, 2)
+        query, call = PendingReply(), PendingReply()
+        newer.open_stream(query).send(
+            outcome_query=messages.OutcomeQuery(b'b' * 16, 1, True, 200),
+        )
+        assert (await query.reply).outcome_reply.run_state == RunState.NOT_RUN
+        older.open_stream(call).send(
+            call_start=call_start(is_repeatable=is_repeatable),
+        )
+        refusal = (await call.reply).refusal
+        assert refusal.code == 'attempt_forbidden'
+        assert refusal.run_state == RunState.NOT_RUN
+        assert not remote.backend.requests
+        older.close()
+        newer.close()
+
+
 class TestCalls:
     """Guards against calls that corrupt exchanges with the backend server."""
 
