--- a/packages/core/tests/test_target_gate.py
+++ b/packages/core/tests/test_target_gate.py
@@ -254,3 +254,16 @@
         assert refusals[0] is None
         assert refusals[-1] is Refusal.FULL
         assert gate.waiting_count <= 0.5 * LIMIT / 0.2
+
+
+class TestUnmeasuredRoute:
+    """Guards against refusing the calls of a route that was never measured."""
+
+    def test_slow_route_does_not_shut_out_a_short_one(self):
+        """No call of the route would ever run and be measured."""
+        gate = open_gate()
+        gate.running_count += 1
+        gate.finish('history', 10)
+        assert gate.enqueue(ticket('first', nested=True, route='rates'), 0) is (
+            None
+        )
