Assume no service time for a route that was never measured

Cause: the gate took the service time of the fastest measured route for one without answers. If only a long route was measured, a short one was refused as too late, never ran and was never measured.

Change: nothing is assumed; the first call runs and is measured.

--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -190,12 +190,10 @@
     def service_s(self, route: str) -> float:
         """Estimate the service time of a route between slowdowns.
 
-        A route without answers is assumed to be the fastest, so that no call
-        is refused for lack of a measurement.
+        Zero for a route without answers, so that no call is refused for lack
+        of a measurement: its calls would never run and never be measured.
         """
-        fastest_s = min(self._service_times_s.values(), default=0)
-        usual_s = self._service_times_s.get(route, fastest_s)
-        return usual_s * self.speed.baseline_factor
+        return self.usual_service_s(route) * self.speed.baseline_factor
 
     def wait_s(
         self, now_s: float, incoming_count: int = 0, *, is_nested: bool = False
