--- a/packages/daemon/tests/test_silent_connections.py
+++ b/packages/daemon/tests/test_silent_connections.py
@@ -52,6 +52,13 @@
         return [self._connection]
 
 
+def make_monitor():
+    """Return a connection and its monitor, for a silence of 2 s."""
+    connection = FakeConnection()
+    monitor = SilentConnectionMonitor(FakePool(connection), 2000, int, 'near')
+    return connection, monitor
+
+
 class TestAnsweredPing:
     """Guards against pings that go on after the last call has ended."""
 
@@ -59,10 +66,7 @@
         asyncio.run(self._check())
 
     async def _check(self):
-        connection = FakeConnection()
-        monitor = SilentConnectionMonitor(
-            FakePool(connection), 2000, int, 'near'
-        )
+        connection, monitor = make_monitor()
         call = connection.open_stream(None)
         monitor.check(1.5)
         connection.pings[0].receiver.on_frame(messages.Frame(stream_id=1))
@@ -81,10 +85,7 @@
         asyncio.run(self._check())
 
     async def _check(self):
-        connection = FakeConnection()
-        monitor = SilentConnectionMonitor(
-            FakePool(connection), 2000, int, 'near'
-        )
+        connection, monitor = make_monitor()
         connection.open_stream(None)
         monitor.check(60)
         assert len(connection.pings) == 1
@@ -101,10 +102,7 @@
         asyncio.run(self._check())
 
     async def _check(self):
-        connection = FakeConnection()
-        monitor = SilentConnectionMonitor(
-            FakePool(connection), 2000, int, 'near'
-        )
+        connection, monitor = make_monitor()
         call = connection.open_stream(None)
         monitor.check(1)
         monitor.check(2)
@@ -120,10 +118,7 @@
         asyncio.run(self._check_ping())
 
     async def _check_ping(self):
-        connection = FakeConnection()
-        monitor = SilentConnectionMonitor(
-            FakePool(connection), 2000, int, 'near'
-        )
+        connection, monitor = make_monitor()
         call = connection.open_stream(None)
         monitor.check(1)
         # A control message without a reply reports the silence first.
