Revert "Let a read at a silent peer go on in cornelbeam-daemon too"

What is missing is a second attempt, or a query that takes over a read in work, at the same target over a new connection.

--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Final, final
 
@@ -201,11 +201,14 @@
                 pending.deadline_s,
                 is_idempotent=pending.is_idempotent,
             )
-        second = self._hedger.prepare(lambda: self._make_hedge(pending, state))
-        # A silent peer may be slow, so a call that may repeat goes on.
-        notify_silent = second.start if pending.is_idempotent else None
-        first = self._attempt(pending, state, call, notify_silent)
-        return await self._hedger.race_prepared(first, delay_s, second)
+        first = self._attempt(pending, state, call)
+        if delay_s is None:
+            return await first
+        return await self._hedger.race(
+            first,
+            delay_s,
+            lambda: self._make_hedge(pending, state),
+        )
 
     def _make_hedge(
         self,
@@ -273,12 +276,11 @@
         pending: PendingRequest,
         state: TargetState,
         call: Call,
-        notify_silent: Callable[[], None] | None = None,
     ) -> Answer:
         started_s = self._loop.time()
         state.note_start(started_s)
         try:
-            answer = await self._send(state, call, notify_silent)
+            answer = await self._send(state, call)
         except TimeoutError as error:
             self._chooser.note_timeout(state, self._loop.time() - started_s)
             raise CornelbeamError(
@@ -301,17 +303,12 @@
         self._budget.note_success(started_s)
         return answer
 
-    async def _send(
-        self,
-        state: TargetState,
-        call: Call,
-        notify_silent: Callable[[], None] | None,
-    ) -> Answer:
+    async def _send(self, state: TargetState, call: Call) -> Answer:
         if state.target.name == self._name:
             # The backend side enforces the deadline itself.
             return await self._backend_side.serve(call)
         async with asyncio.timeout_at(call.deadline_s):
-            return await self._client.call(state.target, call, notify_silent)
+            return await self._client.call(state.target, call)
 
     async def _query_outcome(
         self,
--- a/packages/daemon/src/cornelbeam_daemon/hedging.py
+++ b/packages/daemon/src/cornelbeam_daemon/hedging.py
@@ -62,14 +62,6 @@
             now_s=self._loop.time(),
         )
 
-    def prepare(
-        self, make_second: Callable[[], Attempt | None]
-    ) -> SecondAttempt:
-        """Return a second attempt that starts only if the budget allows it."""
-        return SecondAttempt(
-            lambda: make_second() if self._is_allowed() else None
-        )
-
     async def race(
         self,
         first: Attempt,
@@ -81,22 +73,9 @@
         The second attempt starts after ``delay_s``. Raise the error of the
         first attempt when both fail.
         """
-        return await self.race_prepared(
-            first, delay_s, self.prepare(make_second)
+        second = SecondAttempt(
+            lambda: make_second() if self._is_allowed() else None
         )
-
-    async def race_prepared(
-        self,
-        first: Attempt,
-        delay_s: float | None,
-        second: SecondAttempt,
-    ) -> Answer:
-        """Race with a second attempt that may also be started earlier.
-
-        Without ``delay_s`` it starts in no other way.
-        """
-        if delay_s is None:
-            return await race(first, second)
         timer = self._loop.call_later(delay_s, second.start)
         try:
             return await race(first, second)
--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -30,7 +30,7 @@
         self.queried_run_state = queried_run_state
         self.attempts = []
 
-    async def call(self, target, call, notify_silent=None):
+    async def call(self, target, call):
         self.attempts.append((target.name, call.attempt_id))
         raise self.errors.pop(0)
 
@@ -44,7 +44,7 @@
     def __init__(self):
         self.calls = Counter()
 
-    async def call(self, target, call, notify_silent=None):
+    async def call(self, target, call):
         self.calls[target.name] += 1
         if target.name == 'bookings-2':
             body = BodyBuffer()
@@ -61,7 +61,7 @@
     def __init__(self):
         self.calls = Counter()
 
-    async def call(self, target, call, notify_silent=None):
+    async def call(self, target, call):
         self.calls[target.name] += 1
         is_failing = target.name == 'bookings-1'
         if not is_failing:
