End a read at its deadline when its peer is silent and nobody else serves

A read whose only target was silent got no answer at all until its caller left: the attempts elsewhere were repeated every 0.1 s without end, and the request waits for them once its first attempt has ended at the deadline.

Such a read should be sent again over a new connection; that is not done yet, and its test is listed as known red.

--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -294,7 +294,13 @@
             try:
                 answer = await self._try_targets(forwarded)
             except CornelbeamError:
-                if forwarded.order.is_exhausted or not forwarded.is_retryable:
+                left_s = forwarded.deadline_s - self._loop.time()
+                is_hopeless = (
+                    left_s <= REFUSAL_AGE_LIMIT_S
+                    or forwarded.order.is_exhausted
+                    or not forwarded.is_retryable
+                )
+                if is_hopeless:
                     raise
                 await asyncio.sleep(REFUSAL_AGE_LIMIT_S)
                 continue
--- a/packages/mesh/tests/test_silent_peers.py
+++ b/packages/mesh/tests/test_silent_peers.py
@@ -6,7 +6,7 @@
 import pytest
 from cornelbeam_daemon import control_messages
 from fake_target import read_message
-from mesh_harness import head, wait_until
+from mesh_harness import WAIT_LIMIT_S, head, wait_until
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
@@ -169,6 +169,22 @@
                 assert (await read_message(reader))[0] == OK
             await wait_until(lambda: not chosen.sidecar.admission.work_count)
 
+    async def test_read_ends_at_its_deadline(self, harness):
+        near, _ = await add_far_target(harness)
+        with paused(opened_connections(near)):
+            async with sent(near, *READ, x_remaining='600') as reader:
+                async with asyncio.timeout(WAIT_LIMIT_S):
+                    status, _, _ = await read_message(reader)
+        assert status.startswith('HTTP/1.1 504')
+
+    async def test_read_is_answered_over_a_new_connection(self, harness):
+        near, _ = await add_far_target(harness)
+        with paused(opened_connections(near)):
+            async with sent(near, *READ) as reader:
+                async with asyncio.timeout(WAIT_LIMIT_S):
+                    status, _, _ = await read_message(reader)
+        assert status == OK
+
     async def test_booking_that_has_not_arrived_runs_elsewhere(self, harness):
         near, far = await add_far_target(harness)
         other = await harness.add_node('south')
