Remember a departure that is confirmed before the target's entry is known

When the entry of its earlier run came from the store or a peer, it was restored and the target got requests again.

Now the name is kept, and the restored entry counts as departed. test_departure_confirmed_before_the_entry_is_known failed before. Not covered: a heartbeat of the same target that is late and arrives before that entry.

--- a/packages/mesh/src/cornelbeam_mesh/registration.py
+++ b/packages/mesh/src/cornelbeam_mesh/registration.py
@@ -47,6 +47,7 @@
     __slots__ = (
         '_adapter',
         '_address',
+        '_departed_instance',
         '_last_heartbeat_s',
         '_loop',
         '_silence_timeout_s',
@@ -73,6 +74,8 @@
         )
         self._last_heartbeat_s = self._loop.time()
         self.entry: TargetEntry | None = None
+        # Target that left before its entry was known.
+        self._departed_instance = ''
         # Set when the first target has registered or was restored.
         self.is_target_known = asyncio.Event()
         self.on_change = on_change
@@ -142,13 +145,16 @@
         after a restart.
         """
         current = self.entry
-        if current is None or current.instance != deregistration.instance:
+        if current is None:
+            # The entry of an earlier run of this daemon may follow.
+            self._departed_instance = deregistration.instance
+            _log.info(
+                'unknown target deregistered', instance=deregistration.instance
+            )
             return
-        self.entry = msgspec.structs.replace(
-            current,
-            sequence=LAST_SEQUENCE,
-            is_draining=True,
-        )
+        if current.instance != deregistration.instance:
+            return
+        self.entry = _departed(current)
         _log.info('target deregistered', instance=current.instance)
         self.on_change()
 
@@ -158,7 +164,8 @@
         Do nothing if the target has registered meanwhile.
         """
         if self.entry is None and entry is not None:
-            self.entry = entry
+            has_departed = entry.instance == self._departed_instance
+            self.entry = _departed(entry) if has_departed else entry
             self.is_target_known.set()
             self.on_change()
 
@@ -175,6 +182,14 @@
         return silent_s < self._silence_timeout_s
 
 
+def _departed(entry: TargetEntry) -> TargetEntry:
+    return msgspec.structs.replace(
+        entry,
+        sequence=LAST_SEQUENCE,
+        is_draining=True,
+    )
+
+
 def _run_order(run: Heartbeat | TargetEntry) -> tuple[int, int]:
     return run.started_ms, run.sequence
 
--- a/packages/mesh/tests/test_leaving.py
+++ b/packages/mesh/tests/test_leaving.py
@@ -62,6 +62,18 @@
         node.send_heartbeat()
         assert not node.sidecar.admission.is_open()
 
+    async def test_departure_confirmed_before_the_entry_is_known(self, harness):
+        """The daemon has restarted and does not reach the store yet."""
+        node = await harness.add_node()
+        registration = node.sidecar.registration
+        stored = registration.entry
+        registration.entry = None
+        registration.handle_deregistration(Deregistration('i-1'))
+        registration.restore(stored)
+        assert not node.sidecar.admission.is_open()
+        node.send_heartbeat()
+        assert not node.sidecar.admission.is_open()
+
 
 class TestFailureDomains:
     """Guards against requests to a failure domain that is out of service."""
