Read health bodies in one place

Both probers limited the body of a health answer by a loop and a constant of their own, with the same limit. The loop now belongs to the buffer of a body, the limit is the same. The latest deadline in CallOrigins is one maximum instead of two. No behaviour changes; the tests are unchanged.

--- a/packages/core/src/cornelbeam_core/call_origins.py
+++ b/packages/core/src/cornelbeam_core/call_origins.py
@@ -68,10 +68,7 @@
 
         A route that the target and others call counts as one of the others.
         """
-        latest_s = max(
-            self._deadlines_s.values(), default=self._left_behind_until_s
-        )
-        latest_s = max(latest_s, self._left_behind_until_s)
+        latest_s = max((self._left_behind_until_s, *self._deadlines_s.values()))
         is_later = deadline_s > latest_s + DEADLINE_SLACK_S
         share = self._update_share(route, is_later=is_later)
         return not is_later and share < OUTSIDE_SHARE
--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -13,6 +13,9 @@
 # The deadline of a request covers only the head of its answer, as a long body
 # may take longer. A body that stops arriving would hold its slot forever.
 STALL_TIMEOUT_S: Final = 60.0
+# Only the head of a health answer is used, so a longer body is not worth its
+# reading.
+MAX_HEALTH_BODY_BYTES: Final = BUFFER_LIMIT_BYTES
 
 
 @final
@@ -132,6 +135,15 @@
                 run_state=RunState.UNKNOWN,
             ) from error
 
+    async def skip_health_body(self) -> None:
+        """Read and drop up to ``MAX_HEALTH_BODY_BYTES`` and the next part.
+
+        Raise as ``read`` does. A longer body is not ended then.
+        """
+        left_bytes = MAX_HEALTH_BODY_BYTES
+        while left_bytes > 0 and not self.is_ended:
+            left_bytes -= len(await self.read())
+
     def _ask(self) -> None:
         on_wanted = self.on_wanted
         self.on_wanted = None
--- a/packages/daemon/src/cornelbeam_daemon/probing.py
+++ b/packages/daemon/src/cornelbeam_daemon/probing.py
@@ -15,20 +15,13 @@
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.backend_client import BackendClient
 from cornelbeam_daemon.backend_side import BackendSide
-from cornelbeam_daemon.bodies import (
-    BUFFER_LIMIT_BYTES,
-    BodyBuffer,
-    RequestBody,
-)
+from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.convert import load_from_wire, load_to_wire
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.routing_table import RoutingTable
 
 PROBE_TIMEOUT_S: Final = 0.5
-# Only the status of a health answer is used, so a longer body is not worth its
-# reading.
-MAX_BODY_BYTES: Final = BUFFER_LIMIT_BYTES
 CHECK_PERIOD_S: Final = 0.25
 EJECTION_EXTENSION_S: Final = 0.5
 _MS_PER_S: Final = 1000
@@ -132,9 +125,7 @@
                     is_chunked=False,
                     is_head_request=False,
                 )
-                left_bytes = MAX_BODY_BYTES
-                while left_bytes > 0 and not answer.body.is_ended:
-                    left_bytes -= len(await answer.body.read())
+                await answer.body.skip_health_body()
         except (TimeoutError, CornelbeamError):
             return False
         finally:
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -15,11 +15,7 @@
 from cornelbeam_core.target_gate import TargetGate
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.backend_client import BackendClient
-from cornelbeam_daemon.bodies import (
-    BUFFER_LIMIT_BYTES,
-    BodyBuffer,
-    RequestBody,
-)
+from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
 from cornelbeam_daemon.logs import get_log
 
 from cornelbeam_mesh.admission import AdmissionController
@@ -41,9 +37,6 @@
 MAX_PROBES_PER_S: Final = 40
 PROBE_BURST_COUNT: Final = 40
 PROBE_TIMEOUT_S: Final = 1.0
-# Only the head of a health answer is used, so a longer body is not worth its
-# reading.
-MAX_BODY_BYTES: Final = BUFFER_LIMIT_BYTES
 
 
 @final
@@ -204,9 +197,7 @@
                 is_chunked=False,
                 is_head_request=False,
             )
-            left_bytes = MAX_BODY_BYTES
-            while left_bytes > 0 and not head.body.is_ended:
-                left_bytes -= len(await head.body.read())
+            await head.body.skip_health_body()
         except BaseException:
             connection.close()
             raise
