Log the rate limit and the departure that a target states

A line is written when the stated limit or departure changes, with the kind of answer that stated it, and a gauge exports the limit. The adapter decodes both fields. No decision uses them yet.

Ruled out: limits that only some answers of a target state, as probes and requests would then have taken turns in the log.

--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -65,6 +65,7 @@
         self,
         gate: TargetGate,
         is_store_reachable: Callable[[], bool],
+        stated_limit_per_s: Callable[[], float],
     ) -> None:
         """Add gauges that are read at each scrape."""
         self._add_gauge(
@@ -82,6 +83,11 @@
             'Whether the store answers this daemon.',
             is_store_reachable,
         )
+        self._add_gauge(
+            'cornelbeam_stated_limit',
+            'Requests per second that the target accepts; 0 if it states none.',
+            stated_limit_per_s,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
+++ b/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
@@ -21,7 +21,9 @@
     from. A target refuses a request whose ``expected_instance`` is not its
     own, and ``not_run`` marks such a refusal. A target reports its name in
     ``instance``, its load in ``load`` and the milliseconds until it is warm in
-    ``cold_remaining_ms``.
+    ``cold_remaining_ms``. In ``rate_limit`` it states how many requests a
+    second it accepts from all daemons together, and ``leaving`` marks the
+    answers of a target that is about to exit.
     """
 
     attempt_id: bytes
@@ -32,6 +34,8 @@
     instance: bytes
     load: bytes
     cold_remaining_ms: bytes
+    rate_limit: bytes
+    leaving: bytes
 
 
 @final
@@ -90,6 +94,12 @@
     def read_load(self, stated: bytes) -> TargetLoad | None:
         """Parse a load header; return ``None`` if it is malformed."""
 
+    def read_rate_limit(self, stated: bytes) -> float | None:
+        """Parse a limit in requests per second; ``None`` if it is malformed."""
+
+    def read_leaving(self, stated: bytes) -> bool:
+        """Return whether a header value says that the target is leaving."""
+
     def read_registration(
         self,
         method: bytes,
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -45,6 +45,7 @@
 from cornelbeam_mesh.store_sync import StoreSync
 from cornelbeam_mesh.target_client import TargetClient
 from cornelbeam_mesh.target_exchange import TargetExchange
+from cornelbeam_mesh.target_observer import TargetObserver
 from cornelbeam_mesh.target_probe import TargetProbe
 from cornelbeam_mesh.waiting import wait_for_first
 
@@ -123,6 +124,7 @@
         )
         host, port = split_address(settings.backend_server.address)
         self._backend = BackendClient(host, port, MAX_BACKEND_CONNECTIONS)
+        observer = TargetObserver(adapter, self._gate.speed)
         ledger = make_ledger(self._incarnation)
         self.admission = AdmissionController(
             name,
@@ -134,7 +136,7 @@
                 adapter,
                 self._backend,
                 ledger,
-                self._gate.speed,
+                observer,
             ),
             self._local_target,
             lambda: domain in self.state.evacuated_domains,
@@ -145,6 +147,7 @@
             self._gate,
             self.admission,
             self._backend,
+            observer,
             self._local_target,
             self._local_service,
         )
@@ -208,6 +211,7 @@
         self.metrics.add_gauges(
             self._gate,
             self.store_sync.is_reachable.is_set,
+            lambda: observer.limit_per_s or 0,
         )
 
     def stop(self) -> None:
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -6,7 +6,6 @@
 from cornelbeam_core.attempts import AttemptLedger
 from cornelbeam_core.deadlines import remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
-from cornelbeam_core.host_speed import HostSpeed
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.attempt_records import is_recorded, note_run_state
 from cornelbeam_daemon.backend_client import BackendClient
@@ -20,6 +19,7 @@
 
 from cornelbeam_mesh.members import TargetEntry
 from cornelbeam_mesh.platform_adapter import PlatformAdapter
+from cornelbeam_mesh.target_observer import TargetObserver
 
 _ENCODING: Final = b'content-encoding'
 _MISDIRECTED_REQUEST: Final = 421
@@ -29,7 +29,14 @@
 class TargetExchange:
     """Sends requests to the target and validates its answers."""
 
-    __slots__ = ('_adapter', '_client', '_ledger', '_loop', '_name', '_speed')
+    __slots__ = (
+        '_adapter',
+        '_client',
+        '_ledger',
+        '_loop',
+        '_name',
+        '_observer',
+    )
 
     def __init__(
         self,
@@ -37,14 +44,14 @@
         adapter: PlatformAdapter,
         client: BackendClient,
         ledger: AttemptLedger,
-        speed: HostSpeed,
+        observer: TargetObserver,
     ) -> None:
-        """Record run states in ``ledger`` and reported loads in ``speed``."""
+        """Record run states in ``ledger``; pass answers to ``observer``."""
         self._name = name
         self._adapter = adapter
         self._client = client
         self._ledger = ledger
-        self._speed = speed
+        self._observer = observer
         self._loop = asyncio.get_running_loop()
 
     async def run(self, call: Call, target: TargetEntry) -> Answer:
@@ -145,7 +152,7 @@
         head: BackendAnswer,
         content: bytes,
     ) -> Answer:
-        record_load(self._adapter, self._speed, head.headers, self._loop.time())
+        self._observer.note_answer(head.headers, 'request')
         is_refusal = fields.find(head.headers, self._adapter.headers.not_run)
         if is_refusal or head.status == _MISDIRECTED_REQUEST:
             self._client.release(connection)
@@ -200,19 +207,6 @@
         note_run_state(self._ledger, call, run_state, self._loop.time())
 
 
-def record_load(
-    adapter: PlatformAdapter,
-    speed: HostSpeed,
-    headers: list[bytes],
-    now_s: float,
-) -> None:
-    """Record the load that the target reported with an answer."""
-    stated = fields.find(headers, adapter.headers.load)
-    load = None if stated is None else adapter.read_load(stated)
-    if load is not None:
-        speed.note(load.slowdown_percent, now_s)
-
-
 async def _read_short(body: BodyBuffer) -> bytes:
     """Read a short body whole, or the first part of a long one.
 
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -21,7 +21,7 @@
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.members import TargetEntry
 from cornelbeam_mesh.platform_adapter import PlatformAdapter
-from cornelbeam_mesh.target_exchange import record_load
+from cornelbeam_mesh.target_observer import TargetObserver
 
 _log = get_log('backend')
 # A target may become cold at any time, which only its health answers report. It
@@ -53,6 +53,7 @@
         '_has_speed_report',
         '_is_requested',
         '_loop',
+        '_observer',
         '_pending_probe',
         '_probed_at_s',
         '_service',
@@ -66,18 +67,21 @@
         gate: TargetGate,
         admission: AdmissionController,
         client: BackendClient,
+        observer: TargetObserver,
         target: Callable[[], TargetEntry | None],
         service: Callable[[], ServiceRule | None],
     ) -> None:
         """Probe the target that ``target`` returns.
 
-        ``service`` returns the rule of its service, with the health path.
+        ``service`` returns the rule of its service, with the health path. Its
+        answers are passed to ``observer``.
         """
         self._adapter = adapter
         self._address = address
         self._gate = gate
         self._admission = admission
         self._client = client
+        self._observer = observer
         self._target = target
         self._service = service
         self._loop = asyncio.get_running_loop()
@@ -174,7 +178,7 @@
             return
         load = fields.find(headers, self._adapter.headers.load)
         self._has_speed_report = load is not None
-        record_load(self._adapter, self._gate.speed, headers, self._loop.time())
+        self._observer.note_answer(headers, 'probe')
         self._update_cold_time(headers, service)
         if not self._admission.is_reachable:
             self._admission.is_reachable = True
--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -39,12 +39,22 @@
         instance=b'x-instance',
         load=b'x-load',
         cold_remaining_ms=b'x-cold',
+        rate_limit=b'x-limit',
+        leaving=b'x-leaving',
     )
 
     def read_load(self, stated):
         """Parse the slowdown."""
         return TargetLoad(0, 0, 8, int(stated))
 
+    def read_rate_limit(self, stated):
+        """Parse the limit."""
+        return float(stated)
+
+    def read_leaving(self, stated):
+        """Take any value as a yes."""
+        return True
+
     def read_registration(self, method, path, body):
         """Reject all messages: tests pass heartbeats on directly."""
         raise ValueError(path)
--- a/tests/adapter/test_message_parser.py
+++ b/tests/adapter/test_message_parser.py
@@ -73,6 +73,26 @@
         assert (load.running_count, load.slowdown_percent) == (3, 400)
         assert MessageParser().read_load(b'3,1') is None
 
+    @pytest.mark.parametrize(
+        ('stated', 'limit_per_s'),
+        [
+            (b'10.5', 10.5),
+            (b' 3 ', 3),
+            (b'0', 0),
+            (b'-1', None),
+            (b'nan', None),
+            (b'inf', None),
+            (b'many', None),
+            (b'', None),
+        ],
+    )
+    def test_rate_limit(self, stated, limit_per_s):
+        assert MessageParser().read_rate_limit(stated) == limit_per_s
+
+    def test_leaving(self):
+        assert MessageParser().read_leaving(b'1')
+        assert not MessageParser().read_leaving(b'0')
+
 
 class TestConfiguration:
     """Guards against routes that are decoded differently than written."""
