List failing tests: targets get more than the rate that they state

A target states in its answers how many requests a second it accepts. With two of them a second it got all 40 requests of its instance within a second, or more with retries, nested calls and callers of other instances, where 17 are allowed in four seconds.

--- /dev/null
+++ b/packages/mesh/tests/test_rate_limits.py
@@ -0,0 +1,114 @@
+"""Targets that state how many requests a second they accept."""
+
+import asyncio
+
+import pytest
+from fake_target import TARGET_HOST
+
+pytestmark = pytest.mark.anyio
+OK = 'HTTP/1.1 200 OK'
+LIMIT_FIELD = b'x-limit: 2'
+# One and a half times the rate in four seconds, plus five.
+BOUND = 17
+REQUEST_COUNT = 40
+CONCURRENCY = 4
+
+
+def state_limit(target) -> None:
+    """Let a target state its limit in all answers."""
+
+    async def answer(writer, attempt) -> None:
+        writer.write(target.whole(attempt, extra=(LIMIT_FIELD,)))
+
+    async def answer_health(writer, attempt) -> None:
+        writer.write(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-load: 100\r\n'
+            + LIMIT_FIELD
+            + b'\r\nx-instance: '
+            + target.instance.encode()
+            + b'\r\n\r\n'
+        )
+
+    target.script = answer
+    target.health_script = answer_health
+
+
+async def send_many(node, count=REQUEST_COUNT, **request):
+    """Send requests from one instance, a few at a time; return the statuses."""
+    statuses = []
+
+    async def send_some() -> None:
+        for _ in range(count // CONCURRENCY):
+            status, _, _ = await node.send_request(**request)
+            statuses.append(status)
+
+    async with asyncio.TaskGroup() as group:
+        for _ in range(CONCURRENCY):
+            group.create_task(send_some())
+    return statuses
+
+
+def count_work(target) -> int:
+    """Count the requests that a target got."""
+    return len(target.requests)
+
+
+async def limit_node(harness, domain='north'):
+    """Add an instance whose target has stated its limit."""
+    node = await harness.add_node(domain)
+    state_limit(node.target)
+    await node.send_request()
+    return node
+
+
+class TestStatedLimit:
+    """Guards against more requests than a target in need accepts.
+
+    Each test takes less than four seconds, so ``BOUND`` holds for all of it.
+    """
+
+    async def test_calls_go_where_there_is_room(self, harness):
+        near = await limit_node(harness)
+        far = await harness.add_node('south')
+        assert set(await send_many(near)) == {OK}
+        assert count_work(near.target) <= BOUND
+        assert count_work(far.target) >= REQUEST_COUNT - BOUND
+
+    async def test_all_callers_share_the_limit(self, harness):
+        limited = await limit_node(harness)
+        others = [await harness.add_node('south') for _ in range(2)]
+        answered = await asyncio.gather(
+            *(send_many(node) for node in (limited, *others))
+        )
+        assert all(set(statuses) == {OK} for statuses in answered)
+        assert count_work(limited.target) <= BOUND
+
+    async def test_bookings_keep_it(self, harness):
+        near = await limit_node(harness)
+        await harness.add_node('south')
+        request = {'path': '/book/1', 'method': 'POST', 'body': b'one load'}
+        assert set(await send_many(near, **request)) == {OK}
+        assert count_work(near.target) <= BOUND
+
+    async def test_retries_keep_it(self, harness):
+        """The other target fails, so that all its requests come here."""
+        limited = await limit_node(harness)
+        failing = await harness.add_node('south')
+        failing.target.script = failing.target.fail
+        await send_many(failing)
+        assert count_work(limited.target) <= BOUND
+
+    async def test_nested_calls_keep_it(self, harness):
+        near = await limit_node(harness)
+        await harness.add_node('south')
+        statuses = await send_many(near, from_host=TARGET_HOST)
+        assert set(statuses) == {OK}
+        assert count_work(near.target) <= BOUND
+
+    async def test_overload_of_all_is_refused_with_a_delay(self, harness):
+        node = await limit_node(harness)
+        answered = [await node.send_request() for _ in range(REQUEST_COUNT)]
+        assert count_work(node.target) <= BOUND
+        refused = [each for each in answered if each[0] != OK]
+        assert len(refused) >= REQUEST_COUNT - BOUND
+        assert all(b'retry-after' in fields for _, fields, _ in refused)
