Move tickets and refusals out of the target gate

Callers see no change, and the code of the moved classes is the same. The tests of the gate passed before and after.

--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -6,13 +6,12 @@
 a few calls a second, and a host slowed down for a moment by a noisy neighbour.
 """
 
-import enum
 from collections.abc import Hashable
-from dataclasses import dataclass
 from typing import Final, final
 
 from cornelbeam_core.budget import TokenBucket
 from cornelbeam_core.host_speed import HostSpeed
+from cornelbeam_core.tickets import ColdBound, Refusal, Ticket
 
 # Share of the slots that ordinary calls may use; only nested calls use the
 # rest. Targets slow down when nearly full: above this share, one more call
@@ -26,12 +25,6 @@
 SERVICE_TIME_GAIN: Final = 0.1
 # Service time assumed until the first answers arrive.
 INITIAL_SERVICE_TIME_S: Final = 0.2
-# Only this share of the limit of a cold target is used; the rest covers calls
-# that arrive closer together than they were sent.
-COLD_BOUND_SHARE: Final = 0.9
-# Share of the slack that may start at the same time; the rest is spread over
-# the second.
-COLD_BURST_SHARE: Final = 0.4
 # A call held back this long by a slowdown is refused, so that its sender can
 # try another target, which may be fast by now.
 MAX_HOLD_S: Final = 0.15
@@ -48,61 +41,6 @@
 QUEUE_PER_SLOT: Final = 4
 
 
-@final
-class Refusal(enum.Enum):
-    """Reason for refusing a call; a refused call has not run."""
-
-    NO_TARGET = 'no_target'
-    DRAINING = 'draining'
-    EVACUATED = 'evacuated'
-    FULL = 'full'
-    TOO_LATE = 'too_late'
-    REPEATS = 'repeats'
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class ColdBound:
-    """Maximum number of calls that a cold target gets in one second.
-
-    It is ``factor`` times the rate the target accepts, plus ``slack_count``.
-    """
-
-    factor: float
-    slack_count: float
-
-    def usable_per_s(self, cold_per_s: float) -> float:
-        """Return the rate at which calls may start after a burst."""
-        usable_count = cold_per_s * self.factor + self.slack_count
-        usable_count *= COLD_BOUND_SHARE
-        return max(1, usable_count - self.usable_burst_count)
-
-    @property
-    def usable_burst_count(self) -> float:
-        """Number of calls that may start at the same time."""
-        return max(1, self.slack_count * COLD_BURST_SHARE)
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class Ticket:
-    """A call at the gate, with its priority and the times that limit its wait.
-
-    It leaves the queue at ``give_up_at_s`` at the latest, should end before
-    ``objective_at_s`` and is useless after ``deadline_s``. Service times are
-    kept per ``route``. Nested calls go first: each is made by a running
-    request, which holds a slot of its own target until the call is answered.
-    """
-
-    call: Hashable
-    is_nested: bool
-    priority: int
-    give_up_at_s: float
-    objective_at_s: float
-    deadline_s: float
-    route: str
-
-
 @final
 class TargetGate:
     """Slots, queue and cold start rate limit of one target.
--- a/packages/core/tests/test_caller_wait.py
+++ b/packages/core/tests/test_caller_wait.py
@@ -5,7 +5,8 @@
 from operator import itemgetter
 
 from cornelbeam_core.caller_wait import SAMPLE_COUNT, CallerWaitEstimator
-from cornelbeam_core.target_gate import ColdBound, TargetGate, Ticket
+from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_core.tickets import ColdBound, Ticket
 
 
 class TestTimeWaited:
--- a/packages/core/tests/test_slowdowns.py
+++ b/packages/core/tests/test_slowdowns.py
@@ -8,7 +8,8 @@
 import heapq
 import random
 
-from cornelbeam_core.target_gate import ColdBound, TargetGate, Ticket
+from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_core.tickets import ColdBound, Ticket
 
 HOST_COUNT = 4
 SLOWDOWN_S = 0.3
--- a/packages/core/tests/test_target_gate.py
+++ b/packages/core/tests/test_target_gate.py
@@ -1,6 +1,7 @@
 """Tests of the gate that admits calls to a target."""
 
-from cornelbeam_core.target_gate import ColdBound, Refusal, TargetGate, Ticket
+from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_core.tickets import ColdBound, Refusal, Ticket
 
 SLOTS = 10
 LIMIT = 8
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -12,7 +12,8 @@
 from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.repeat_budget import RepeatBudget
-from cornelbeam_core.target_gate import Refusal, TargetGate, Ticket
+from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_core.tickets import Refusal, Ticket
 from cornelbeam_core.targets import LoadReport
 from cornelbeam_daemon.attempt_records import note_run_state, record_attempt
 from cornelbeam_daemon.calls import Answer, Call
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -12,7 +12,8 @@
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.routes import ServiceRule
 from cornelbeam_core.shared_objects import SharedKind
-from cornelbeam_core.target_gate import ColdBound, TargetGate
+from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_core.tickets import ColdBound
 from cornelbeam_daemon.attempt_records import expire_attempts, make_ledger
 from cornelbeam_daemon.backend_client import BackendClient
 from cornelbeam_daemon.control_messages import Messenger
