Keep the rate that a target states

Callers noticed nothing before; targets in need got up to twice the rate that they stated.

The gate beside the target spreads starts at the stated rate. What operators tolerate above it goes to calls that found no room elsewhere and to nested calls, and a log of recent starts keeps each window below the bound, also when the rate is lowered or the daemon has restarted.

Token buckets follow the article that budget.py cites.

What is lost is bound by the rates: the targets without one use all of their slots.

--- a/packages/core/src/cornelbeam_core/attempt_order.py
+++ b/packages/core/src/cornelbeam_core/attempt_order.py
@@ -34,10 +34,14 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """The target to try next and the longest wait for a slot there."""
+    """The target to try next and the longest wait for a slot there.
+
+    ``is_last_resort`` says that no other target is known to have room.
+    """
 
     name: str
     max_slot_wait_ms: float
+    is_last_resort: bool
 
 
 @final
@@ -109,7 +113,9 @@
             shortest_wait = self._find_shortest_wait(refused, left)
             if shortest_wait is not None:
                 self._waited_at_s[shortest_wait.name] = left.now_s
-                return Choice(shortest_wait.name, left.deadline_ms)
+                return Choice(
+                    shortest_wait.name, left.deadline_ms, is_last_resort=True
+                )
         if not askable:
             return None
         wait_ms = max_slot_wait_ms(
@@ -119,7 +125,9 @@
             # Wait only briefly at the last target: if it refuses too, the
             # target with the shortest wait is known.
             wait_ms = min(wait_ms, MIN_SLOT_WAIT_MS)
-        return Choice(askable[0].name, wait_ms)
+        return Choice(
+            askable[0].name, wait_ms, is_last_resort=len(askable) == 1
+        )
 
     def _is_worth_asking(self, candidate: Candidate, left: TimeLeft) -> bool:
         error = self._refusals.get(candidate.name)
--- a/packages/core/src/cornelbeam_core/budget.py
+++ b/packages/core/src/cornelbeam_core/budget.py
@@ -46,6 +46,24 @@
         self._refill(now_s)
         self._tokens = min(self._capacity, self._tokens + count)
 
+    def set_rate(
+        self, now_s: float, refill_per_s: float, capacity: float
+    ) -> None:
+        """Change the refill rate and the capacity from ``now_s`` on."""
+        self._refill(now_s)
+        self._refill_per_s = refill_per_s
+        self._capacity = capacity
+        self._tokens = min(self._tokens, capacity)
+
+    def wait_for_s(self, now_s: float, count: float) -> float:
+        """Return the seconds until ``count`` tokens have been refilled.
+
+        Unlike ``wait_s`` it assumes that tokens are taken as they come, so
+        ``count`` may exceed the capacity.
+        """
+        missing = count - self.tokens(now_s)
+        return max(0, missing) / self._refill_per_s
+
     def tokens(self, now_s: float) -> float:
         """Return the number of tokens available at ``now_s``."""
         self._refill(now_s)
--- a/packages/core/src/cornelbeam_core/placement.py
+++ b/packages/core/src/cornelbeam_core/placement.py
@@ -152,7 +152,8 @@
         age_s = now_s - self.load_at_s
         if age_s > REPORT_AGE_LIMIT_S:
             return 0
-        return max(0, self.load.wait_ms - age_s * MS_PER_S)
+        wait_ms = max(self.load.wait_ms, self.load.paced_wait_ms)
+        return max(0, wait_ms - age_s * MS_PER_S)
 
     def slowdown_ms(self, now_s: float, service_ms: float) -> float:
         """Estimate the time that a slow host adds to a request."""
--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -1,9 +1,10 @@
 """Decide which calls to a target run now, which wait and which are refused.
 
 All calls to a target pass through the gate beside it, so the gate knows how
-many are running. It handles four situations: more calls than the target has
+many are running. It handles five situations: more calls than the target has
 slots, lasting overload, a cold target, which has just started and accepts only
-a few calls a second, and a host slowed down for a moment by a noisy neighbour.
+a few calls a second, a target in need, which states how many calls a second it
+accepts, and a host slowed down for a moment by a noisy neighbour.
 """
 
 from collections.abc import Hashable
@@ -11,6 +12,7 @@
 
 from cornelbeam_core.budget import TokenBucket
 from cornelbeam_core.host_speed import HostSpeed
+from cornelbeam_core.rate_limit import RateBound, RateLimit, RateUse
 from cornelbeam_core.tickets import ColdBound, Refusal, Ticket
 
 # Share of the slots that ordinary calls may use; only nested calls use the
@@ -58,6 +60,7 @@
         '_cold_until_s',
         '_waiting',
         'limit',
+        'rate_limit',
         '_wait_estimates',
         '_service_times_s',
         '_wait_factor',
@@ -67,9 +70,12 @@
         'speed',
     )
 
-    def __init__(self, cold_bound: ColdBound) -> None:
+    def __init__(
+        self, cold_bound: ColdBound, rate_bound: RateBound | None = None
+    ) -> None:
         """Start without slots; ``resize`` sets their number."""
         self._cold_bound = cold_bound
+        self.rate_limit = RateLimit(rate_bound or RateBound())
         self.slot_count = 0
         self.limit = 0
         self.running_count = 0
@@ -134,7 +140,12 @@
         return self.usual_service_s(route) * self.speed.baseline_factor
 
     def wait_s(
-        self, now_s: float, incoming_count: int = 0, *, is_nested: bool = False
+        self,
+        now_s: float,
+        incoming_count: int = 0,
+        *,
+        is_nested: bool = False,
+        rate_use: RateUse = RateUse.TOLERATED,
     ) -> float:
         """Estimate how long a call that arrives now waits for a slot."""
         wait_s: float = 0
@@ -147,7 +158,10 @@
         if self.is_cold(now_s) and self._cold_bucket is not None:
             missing = ahead_count + 1 - self._cold_bucket.tokens(now_s)
             wait_s = max(wait_s, missing / self._cold_per_s)
-        return wait_s
+        return max(
+            wait_s,
+            self.rate_limit.wait_s(now_s, ahead_count, rate_use),
+        )
 
     def slowdown_cost_s(self, route: str) -> float:
         """Estimate how much a slow host delays a call that arrives now.
@@ -172,7 +186,7 @@
         """
         refusal = self.refusal_for(ticket, now_s)
         if refusal is None:
-            wait_s = self.wait_s(now_s, is_nested=ticket.is_nested)
+            wait_s = self._ticket_wait_s(ticket, now_s)
             self._waiting[ticket.call] = ticket
             self._wait_estimates[ticket.call] = (now_s, wait_s)
         return refusal
@@ -184,10 +198,10 @@
 
         ``incoming_count`` calls are ahead of it, but not in the queue yet.
         """
-        wait_s = self.wait_s(now_s, incoming_count, is_nested=ticket.is_nested)
+        wait_s = self._ticket_wait_s(ticket, now_s, incoming_count)
         extra_s = wait_s + self.slowdown_cost_s(ticket.route)
         if now_s + extra_s > ticket.give_up_at_s:
-            return Refusal.FULL
+            return self._full_refusal(ticket, now_s, incoming_count)
         start_s = now_s + wait_s
         if start_s + self.service_s(ticket.route) > ticket.deadline_s:
             return Refusal.TOO_LATE
@@ -195,11 +209,31 @@
         if wait_s and not ticket.is_nested and ready_s > ticket.objective_at_s:
             # The queue is as long as its callers can wait. One more call would
             # be late, and would delay those behind it.
-            return Refusal.FULL
+            return self._full_refusal(ticket, now_s, incoming_count)
         queue_length = self.waiting_count + incoming_count
         is_full = queue_length >= QUEUE_PER_SLOT * max(1, self.limit)
         return Refusal.FULL if is_full else None
 
+    def _ticket_wait_s(
+        self, ticket: Ticket, now_s: float, incoming_count: int = 0
+    ) -> float:
+        return self.wait_s(
+            now_s,
+            incoming_count,
+            is_nested=ticket.is_nested,
+            rate_use=ticket.rate_use,
+        )
+
+    def _full_refusal(
+        self, ticket: Ticket, now_s: float, incoming_count: int
+    ) -> Refusal:
+        """Return whether slots or the stated rate make a call wait."""
+        ahead_count = 0
+        if not ticket.is_nested:
+            ahead_count = self.waiting_count + incoming_count
+        is_limited = self.rate_limit.wait_s(now_s, ahead_count, ticket.rate_use)
+        return Refusal.RATE_LIMITED if is_limited else Refusal.FULL
+
     def wait_deadline_s(self, ticket: Ticket, now_s: float) -> float:
         """Return the time at which a queued call stops waiting."""
         # A call that starts later ends after its deadline.
@@ -231,11 +265,14 @@
                 return None
             if self._is_held_back(ticket, now_s):
                 continue
+            if not self.rate_limit.may_start(now_s, ticket.rate_use):
+                continue
             if not self._may_start(now_s):
                 return None
             self._correct_wait_factor(ticket, now_s)
             self.withdraw(ticket.call)
             self.running_count += 1
+            self.rate_limit.note_start(now_s)
             return ticket
         return None
 
@@ -261,12 +298,20 @@
         )
 
     def next_start_delay_s(self, now_s: float) -> float | None:
-        """Return the seconds until the cold rate permits the next start."""
-        if not self._waiting or not self.is_cold(now_s):
-            return None
-        if self._cold_bucket is None:
+        """Return the seconds until a rate limit permits the next start."""
+        if not self._waiting:
             return None
-        return self._cold_bucket.wait_s(now_s) or None
+        delay_s: float = 0
+        if self.is_cold(now_s) and self._cold_bucket is not None:
+            delay_s = self._cold_bucket.wait_s(now_s)
+        if self.rate_limit.is_active:
+            delay_s = max(delay_s, self._rate_delay_s(now_s))
+        return delay_s or None
+
+    def _rate_delay_s(self, now_s: float) -> float:
+        """Return the seconds until the stated rate permits the next start."""
+        uses = {each.rate_use for each in self._waiting.values()}
+        return min(self.rate_limit.wait_s(now_s, 0, use) for use in uses)
 
     def finish(
         self,
--- a/packages/core/src/cornelbeam_core/targets.py
+++ b/packages/core/src/cornelbeam_core/targets.py
@@ -34,7 +34,9 @@
     ``service_time_us`` the smoothed service time of the backend server.
     ``wait_ms`` is the expected wait for a slot of a request that arrives now,
     and ``slowdown_percent`` the current duration of work on the host relative
-    to the usual one, which is 100.
+    to the usual one, which is 100. While a target states a rate that it
+    accepts, ``paced_wait_ms`` is the wait for it, and ``wait_ms`` that of a
+    call for which no other target has room.
     """
 
     in_flight: int
@@ -44,3 +46,4 @@
     is_leaving: bool
     wait_ms: int = 0
     slowdown_percent: int = USUAL_PERCENT
+    paced_wait_ms: int = 0
--- a/packages/core/src/cornelbeam_core/tickets.py
+++ b/packages/core/src/cornelbeam_core/tickets.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Final, final
 
+from cornelbeam_core.rate_limit import RateUse
+
 # Only this share of the limit of a cold target is used; the rest covers calls
 # that arrive closer together than they were sent.
 COLD_BOUND_SHARE: Final = 0.9
@@ -21,6 +23,7 @@
     DRAINING = 'draining'
     EVACUATED = 'evacuated'
     FULL = 'full'
+    RATE_LIMITED = 'rate_limited'
     TOO_LATE = 'too_late'
     REPEATS = 'repeats'
 
@@ -57,6 +60,7 @@
     ``objective_at_s`` and is useless after ``deadline_s``. Service times are
     kept per ``route``. Nested calls go first: each is made by a running
     request, which holds a slot of its own target until the call is answered.
+    ``is_last_resort`` says that the sender has found no room elsewhere.
     """
 
     call: Hashable
@@ -66,3 +70,14 @@
     objective_at_s: float
     deadline_s: float
     route: str
+    is_last_resort: bool = False
+
+    @property
+    def rate_use(self) -> RateUse:
+        """How much of the rate that the target tolerates the call may use.
+
+        If a nested call is refused, the request that made it fails after it has
+        used its slot.
+        """
+        has_priority = self.is_nested or self.is_last_resort
+        return RateUse.TOLERATED if has_priority else RateUse.STATED
--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -18,7 +18,8 @@
     requests, 0 being the most important. ``is_nested`` marks a call that a
     backend server makes while it works on another request, and ``is_repeat``
     a request that was sent to a target before. The attempt waits for a slot
-    for at most ``max_slot_wait_ms``. ``route`` identifies the kind of work,
+    for at most ``max_slot_wait_ms``; ``is_last_resort`` says that no other
+    target of the service has room. ``route`` identifies the kind of work,
     and ``objective_ms`` is its latency objective.
     """
 
@@ -29,6 +30,7 @@
         'deadline_s',
         'headers',
         'hop_count',
+        'is_last_resort',
         'is_nested',
         'is_repeat',
         'is_repeatable',
@@ -64,6 +66,7 @@
         max_slot_wait_ms: int = 0,
         objective_ms: int = 0,
         route: str = '',
+        is_last_resort: bool = False,
     ) -> None:
         """Create a call; see the class for the parameters."""
         self.priority = priority
@@ -72,6 +75,7 @@
         self.max_slot_wait_ms = max_slot_wait_ms
         self.objective_ms = objective_ms
         self.route = route
+        self.is_last_resort = is_last_resort
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service = service
--- a/packages/daemon/src/cornelbeam_daemon/convert.py
+++ b/packages/daemon/src/cornelbeam_daemon/convert.py
@@ -18,6 +18,7 @@
         is_leaving=load.is_leaving,
         wait_ms=load.wait_ms or None,
         slowdown_percent=_omit_usual(load.slowdown_percent),
+        paced_wait_ms=load.paced_wait_ms or None,
     )
 
 
@@ -35,6 +36,7 @@
         load.is_leaving,
         load.wait_ms or 0,
         load.slowdown_percent or USUAL_PERCENT,
+        load.paced_wait_ms or 0,
     )
 
 
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -229,5 +229,6 @@
             objective_ms=call.objective_ms or None,
             route=call.route or None,
             is_body_held=is_body_held or None,
+            is_last_resort=call.is_last_resort or None,
         ),
     )
--- a/packages/daemon/src/cornelbeam_daemon/served_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/served_call.py
@@ -87,6 +87,7 @@
             max_slot_wait_ms=start.patience_ms or 0,
             objective_ms=start.objective_ms or 0,
             route=start.route or '',
+            is_last_resort=bool(start.is_last_resort),
         )
         self.is_cancelled = False
         # Whether a part of the answer has been sent.
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -11,10 +11,11 @@
 from cornelbeam_core.call_origins import CallOrigins
 from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.rate_limit import RateUse
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.target_gate import TargetGate
-from cornelbeam_core.tickets import Refusal, Ticket
 from cornelbeam_core.targets import LoadReport
+from cornelbeam_core.tickets import Refusal, Ticket
 from cornelbeam_daemon.attempt_records import note_run_state, record_attempt
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.logs import get_log
@@ -29,6 +30,7 @@
     Refusal.DRAINING: ErrorCode.TARGET_LEAVING,
     Refusal.EVACUATED: ErrorCode.DOMAIN_OUT_OF_SERVICE,
     Refusal.FULL: ErrorCode.OVERLOADED,
+    Refusal.RATE_LIMITED: ErrorCode.OVERLOADED,
     Refusal.TOO_LATE: ErrorCode.DEADLINE_PASSED,
     Refusal.REPEATS: ErrorCode.RETRY_BUDGET_SPENT,
 }
@@ -110,6 +112,7 @@
             self._current_refusal() is not None,
             int(gate.wait_s(now_s) * MS_PER_S),
             gate.speed.percent,
+            int(gate.wait_s(now_s, rate_use=RateUse.STATED) * MS_PER_S),
         )
 
     def is_open(self) -> bool:
@@ -265,6 +268,7 @@
             objective_at_s=arrived_s + call.objective_ms / MS_PER_S,
             deadline_s=call.deadline_s,
             route=call.route,
+            is_last_resort=call.is_last_resort,
         )
 
     async def _admit(self, call: Call) -> None:
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -6,7 +6,11 @@
 from http import HTTPStatus
 from typing import final
 
-from cornelbeam_core.attempt_order import REFUSAL_AGE_LIMIT_S, time_left
+from cornelbeam_core.attempt_order import (
+    REFUSAL_AGE_LIMIT_S,
+    Choice,
+    time_left,
+)
 from cornelbeam_core.deadlines import MS_PER_S, remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.placement import (
@@ -120,15 +124,13 @@
     async def _try_targets(self, forwarded: ForwardedRequest) -> Answer:
         last_error: CornelbeamError | None = None
         while True:
-            choice = self._choose_target(forwarded)
-            if choice is None:
+            chosen = self._choose_target(forwarded)
+            if chosen is None:
                 break
-            record, max_slot_wait_ms = choice
+            record, choice = chosen
             attempt_started_s = self._loop.time()
             try:
-                answer = await self._attempt(
-                    forwarded, record, max_slot_wait_ms
-                )
+                answer = await self._attempt(forwarded, record, choice)
             except CornelbeamError as error:
                 last_error = error
                 if error.run_state is RunState.NOT_RUN:
@@ -196,8 +198,8 @@
     def _choose_target(
         self,
         forwarded: ForwardedRequest,
-    ) -> tuple[TargetRecord, float] | None:
-        """Choose the next target and the milliseconds to wait for a slot."""
+    ) -> tuple[TargetRecord, Choice] | None:
+        """Choose the next target and how long to wait for a slot there."""
         now_s = self._loop.time()
         records = [
             record
@@ -228,7 +230,7 @@
         if choice is None:
             return None
         record = self._state.members.record(choice.name)
-        return None if record is None else (record, choice.max_slot_wait_ms)
+        return None if record is None else (record, choice)
 
     def _record_local_load(
         self,
@@ -246,7 +248,7 @@
         self,
         forwarded: ForwardedRequest,
         record: TargetRecord,
-        max_slot_wait_ms: float,
+        choice: Choice,
     ) -> Answer:
         member = self._state.members.get(record.name)
         if member is None:
@@ -260,7 +262,7 @@
 
         async def attempt() -> Answer:  # noqa: WPS430
             answer = await self._attempt_at(
-                forwarded, record, member, max_slot_wait_ms, on_silent
+                forwarded, record, member, choice, on_silent
             )
             if others.is_started:
                 self._check_success(forwarded, answer)
@@ -329,12 +331,12 @@
         forwarded: ForwardedRequest,
         record: TargetRecord,
         member: MemberEntry,
-        max_slot_wait_ms: float,
+        choice: Choice,
         on_silent: Callable[[], None],
     ) -> Answer:
         try:
             answer = await self._client.attempt(
-                forwarded, member, max_slot_wait_ms, on_silent
+                forwarded, member, choice, on_silent
             )
         except CornelbeamError as error:
             self._record_error(forwarded, record, member, error)
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -125,7 +125,7 @@
         )
         host, port = split_address(settings.backend_server.address)
         self._backend = BackendClient(host, port, MAX_BACKEND_CONNECTIONS)
-        observer = TargetObserver(adapter, self._gate.speed)
+        observer = TargetObserver(adapter, self._gate)
         ledger = make_ledger(self._incarnation)
         self.admission = AdmissionController(
             name,
--- a/packages/mesh/src/cornelbeam_mesh/target_client.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Final, final
 
+from cornelbeam_core.attempt_order import Choice
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.logs import get_log
@@ -43,16 +44,16 @@
         self,
         forwarded: ForwardedRequest,
         member: MemberEntry,
-        max_slot_wait_ms: float,
+        choice: Choice,
         notify_silent: Callable[[], None],
     ) -> Answer:
         """Send a request to the target of a daemon and return its answer.
 
-        It waits for a slot for at most ``max_slot_wait_ms``. If the daemon
+        It waits for a slot as long as ``choice`` says. If the daemon
         goes silent, ``notify_silent`` is called and the attempt goes on. Raise
         ``CornelbeamError`` with the run state of this attempt.
         """
-        call = self._new_call(forwarded, member, max_slot_wait_ms)
+        call = self._new_call(forwarded, member, choice)
         if member.name == self._name:
             return await self._admission.serve(call)
         if call.is_repeatable:
@@ -140,7 +141,7 @@
         self,
         forwarded: ForwardedRequest,
         member: MemberEntry,
-        max_slot_wait_ms: float,
+        choice: Choice,
     ) -> Call:
         return Call(
             attempt_id=self._rng.randbytes(_ATTEMPT_ID_BYTES),
@@ -158,7 +159,8 @@
             priority=forwarded.route.priority,
             is_nested=forwarded.is_nested,
             is_repeat=bool(forwarded.reached_targets),
-            max_slot_wait_ms=int(max_slot_wait_ms),
+            max_slot_wait_ms=int(choice.max_slot_wait_ms),
+            is_last_resort=choice.is_last_resort,
             objective_ms=forwarded.objective_remaining_ms(self._loop.time()),
             route=forwarded.route.name,
         )
--- a/packages/mesh/src/cornelbeam_mesh/target_observer.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_observer.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import final
 
-from cornelbeam_core.host_speed import HostSpeed
+from cornelbeam_core.target_gate import TargetGate
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.logs import get_log
 
@@ -16,12 +16,12 @@
 class TargetObserver:
     """Reads the header fields of answers, of health checks too."""
 
-    __slots__ = ('_adapter', '_loop', '_speed', 'is_leaving', 'limit_per_s')
+    __slots__ = ('_adapter', '_gate', '_loop', 'is_leaving', 'limit_per_s')
 
-    def __init__(self, adapter: PlatformAdapter, speed: HostSpeed) -> None:
-        """Record reported loads in ``speed``."""
+    def __init__(self, adapter: PlatformAdapter, gate: TargetGate) -> None:
+        """Pass loads and rate limits on to ``gate``."""
         self._adapter = adapter
-        self._speed = speed
+        self._gate = gate
         self._loop = asyncio.get_running_loop()
         # Stated by the last answer; ``None`` without a limit.
         self.limit_per_s: float | None = None
@@ -35,7 +35,7 @@
         if stated_load is not None:
             load = self._adapter.read_load(stated_load)
         if load is not None:
-            self._speed.note(load.slowdown_percent, self._loop.time())
+            self._gate.speed.note(load.slowdown_percent, self._loop.time())
         self._note_limit(fields.find(headers, names.rate_limit), source)
         stated_leaving = fields.find(headers, names.leaving)
         if stated_leaving is not None:
@@ -45,11 +45,15 @@
         limit_per_s = None
         if stated is not None:
             limit_per_s = self._adapter.read_rate_limit(stated)
+        self._gate.rate_limit.note_stated(limit_per_s, self._loop.time())
         if limit_per_s == self.limit_per_s:
             return
         self.limit_per_s = limit_per_s
+        if limit_per_s is None:
+            _log.info('target states no rate limit any more', source=source)
+            return
         _log.info(
-            'target states another rate limit',
+            'target states a rate limit',
             limit_per_s=limit_per_s,
             source=source,
         )
--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -16,6 +16,8 @@
         """Answer all requests successfully until ``script`` is replaced."""
         self.instance = instance
         self.requests: list[Received] = []
+        # Times of the event loop, one for each request.
+        self.received_at_s: list[float] = []
         self.port = 0
         self.script = self.answer
         self.health_script = self.answer_health
@@ -112,6 +114,7 @@
             await self.health_script(writer, b'')
             return
         self.requests.append((line, fields, body))
+        self.received_at_s.append(asyncio.get_running_loop().time())
         await self.script(writer, fields.get(b'x-attempt', b''))
 
 
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -26,6 +26,7 @@
      - is_leaving
      - wait_ms
      - slowdown_percent
+     - paced_wait_ms
 
     """
 
@@ -37,10 +38,11 @@
         'is_leaving',
         'wait_ms',
         'slowdown_percent',
+        'paced_wait_ms',
     )
 
 
-    def __init__(self, in_flight=None, limit=None, queue_length=None, service_time_us=None, is_leaving=None, wait_ms=None, slowdown_percent=None,):
+    def __init__(self, in_flight=None, limit=None, queue_length=None, service_time_us=None, is_leaving=None, wait_ms=None, slowdown_percent=None, paced_wait_ms=None,):
         self.in_flight = in_flight
         self.limit = limit
         self.queue_length = queue_length
@@ -48,6 +50,7 @@
         self.is_leaving = is_leaving
         self.wait_ms = wait_ms
         self.slowdown_percent = slowdown_percent
+        self.paced_wait_ms = paced_wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -93,6 +96,11 @@
                     self.slowdown_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.paced_wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -131,6 +139,10 @@
             oprot.writeFieldBegin('slowdown_percent', TType.I32, 7)
             oprot.writeI32(self.slowdown_percent)
             oprot.writeFieldEnd()
+        if self.paced_wait_ms is not None:
+            oprot.writeFieldBegin('paced_wait_ms', TType.I32, 8)
+            oprot.writeI32(self.paced_wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -369,6 +381,7 @@
      - objective_ms
      - route
      - is_body_held
+     - is_last_resort
 
     """
 
@@ -393,10 +406,11 @@
         'objective_ms',
         'route',
         'is_body_held',
+        'is_last_resort',
     )
 
 
-    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None, priority=None, is_nested=None, is_repeat=None, patience_ms=None, objective_ms=None, route=None, is_body_held=None,):
+    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None, priority=None, is_nested=None, is_repeat=None, patience_ms=None, objective_ms=None, route=None, is_body_held=None, is_last_resort=None,):
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service_name = service_name
@@ -417,6 +431,7 @@
         self.objective_ms = objective_ms
         self.route = route
         self.is_body_held = is_body_held
+        self.is_last_resort = is_last_resort
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -532,6 +547,11 @@
                     self.is_body_held = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.BOOL:
+                    self.is_last_resort = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -625,6 +645,10 @@
             oprot.writeFieldBegin('is_body_held', TType.BOOL, 20)
             oprot.writeBool(self.is_body_held)
             oprot.writeFieldEnd()
+        if self.is_last_resort is not None:
+            oprot.writeFieldBegin('is_last_resort', TType.BOOL, 21)
+            oprot.writeBool(self.is_last_resort)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2931,6 +2955,7 @@
     (5, TType.BOOL, 'is_leaving', None, None, ),  # 5
     (6, TType.I32, 'wait_ms', None, None, ),  # 6
     (7, TType.I32, 'slowdown_percent', None, None, ),  # 7
+    (8, TType.I32, 'paced_wait_ms', None, None, ),  # 8
 )
 all_structs.append(Hello)
 Hello.thrift_spec = (
@@ -2968,6 +2993,7 @@
     (18, TType.I32, 'objective_ms', None, None, ),  # 18
     (19, TType.STRING, 'route', 'UTF8', None, ),  # 19
     (20, TType.BOOL, 'is_body_held', None, None, ),  # 20
+    (21, TType.BOOL, 'is_last_resort', None, None, ),  # 21
 )
 all_structs.append(BodyPart)
 BodyPart.thrift_spec = (
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -8,6 +8,8 @@
   5: required bool is_leaving
   6: optional i32 wait_ms
   7: optional i32 slowdown_percent
+  // Wait that the stated rate asks for, if another target has room.
+  8: optional i32 paced_wait_ms
 }
 
 struct Hello {
@@ -46,6 +48,8 @@
   19: optional string route
   // The body follows after a `Credit`; until then the stream has none.
   20: optional bool is_body_held
+  // No other target of the service has room.
+  21: optional bool is_last_resort
 }
 
 struct BodyPart {
