Send nothing to a target that states its departure

Callers at daemons that a target had told of its departure were still sent to it, until a heartbeat arrived, and again if the daemon beside it restarted. Cause: the departure in an answer was passed on to the caller and not read.

The gate closes on the first answer that states it, of requests or probes; a later heartbeat of the same run does not open it. A daemon that passes such an answer on remembers the run of the target itself, so that neither an old entry of a peer nor a restart of the daemon beside the target makes it send there. Answers with 421 are not read: they come from another target.

Ruled out: waiting for the drain timeout, as other targets have room and the callers gain nothing from one that leaves; and publishing the news only, as the entry of a restarted daemon replaces it.

--- a/packages/mesh/src/cornelbeam_mesh/members.py
+++ b/packages/mesh/src/cornelbeam_mesh/members.py
@@ -89,13 +89,15 @@
 class Members:
     """Known daemons, with the records this one keeps of their targets."""
 
-    __slots__ = ('_entries', '_records', 'own_name')
+    __slots__ = ('_departures', '_entries', '_records', 'own_name')
 
     def __init__(self, own_name: str) -> None:
         """Start without any known daemons."""
         self.own_name = own_name
         self._entries: dict[str, MemberEntry] = {}
         self._records: dict[str, TargetRecord] = {}
+        # By daemon, the run of its target that this daemon has seen leaving.
+        self._departures: dict[str, tuple[str, int]] = {}
 
     def entries(self) -> Iterable[MemberEntry]:
         """Return all known daemons including this one."""
@@ -138,6 +140,20 @@
         self._entries.pop(name, None)
         self._records.pop(name, None)
 
+    def note_departure(self, entry: MemberEntry) -> None:
+        """Send nothing more to a target whose answer said that it is leaving.
+
+        This holds for the run of the target, even if its daemon restarts and
+        no longer knows.
+        """
+        if entry.target is not None:
+            self._departures[entry.name] = _target_run(entry.target)
+
+    def _has_departed(self, entry: MemberEntry) -> bool:
+        if entry.target is None:
+            return False
+        return self._departures.get(entry.name) == _target_run(entry.target)
+
     def record(self, name: str) -> TargetRecord | None:
         """Return the record of a daemon's target."""
         return self._records.get(name)
@@ -154,6 +170,7 @@
             if entry.is_serving
             and entry.serves(service)
             and entry.domain not in evacuated_domains
+            and not self._has_departed(entry)
         ]
 
     def count_service(self, service: str) -> int:
@@ -178,4 +195,8 @@
     target = entry.target
     if target is None:
         return entry.incarnation, '', 0
-    return entry.incarnation, target.instance, target.started_ms
+    return entry.incarnation, *_target_run(target)
+
+
+def _target_run(target: TargetEntry) -> tuple[str, int]:
+    return target.instance, target.started_ms
--- a/packages/mesh/src/cornelbeam_mesh/registration.py
+++ b/packages/mesh/src/cornelbeam_mesh/registration.py
@@ -139,23 +139,27 @@
             self.on_change()
 
     def handle_deregistration(self, deregistration: Deregistration) -> None:
-        """Drain the target and ignore later heartbeats of this run.
+        """Drain the target and ignore later heartbeats of this run."""
+        _log.info('target deregistered', instance=deregistration.instance)
+        self.note_departure(deregistration.instance)
 
-        The entry is kept, so that the daemon still knows of the deregistration
+    def note_departure(self, instance: str) -> None:
+        """Drain a target that is leaving, and ignore later heartbeats of it.
+
+        The entry is kept, so that the daemon still knows of the departure
         after a restart.
         """
         current = self.entry
         if current is None:
             # The entry of an earlier run of this daemon may follow.
-            self._departed_instance = deregistration.instance
-            _log.info(
-                'unknown target deregistered', instance=deregistration.instance
-            )
+            self._departed_instance = instance
+            _log.info('departure of an unknown target', instance=instance)
             return
-        if current.instance != deregistration.instance:
+        departed = _departed(current)
+        if current.instance != instance or current == departed:
             return
-        self.entry = _departed(current)
-        _log.info('target deregistered', instance=current.instance)
+        self.entry = departed
+        _log.info('target is leaving', instance=instance)
         self.on_change()
 
     def restore(self, entry: TargetEntry | None) -> None:
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -125,7 +125,9 @@
         )
         host, port = split_address(settings.backend_server.address)
         self._backend = BackendClient(host, port, MAX_BACKEND_CONNECTIONS)
-        observer = TargetObserver(adapter, self._gate)
+        observer = TargetObserver(
+            adapter, self._gate, self.registration.note_departure
+        )
         ledger = make_ledger(self._incarnation)
         self.admission = AdmissionController(
             name,
@@ -199,6 +201,8 @@
             ),
             TargetClient(
                 name,
+                adapter,
+                self.state.members,
                 self.admission,
                 PeerClient(self._pool),
                 self._rng,
--- a/packages/mesh/src/cornelbeam_mesh/target_client.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_client.py
@@ -14,7 +14,9 @@
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.forwarded_request import ForwardedRequest
-from cornelbeam_mesh.members import MemberEntry, make_peer_target
+from cornelbeam_mesh.members import MemberEntry, Members, make_peer_target
+from cornelbeam_mesh.platform_adapter import PlatformAdapter
+from cornelbeam_mesh.target_observer import states_departure
 
 _log = get_log('caller')
 _ATTEMPT_ID_BYTES: Final = 16
@@ -24,17 +26,32 @@
 class TargetClient:
     """Sends requests to the daemon of a target, which admits them."""
 
-    __slots__ = ('_admission', '_loop', '_name', '_peer_client', '_rng')
+    __slots__ = (
+        '_adapter',
+        '_admission',
+        '_loop',
+        '_members',
+        '_name',
+        '_peer_client',
+        '_rng',
+    )
 
     def __init__(
         self,
         name: str,
+        adapter: PlatformAdapter,
+        members: Members,
         admission: AdmissionController,
         client: PeerClient,
         rng: random.Random,
     ) -> None:
-        """Use ``admission`` for the target of the daemon ``name`` itself."""
+        """Use ``admission`` for the target of the daemon ``name`` itself.
+
+        ``members`` is told of targets whose answers say that they are leaving.
+        """
         self._name = name
+        self._adapter = adapter
+        self._members = members
         self._admission = admission
         self._peer_client = client
         self._rng = rng
@@ -54,6 +71,17 @@
         ``CornelbeamError`` with the run state of this attempt.
         """
         call = self._new_call(forwarded, member, choice)
+        answer = await self._serve(member, call, notify_silent)
+        if states_departure(self._adapter, answer.headers):
+            self._members.note_departure(member)
+        return answer
+
+    async def _serve(
+        self,
+        member: MemberEntry,
+        call: Call,
+        notify_silent: Callable[[], None],
+    ) -> Answer:
         if member.name == self._name:
             return await self._admission.serve(call)
         if call.is_repeatable:
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -84,6 +84,7 @@
         except BaseException:
             self._abort(call, connection)
             raise
+        self._observe(call, target, head)
         return self._read_answer(call, connection, head, content)
 
     async def _connect(self, call: Call) -> BackendConnection:
@@ -145,6 +146,15 @@
             ),
         )
 
+    def _observe(
+        self, call: Call, target: TargetEntry, head: BackendAnswer
+    ) -> None:
+        """Record what the target states about itself."""
+        if head.status == _MISDIRECTED_REQUEST:
+            # Another target has the address now.
+            return
+        self._observer.note_answer(head.headers, target.instance, 'request')
+
     def _read_answer(
         self,
         call: Call,
@@ -152,7 +162,6 @@
         head: BackendAnswer,
         content: bytes,
     ) -> Answer:
-        self._observer.note_answer(head.headers, 'request')
         is_refusal = fields.find(head.headers, self._adapter.headers.not_run)
         if is_refusal or head.status == _MISDIRECTED_REQUEST:
             self._client.release(connection)
--- a/packages/mesh/src/cornelbeam_mesh/target_observer.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_observer.py
@@ -1,6 +1,7 @@
 """What the target on this instance states about itself in its answers."""
 
 import asyncio
+from collections.abc import Callable
 from typing import final
 
 from cornelbeam_core.target_gate import TargetGate
@@ -16,19 +17,38 @@
 class TargetObserver:
     """Reads the header fields of answers, of health checks too."""
 
-    __slots__ = ('_adapter', '_gate', '_loop', 'is_leaving', 'limit_per_s')
+    __slots__ = (
+        '_adapter',
+        '_gate',
+        '_loop',
+        '_on_departure',
+        'limit_per_s',
+    )
 
-    def __init__(self, adapter: PlatformAdapter, gate: TargetGate) -> None:
-        """Pass loads and rate limits on to ``gate``."""
+    def __init__(
+        self,
+        adapter: PlatformAdapter,
+        gate: TargetGate,
+        on_departure: Callable[[str], None],
+    ) -> None:
+        """Pass loads and rate limits on to ``gate``.
+
+        ``on_departure`` is called with the name of a target that is leaving.
+        """
         self._adapter = adapter
         self._gate = gate
+        self._on_departure = on_departure
         self._loop = asyncio.get_running_loop()
         # Stated by the last answer; ``None`` without a limit.
         self.limit_per_s: float | None = None
-        self.is_leaving = False
 
-    def note_answer(self, headers: list[bytes], source: str) -> None:
-        """Record what an answer states; ``source`` says to what."""
+    def note_answer(
+        self, headers: list[bytes], instance: str, source: str
+    ) -> None:
+        """Record what an answer of ``instance`` states.
+
+        ``source`` says what was answered, a request or a probe.
+        """
         names = self._adapter.headers
         stated_load = fields.find(headers, names.load)
         load = None
@@ -37,9 +57,8 @@
         if load is not None:
             self._gate.speed.note(load.slowdown_percent, self._loop.time())
         self._note_limit(fields.find(headers, names.rate_limit), source)
-        stated_leaving = fields.find(headers, names.leaving)
-        if stated_leaving is not None:
-            self._note_leaving(stated_leaving, source)
+        if states_departure(self._adapter, headers):
+            self._on_departure(instance)
 
     def _note_limit(self, stated: bytes | None, source: str) -> None:
         limit_per_s = None
@@ -58,8 +77,8 @@
             source=source,
         )
 
-    def _note_leaving(self, stated: bytes, source: str) -> None:
-        if self.is_leaving or not self._adapter.read_leaving(stated):
-            return
-        self.is_leaving = True
-        _log.info('target states that it is leaving', source=source)
+
+def states_departure(adapter: PlatformAdapter, headers: list[bytes]) -> bool:
+    """Return whether an answer says that its target is leaving."""
+    stated = fields.find(headers, adapter.headers.leaving)
+    return stated is not None and adapter.read_leaving(stated)
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -178,7 +178,7 @@
             return
         load = fields.find(headers, self._adapter.headers.load)
         self._has_speed_report = load is not None
-        self._observer.note_answer(headers, 'probe')
+        self._observer.note_answer(headers, target.instance, 'probe')
         self._update_cold_time(headers, service)
         if not self._admission.is_reachable:
             self._admission.is_reachable = True
