Let only health answers end the cold time of a target

Callers of a target that had just turned cold could meet its crash: a heartbeat sent before, without a cold time, arrived after the health answer that stated one, and ended the limit. A heartbeat may still start the cold time, as a target that has just started sends one before it is probed.

Ruled out: comparing the ages of heartbeats and health answers, as heartbeats carry no time.

Test: test_late_heartbeat_does_not_end_the_cold_time failed before.

--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -321,6 +321,10 @@
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._gate.resize(heartbeat.slot_count)
+        if heartbeat.cold_remaining_ms <= 0:
+            # A late heartbeat may be older than the last health answer, so
+            # only health answers end the cold time.
+            return
         service = self._local_service()
         self._gate.set_cold(
             asyncio.get_running_loop().time(),
--- a/packages/mesh/tests/test_rate_limits.py
+++ b/packages/mesh/tests/test_rate_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 from fake_target import TARGET_HOST
+from mesh_harness import wait_until
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
@@ -118,3 +119,31 @@
         refused = [each for each in answered if each[0] != OK]
         assert len(refused) >= REQUEST_COUNT - BOUND
         assert all(b'retry-after' in fields for _, fields, _ in refused)
+
+
+class TestColdTarget:
+    """Guards against full load on a target that has just turned cold."""
+
+    async def test_late_heartbeat_does_not_end_the_cold_time(self, harness):
+        """It was sent before the health answer that it arrives after."""
+        node = await harness.add_node()
+        gate = node.sidecar._gate
+        loop = asyncio.get_running_loop()
+        node.target.health_script = answer_cold(node.target)
+        await wait_until(lambda: gate.is_cold(loop.time()))
+        node.send_heartbeat()
+        assert gate.is_cold(loop.time())
+
+
+def answer_cold(target):
+    """Return a health script of a target that is cold for three seconds."""
+
+    async def answer_health(writer, attempt) -> None:
+        writer.write(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-load: 100\r\n'
+            b'x-cold: 3000\r\nx-instance: '
+            + target.instance.encode()
+            + b'\r\n\r\n'
+        )
+
+    return answer_health
