--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -75,12 +75,34 @@
 
     def merge(self, objects: Iterable[SharedObject], source: str) -> None:
         """Merge newer versions of objects; ``source`` is the sender's name."""
-        self._apply(self._objects.merge_all(objects), source)
+        received = tuple(objects)
+        self._log_older(received, source)
+        self._apply(self._objects.merge_all(received), source)
 
     def merge_listing(self, listing: Listing, source: str) -> None:
         """Merge a complete listing of one kind."""
+        self._log_older(listing.objects, source)
         self._apply(self._objects.merge_listing(listing), source)
 
+    def _log_older(self, received: Iterable[SharedObject], source: str) -> None:
+        """Log what operators wrote if a newer version of it is held.
+
+        Entries of members are written often, and old ones are common.
+        """
+        for each in received:
+            held = self._objects.get(each.kind, each.name)
+            if held is None or each.kind is SharedKind.MEMBER:
+                continue
+            if each.version < held.version:
+                _log.info(
+                    'older object ignored',
+                    kind=each.kind.value,
+                    name=each.name,
+                    revision=each.version,
+                    held_revision=held.version,
+                    source=source,
+                )
+
     def _apply(self, changed: list[SharedObject], source: str) -> None:
         for change in changed:
             _appliers[change.kind](self, change, source)
