Order what a restored store holds by its era

Version 13 came with revision 32 of era 2 and was ignored, as version 11 was held with revision 32 of era 1. The class is an order taken from a counter that its owner may set back.

Objects have positions, with the era first. A copy may hold an older configuration than the one in force, so across eras the number that operators give it decides; written again, it keeps the route table. An evacuation that a restored store lacks stays for two seconds, in which operators write it again. A watch goes on only in the era that its position belongs to. The daemon writes its own entry again if the first poll lacks it. A pull from a peer includes objects of other eras, as one position says nothing about them.

--- a/packages/core/src/cornelbeam_core/shared_objects.py
+++ b/packages/core/src/cornelbeam_core/shared_objects.py
@@ -1,9 +1,18 @@
-"""Objects replicated to all daemons; the newest version of each wins."""
+"""Objects replicated to all daemons; the newest version of each wins.
+
+A store that is restored from a copy gives revisions out again, so a revision
+orders the changes of one era of the store only. Positions put the era first.
+Across eras an object that its author numbers is ordered by that number: the
+copy may be older than what was already in force.
+"""
 
 import enum
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from typing import final
+from typing import Final, final
+
+# Low bits of a position: revisions of one era. The bits above hold the era.
+_REVISION_BITS: Final = 40
 
 
 @final
@@ -20,9 +29,10 @@
 class SharedObject:
     """One version of an object; ``content`` is empty if it is deleted.
 
-    ``version`` orders the versions of one object. It is the store revision for
-    objects that operators write, and derived from incarnation and sequence
-    for members.
+    ``version`` orders the versions of one object. It is the position in the
+    store for objects that operators write, and derived from incarnation and
+    sequence for members. ``authored_version`` is the number that operators give
+    a configuration, and zero for other kinds.
     """
 
     kind: SharedKind
@@ -30,6 +40,40 @@
     version: int
     is_deleted: bool
     content: bytes
+    authored_version: int = 0
+
+    def supersedes(self, held: 'SharedObject') -> bool:
+        """Return whether this version replaces the one that is held."""
+        has_other_era = self.is_positioned and (
+            era_of(self.version) != era_of(held.version)
+        )
+        if has_other_era and self.authored_version != held.authored_version:
+            return self.authored_version > held.authored_version
+        return self.version > held.version
+
+    @property
+    def is_positioned(self) -> bool:
+        """Whether ``version`` is a position in the store."""
+        return self.kind is not SharedKind.MEMBER
+
+
+def store_position(era: int, revision: int) -> int:
+    """Return the position of a revision of one era of the store.
+
+    >>> store_position(2, 3) > store_position(1, 40)
+    True
+    """
+    return (era << _REVISION_BITS) + revision
+
+
+def era_of(position: int) -> int:
+    """Return the era of a position."""
+    return position >> _REVISION_BITS
+
+
+def revision_of(position: int) -> int:
+    """Return the revision of a position within its era."""
+    return position & ((1 << _REVISION_BITS) - 1)
 
 
 def make_tombstone(kind: SharedKind, name: str, version: int) -> SharedObject:
@@ -40,9 +84,9 @@
 @final
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind at one revision of the store.
+    """All objects of a kind at one position of the store.
 
-    ``newest_revision`` is the revision of the latest change to any of them.
+    ``newest_revision`` is the position of the latest change to any of them.
     """
 
     kind: SharedKind
@@ -55,8 +99,8 @@
 class SharedObjects:
     """The newest known version of each object, including deleted ones.
 
-    Versions only increase, in whatever order updates arrive, so that no daemon
-    ever reverts to an older configuration.
+    A version is replaced only by one that supersedes it, in whatever order
+    updates arrive, so that no daemon ever reverts to an older configuration.
 
     >>> held = SharedObjects()
     >>> held.merge(SharedObject(SharedKind.EVACUATION, 'a', 5, False, b''))
@@ -92,7 +136,7 @@
         """Store a version if it is newer; return whether it was."""
         key = (update.kind, update.name)
         current = self._objects.get(key)
-        if current is not None and current.version >= update.version:
+        if current is not None and not update.supersedes(current):
             return False
         self._objects[key] = update
         return True
@@ -101,16 +145,28 @@
         """Store several versions; return those that were newer."""
         return [each for each in updates if self.merge(each)]
 
-    def merge_listing(self, listing: Listing) -> list[SharedObject]:
-        """Merge a listing; mark objects that it lacks as deleted.
+    def merge_listing(
+        self, listing: Listing, *, is_settled: bool = True
+    ) -> list[SharedObject]:
+        """Merge a listing; mark evacuations that it lacks as deleted.
 
-        Return all objects that changed.
+        A store that is not settled has just been restored and may lack what
+        operators are about to write again, so what is older stays. Return all
+        objects that changed.
         """
         changed = self.merge_all(listing.objects)
+        if listing.kind is not SharedKind.EVACUATION:
+            # A configuration is replaced but never deleted, and members that
+            # are gone are noticed by their peers.
+            return changed
         listed = {each.name for each in listing.objects}
         for current in tuple(self.of_kind(listing.kind)):
+            is_known = is_settled or (
+                era_of(current.version) == era_of(listing.revision)
+            )
             if (
-                current.name not in listed
+                is_known
+                and current.name not in listed
                 and current.version <= listing.revision
             ):
                 tombstone = make_tombstone(
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -11,6 +11,8 @@
     SharedKind,
     SharedObject,
     SharedObjects,
+    era_of,
+    revision_of,
 )
 from cornelbeam_daemon.logs import get_log
 
@@ -20,6 +22,13 @@
 _configuration_decoder: Final = msgspec.json.Decoder(RoutingConfiguration)
 
 
+class _AuthoredVersion(msgspec.Struct):
+    version: int
+
+
+_version_decoder: Final = msgspec.json.Decoder(_AuthoredVersion)
+
+
 @final
 class FleetState:
     """Shared objects and the routes, domains and members derived from them.
@@ -28,6 +37,7 @@
     """
 
     __slots__ = (
+        '_configuration',
         '_objects',
         'evacuated_domains',
         'is_configured',
@@ -39,6 +49,7 @@
     def __init__(self, own_name: str) -> None:
         """Start without any objects for the daemon ``own_name``."""
         self._objects = SharedObjects()
+        self._configuration: RoutingConfiguration | None = None
         self.members = Members(own_name)
         self.route_table: RouteTable | None = None
         self.evacuated_domains: frozenset[str] = frozenset()
@@ -47,7 +58,7 @@
 
     @property
     def store_revision(self) -> int:
-        """Return the highest revision of the objects written by operators."""
+        """Return the newest position of the objects written by operators."""
         return max(
             (
                 shared_object.version
@@ -58,15 +69,17 @@
         )
 
     def changes_since(self, revision: int) -> list[SharedObject]:
-        """Return the objects that a peer at this store revision may lack.
+        """Return the objects that a peer at this store position may lack.
 
-        Member entries have versions of their own, so all are included.
+        Member entries have versions of their own, so all are included. So are
+        objects of other eras, of which the position says nothing.
         """
         return [
             shared_object
             for shared_object in self._objects.versions()
-            if shared_object.kind is SharedKind.MEMBER
+            if not shared_object.is_positioned
             or shared_object.version > revision
+            or era_of(shared_object.version) != era_of(revision)
         ]
 
     def get(self, kind: SharedKind, name: str) -> SharedObject | None:
@@ -79,10 +92,17 @@
         self._log_older(received, source)
         self._apply(self._objects.merge_all(received), source)
 
-    def merge_listing(self, listing: Listing, source: str) -> None:
-        """Merge a complete listing of one kind."""
+    def merge_listing(
+        self, listing: Listing, source: str, *, is_settled: bool = True
+    ) -> None:
+        """Merge a complete listing of one kind.
+
+        ``is_settled`` is false for a moment after the store was restored.
+        """
         self._log_older(listing.objects, source)
-        self._apply(self._objects.merge_listing(listing), source)
+        self._apply(
+            self._objects.merge_listing(listing, is_settled=is_settled), source
+        )
 
     def _log_older(self, received: Iterable[SharedObject], source: str) -> None:
         """Log what operators wrote if a newer version of it is held.
@@ -91,15 +111,16 @@
         """
         for each in received:
             held = self._objects.get(each.kind, each.name)
-            if held is None or each.kind is SharedKind.MEMBER:
+            if held is None or not each.is_positioned:
                 continue
-            if each.version < held.version:
+            if held.supersedes(each):
                 _log.info(
                     'older object ignored',
                     kind=each.kind.value,
                     name=each.name,
-                    revision=each.version,
-                    held_revision=held.version,
+                    version=each.authored_version,
+                    held_version=held.authored_version,
+                    **_position_fields(each),
                     source=source,
                 )
 
@@ -121,12 +142,16 @@
         except (msgspec.ValidationError, msgspec.DecodeError) as error:
             _log.error('invalid configuration ignored', why=str(error))
             return
+        if configuration == self._configuration:
+            # Operators wrote it again after the store was restored.
+            return
+        self._configuration = configuration
         self.route_table = RouteTable(configuration)
         self.is_configured.set()
         _log.info(
             'configuration in force',
             version=configuration.version,
-            revision=shared_object.version,
+            **_position_fields(shared_object),
             routes=len(configuration.routes),
             source=source,
         )
@@ -142,7 +167,7 @@
             if shared_object.is_deleted
             else 'failure domain out of service',
             domain=shared_object.name,
-            revision=shared_object.version,
+            **_position_fields(shared_object),
             source=source,
         )
 
@@ -172,5 +197,27 @@
 }
 
 
+def read_authored_version(kind: SharedKind, content: bytes) -> int:
+    """Return the number that operators gave a configuration.
+
+    Zero for other kinds, for deleted objects and for invalid content.
+    """
+    if kind is not SharedKind.CONFIGURATION or not content:
+        return 0
+    try:
+        return _version_decoder.decode(content).version
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        _log.warning('configuration without a version', why=str(error))
+        return 0
+
+
+def _position_fields(shared_object: SharedObject) -> dict[str, int]:
+    """Return the fields that identify a position in log lines."""
+    return {
+        'era': era_of(shared_object.version),
+        'revision': revision_of(shared_object.version),
+    }
+
+
 def _ignore(kinds: set[SharedKind]) -> None:
     """Do nothing."""
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -16,7 +16,7 @@
 from cornelbeam_wire import Stream
 from cornelbeam_wire.gen import messages
 
-from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_mesh.fleet_state import FleetState, read_authored_version
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.store_sync import StoreSync
 
@@ -183,6 +183,7 @@
                     shared_object.version,
                     shared_object.is_deleted,
                     shared_object.spec,
+                    read_authored_version(kind, shared_object.spec),
                 ),
             )
         self._state.merge(objects, sender)
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -13,7 +13,12 @@
 
 import anyio
 from cornelbeam_core.errors import CornelbeamError
-from cornelbeam_core.shared_objects import Listing, SharedKind, SharedObject
+from cornelbeam_core.shared_objects import (
+    Listing,
+    SharedKind,
+    SharedObject,
+    era_of,
+)
 from cornelbeam_daemon.logs import get_log
 
 from cornelbeam_mesh.fleet_state import FleetState
@@ -30,6 +35,8 @@
 # Poll period while the store is unreachable. Changes must take effect a few
 # seconds after it is back.
 UNREACHABLE_POLL_PERIOD_S: Final = 0.8
+# Operators write what a restored store has lost again within this time.
+RESTORE_SETTLE_S: Final = 2.0
 _WATCHED: Final = (SharedKind.CONFIGURATION, SharedKind.EVACUATION)
 
 
@@ -38,8 +45,13 @@
     """Follows the store and writes this daemon's entry to it."""
 
     __slots__ = (
-        '_reported_revision',
+        '_era',
         '_listed_at_revision',
+        '_loop',
+        '_is_missing',
+        '_is_restored',
+        '_reported_revision',
+        '_settled_at_s',
         '_own_entry',
         '_rng',
         '_state',
@@ -70,6 +82,14 @@
         # Newer revision that the last poll found, or zero.
         self._missing_revision = 0
         self._watches: set[anyio.CancelScope] = set()
+        # Era of the last listing, and when its content is complete again.
+        self._era = 0
+        self._settled_at_s = float('-inf')
+        # Set until the first poll after the store was restored.
+        self._is_restored = False
+        # Whether the last poll lacked the current entry of this daemon.
+        self._is_missing = False
+        self._loop = asyncio.get_running_loop()
         # Set while the store is reachable.
         self.is_reachable = asyncio.Event()
         # Set after the first listing of all kinds.
@@ -103,9 +123,22 @@
 
     async def _list(self, kind: SharedKind) -> int:
         listing = await self._store.list_objects(kind, is_stale_allowed=False)
-        self._state.merge_listing(listing, 'store')
+        self._merge_listing(listing)
         return listing.revision
 
+    def _merge_listing(self, listing: Listing) -> None:
+        now_s = self._loop.time()
+        era = era_of(listing.revision)
+        if era > self._era:
+            if self._era:
+                self._is_restored = True
+                self._settled_at_s = now_s + RESTORE_SETTLE_S
+                # They wait for revisions of the era before.
+                self._restart_watches()
+            self._era = era
+        is_settled = now_s >= self._settled_at_s
+        self._state.merge_listing(listing, 'store', is_settled=is_settled)
+
     async def _poll_members(self) -> None:
         for delay_s in STARTUP_POLL_DELAYS_S:
             await anyio.sleep(delay_s)
@@ -126,10 +159,34 @@
         except CornelbeamError as error:
             self._mark_unreachable(error)
             return
-        self._state.merge_listing(listing, 'store')
+        self._merge_listing(listing)
         self._mark_reachable()
+        self._restore_own_entry(listing)
         self._detect_silent_watches(listing)
 
+    def _restore_own_entry(self, listing: Listing) -> None:
+        """Write this daemon's entry again if the store has lost it.
+
+        A poll may be seconds old, so two in a row must lack the entry unless
+        the store was just restored.
+        """
+        own_entry = self._own_entry
+        is_outdated = era_of(listing.revision) < self._era
+        if own_entry is None or is_outdated or self._write_requested.is_set():
+            return
+        is_stored = any(
+            each.name == own_entry.name and each.version >= own_entry.version
+            for each in listing.objects
+        )
+        is_first = not self._is_missing and not self._is_restored
+        self._is_missing = not is_stored
+        self._is_restored = False
+        if is_stored or is_first:
+            return
+        self._is_missing = False
+        _log.info('own entry written again, the store has lost it')
+        self._write_requested.set()
+
     def _detect_silent_watches(self, listing: Listing) -> None:
         """Restart the watches if they have missed a change.
 
@@ -177,6 +234,8 @@
             if changes is None:
                 # Changes may have been missed.
                 revision = await self._relist(kind)
+                if kind is SharedKind.EVACUATION:
+                    revision = await self._relist_settled(kind, revision)
             else:
                 self._reported_revision = max(self._reported_revision, revision)
                 self._state.merge(changes, 'store')
@@ -193,6 +252,14 @@
                 self._reported_revision = max(self._reported_revision, revision)
                 return revision
 
+    async def _relist_settled(self, kind: SharedKind, revision: int) -> int:
+        """List again once operators have had time to write what was lost."""
+        wait_s = self._settled_at_s - self._loop.time()
+        if wait_s <= 0:
+            return revision
+        await anyio.sleep(wait_s)
+        return await self._relist(kind)
+
     async def _write_own(self) -> None:
         while True:
             await self._write_requested.wait()
