Find a daemon again whose clock was set back

Callers got 'not run' from a target whose daemon had restarted while its host's clock was set back: its entry seemed older than that of the run before, so peers and the store kept the old one, for good.

A daemon goes on after the version of its stored entry. A peer that asks the daemon at an address for its own entry believes the answer, whatever its version: the stored entry may have been lost with a restore.

Ruled out: taking the incarnation from the stored entry, as it must be known before the store is reached, and calls carry it.

Tests: both of TestClockSetBack failed before.

--- a/packages/core/src/cornelbeam_core/shared_objects.py
+++ b/packages/core/src/cornelbeam_core/shared_objects.py
@@ -141,6 +141,14 @@
         self._objects[key] = update
         return True
 
+    def replace(self, update: SharedObject) -> bool:
+        """Store a version whatever its order; return whether it is another."""
+        key = (update.kind, update.name)
+        if self._objects.get(key) == update:
+            return False
+        self._objects[key] = update
+        return True
+
     def merge_all(self, updates: Iterable[SharedObject]) -> list[SharedObject]:
         """Store several versions; return those that were newer."""
         return [each for each in updates if self.merge(each)]
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -92,6 +92,11 @@
         self._log_older(received, source)
         self._apply(self._objects.merge_all(received), source)
 
+    def replace(self, update: SharedObject, source: str) -> None:
+        """Replace an object whatever its version; its owner has sent it."""
+        if self._objects.replace(update):
+            self._apply([update], source)
+
     def merge_listing(
         self, listing: Listing, source: str, *, is_settled: bool = True
     ) -> None:
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -129,12 +129,13 @@
             peer.address,
             is_own_entry_only=True,
         )
-        names = (
-            ()
-            if push is None
-            else [shared_object.name for shared_object in push.objects]
-        )
-        if names and peer.name not in names:
+        own_entries = [] if push is None else _from_wire(push)
+        for own_entry in own_entries:
+            if own_entry.name == peer.name:
+                # The daemon itself knows best. Its version may be lower than
+                # the one that is held if its clock was set back.
+                self._state.replace(own_entry, peer.name)
+        if own_entries and peer.name not in {each.name for each in own_entries}:
             # Another daemon has this address now. Its incarnation may be lower
             # if a clock was set back, so it would not replace the entry.
             self._state.members.remove(peer.name)
@@ -169,24 +170,7 @@
 
     def merge_push(self, push: messages.ConfigPush, sender: str) -> None:
         """Merge the objects that a peer has sent."""
-        objects = []
-        for shared_object in push.objects:
-            try:
-                kind = SharedKind(shared_object.kind)
-            except ValueError:
-                # A newer peer may send kinds that this daemon doesn't know.
-                continue
-            objects.append(
-                SharedObject(
-                    kind,
-                    shared_object.name,
-                    shared_object.version,
-                    shared_object.is_deleted,
-                    shared_object.spec,
-                    read_authored_version(kind, shared_object.spec),
-                ),
-            )
-        self._state.merge(objects, sender)
+        self._state.merge(_from_wire(push), sender)
 
     def answer_pull(self, stream: Stream, pull: messages.ConfigPull) -> None:
         """Send the objects that the requesting peer lacks."""
@@ -253,3 +237,24 @@
         is_deleted=shared_object.is_deleted,
         spec=shared_object.content,
     )
+
+
+def _from_wire(push: messages.ConfigPush) -> list[SharedObject]:
+    objects = []
+    for shared_object in push.objects:
+        try:
+            kind = SharedKind(shared_object.kind)
+        except ValueError:
+            # A newer peer may send kinds that this daemon doesn't know.
+            continue
+        objects.append(
+            SharedObject(
+                kind,
+                shared_object.name,
+                shared_object.version,
+                shared_object.is_deleted,
+                shared_object.spec,
+                read_authored_version(kind, shared_object.spec),
+            ),
+        )
+    return objects
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -36,6 +36,7 @@
     TargetEntry,
     decode_member,
     encode_member,
+    member_version,
 )
 from cornelbeam_mesh.metrics import MeshMetrics
 from cornelbeam_mesh.peer_endpoint import PeerEndpoint
@@ -288,6 +289,9 @@
         stored = self.state.get(SharedKind.MEMBER, name)
         entry = None if stored is None else decode_member(stored)
         if entry is not None:
+            # The clock may have been set back since the earlier run.
+            first_version = member_version(self._incarnation, 0)
+            self._sequence = max(0, entry.version - first_version)
             self.registration.restore(entry.target)
         with anyio.move_on_after(FIRST_TARGET_TIMEOUT_S):
             # The first write to the store then includes the target.
--- a/packages/mesh/tests/test_members.py
+++ b/packages/mesh/tests/test_members.py
@@ -2,12 +2,20 @@
 
 import msgspec
 import pytest
-from cornelbeam_mesh.members import MemberEntry, Members, TargetEntry
+from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_mesh.members import (
+    MemberEntry,
+    Members,
+    TargetEntry,
+    encode_member,
+)
 from cornelbeam_mesh.peer_sync import PeerSync
-from mesh_harness import SERVICE
+from mesh_harness import SERVICE, wait_until
 
 pytestmark = pytest.mark.anyio
 ADDRESS = '10.0.0.1:9000'
+# A start time that no clock of a test reaches.
+LATER_MS = 9_000_000_000_000
 
 
 def entry(name, incarnation, address=ADDRESS):
@@ -93,3 +101,36 @@
     members.update(
         msgspec.structs.replace(held, incarnation=held.incarnation - 1),
     )
+
+
+class TestClockSetBack:
+    """Guards against a restarted daemon that its peers take for an old run."""
+
+    async def test_run_that_seems_older_than_the_stored_one_is_found(
+        self, harness
+    ):
+        near = await harness.add_node()
+        stored = entry('place-2', LATER_MS, '10.0.0.2:9000')
+        stored_object = encode_member(stored)
+        key = SharedKind.MEMBER, 'place-2'
+        harness.store.objects[key] = stored_object
+        await wait_until(lambda: near.sidecar.state.members.get('place-2'))
+        far = await harness.add_node('south')
+        await wait_until(lambda: knows_run(near, far))
+
+    async def test_daemon_itself_is_believed(self, harness):
+        """Its stored entry was lost, and peers hold one of a later time."""
+        near = await harness.add_node()
+        far = await harness.add_node('south')
+        held = near.sidecar.state.members.get(far.name)
+        later = msgspec.structs.replace(held, incarnation=LATER_MS)
+        near.sidecar.state.merge([encode_member(later)], 'test')
+        assert not knows_run(near, far)
+        await near.sidecar.peer_sync.refresh_entry(later)
+        assert knows_run(near, far)
+
+
+def knows_run(node, other) -> bool:
+    """Return whether a node knows the current run of another daemon."""
+    held = node.sidecar.state.members.get(other.name)
+    return held.incarnation == other.sidecar._incarnation
