Split status pages and heartbeats out of the sidecar

Readiness and metrics pages are a class of their own, heartbeats that change the cold time go to the probe that measures it, and a request keeps its own fallback.

--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -94,6 +94,12 @@
             now_s,
         )
 
+    def keep_fallback(self, answer: Answer) -> None:
+        """Keep an error answer in case that no other target answers better."""
+        if self.fallback is not None:
+            self.fallback.close()
+        self.fallback = answer
+
     async def buffer_body(self) -> None:
         """Wait for the body unless it is too long to be buffered.
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -145,20 +145,13 @@
                 continue
             if not self._should_retry(forwarded, answer):
                 return answer
-            self._keep_fallback(forwarded, answer)
+            forwarded.keep_fallback(answer)
         if forwarded.fallback is not None:
             fallback = forwarded.fallback
             forwarded.fallback = None
             return fallback
         raise self._final_error(forwarded, last_error)
 
-    def _keep_fallback(
-        self, forwarded: ForwardedRequest, answer: Answer
-    ) -> None:
-        if forwarded.fallback is not None:
-            forwarded.fallback.close()
-        forwarded.fallback = answer
-
     def _final_error(
         self,
         forwarded: ForwardedRequest,
@@ -318,7 +311,7 @@
         """
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             return
-        self._keep_fallback(forwarded, answer)
+        forwarded.keep_fallback(answer)
         raise CornelbeamError(
             ErrorCode.BACKEND_FAILED,
             'backend answer',
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -8,7 +8,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.routes import ServiceRule
 from cornelbeam_core.shared_objects import SharedKind
@@ -17,7 +16,6 @@
 from cornelbeam_daemon.attempt_records import expire_attempts, make_ledger
 from cornelbeam_daemon.backend_client import BackendClient
 from cornelbeam_daemon.control_messages import Messenger
-from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.peer_acceptor import ignore_streams
@@ -41,9 +39,10 @@
 from cornelbeam_mesh.metrics import MeshMetrics
 from cornelbeam_mesh.peer_endpoint import PeerEndpoint
 from cornelbeam_mesh.peer_sync import PeerSync
-from cornelbeam_mesh.platform_adapter import Heartbeat, PlatformAdapter, Store
+from cornelbeam_mesh.platform_adapter import PlatformAdapter, Store
 from cornelbeam_mesh.registration import Registration
 from cornelbeam_mesh.settings import MeshSettings, split_address
+from cornelbeam_mesh.status_pages import StatusPages
 from cornelbeam_mesh.store_sync import StoreSync
 from cornelbeam_mesh.target_client import TargetClient
 from cornelbeam_mesh.target_exchange import TargetExchange
@@ -64,8 +63,6 @@
 # A peer connection with open calls is given up after this silence, because
 # calls between services have half a second in total.
 SILENCE_MS: Final = 300
-_OK: Final = 200
-_UNAVAILABLE: Final = 503
 
 
 @final
@@ -113,7 +110,7 @@
             settings.backend_server.address,
             settings.backend_server.heartbeat_interval_ms,
             self._publish,
-            self._on_heartbeat,
+            lambda heartbeat: self._probe.note_heartbeat(heartbeat),
         )
         bounds = settings.bounds
         self._gate = TargetGate(
@@ -235,12 +232,13 @@
 
     async def _serve(self) -> None:
         addresses, serve = self.settings.listeners, self._listeners.serve_http
+        pages = StatusPages(self.metrics, self._is_ready)
         await self._listeners.serve(
             addresses.peers, self._peer_endpoint.acceptor.accept
         )
         await serve(addresses.registration, self.registration.handle)
-        await serve(addresses.readiness, self._answer_readiness)
-        await serve(addresses.metrics, self._answer_metrics)
+        await serve(addresses.readiness, pages.answer_readiness)
+        await serve(addresses.metrics, pages.answer_metrics)
         await serve(
             addresses.callers,
             self.forwarder.handle,
@@ -323,19 +321,6 @@
             self._probe.request_probe()
         self._start_task(self.peer_sync.announce(own_entry))
 
-    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        self._gate.resize(heartbeat.slot_count)
-        if heartbeat.cold_remaining_ms <= 0:
-            # A late heartbeat may be older than the last health answer, so
-            # only health answers end the cold time.
-            return
-        service = self._local_service()
-        self._gate.set_cold(
-            asyncio.get_running_loop().time(),
-            heartbeat.cold_remaining_ms / MS_PER_S,
-            None if service is None else service.cold_per_s,
-        )
-
     def _on_state_change(self, kinds: set[SharedKind]) -> None:
         target = self._local_target()
         if target is not None:
@@ -369,21 +354,8 @@
             return None
         return table.services.get(target.service)
 
-    async def _answer_readiness(
-        self,
-        request: HttpRequest,
-        responder: Responder,
-    ) -> None:
-        is_ready = self.state.route_table is not None and not self._is_leaving
-        responder.send_whole(_OK if is_ready else _UNAVAILABLE, [], b'')
-
-    async def _answer_metrics(
-        self,
-        request: HttpRequest,
-        responder: Responder,
-    ) -> None:
-        headers = [b'content-type', b'text/plain; version=0.0.4']
-        responder.send_whole(_OK, headers, self.metrics.render())
+    def _is_ready(self) -> bool:
+        return self.state.route_table is not None and not self._is_leaving
 
     def _on_caller_connection(self, connection: HttpServerConnection) -> None:
         """Refuse connections that arrive too late in a planned stop.
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/status_pages.py
@@ -0,0 +1,43 @@
+"""Pages for readiness checks and for metrics."""
+
+from collections.abc import Callable
+from typing import Final, final
+
+from cornelbeam_daemon.http_message import HttpRequest, Responder
+
+from cornelbeam_mesh.metrics import MeshMetrics
+
+_OK: Final = 200
+_UNAVAILABLE: Final = 503
+
+
+@final
+class StatusPages:
+    """Answers what the platform asks about this daemon."""
+
+    __slots__ = ('_is_ready', '_metrics')
+
+    def __init__(
+        self, metrics: MeshMetrics, is_ready: Callable[[], bool]
+    ) -> None:
+        """Export ``metrics``; ``is_ready`` decides about new callers."""
+        self._metrics = metrics
+        self._is_ready = is_ready
+
+    async def answer_readiness(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        """Answer 200 if callers may connect, 503 otherwise."""
+        status = _OK if self._is_ready() else _UNAVAILABLE
+        responder.send_whole(status, [], b'')
+
+    async def answer_metrics(
+        self,
+        request: HttpRequest,
+        responder: Responder,
+    ) -> None:
+        """Answer with all metrics in the Prometheus text format."""
+        headers = [b'content-type', b'text/plain; version=0.0.4']
+        responder.send_whole(_OK, headers, self._metrics.render())
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -20,7 +20,7 @@
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.members import TargetEntry
-from cornelbeam_mesh.platform_adapter import PlatformAdapter
+from cornelbeam_mesh.platform_adapter import Heartbeat, PlatformAdapter
 from cornelbeam_mesh.target_observer import TargetObserver
 
 _log = get_log('backend')
@@ -95,6 +95,15 @@
         """Probe soon, for example after a failed request."""
         self._is_requested.set()
 
+    def note_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Apply the slots and the cold time of an accepted heartbeat."""
+        self._gate.resize(heartbeat.slot_count)
+        service = self._service()
+        # A late heartbeat may be older than the last health answer, so only
+        # health answers end the cold time.
+        if heartbeat.cold_remaining_ms > 0 and service is not None:
+            self._set_cold(heartbeat.cold_remaining_ms, service)
+
     async def measure_speed(self) -> None:
         """Wait briefly for a probe that reports the current speed.
 
@@ -216,6 +225,9 @@
         cold_ms = 0
         if stated is not None and stated.isdigit():
             cold_ms = int(stated)
+        self._set_cold(cold_ms, service)
+
+    def _set_cold(self, cold_ms: int, service: ServiceRule) -> None:
         self._gate.set_cold(
             self._loop.time(),
             cold_ms / MS_PER_S,
