Test second attempts, probes and weights under a stated rate

Guards of the rate limit that its fix did not have yet: second attempts beside a silent peer, the end of a limit that only probes see, and the shares of a route whose one service is in need.

--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -166,7 +166,7 @@
     return RouteRule(**(values | changes))
 
 
-def configuration(version=1, routes=()) -> bytes:
+def configuration(version=1, routes=(), services=(SERVICE,)) -> bytes:
     """Encode a configuration with a read, a booking and more routes."""
     return msgspec.json.encode(
         RoutingConfiguration(
@@ -176,7 +176,7 @@
                 route('book', RequestKind.NON_IDEMPOTENT),
                 *routes,
             ),
-            (ServiceRule(SERVICE, '/health', 100, 5.0),),
+            tuple(ServiceRule(name, '/health', 100, 5.0) for name in services),
         ),
     )
 
@@ -184,8 +184,9 @@
 class Node:
     """One instance: a sidecar, its target and a caller."""
 
-    def __init__(self, number, domain, store) -> None:
+    def __init__(self, number, domain, store, service=SERVICE) -> None:
         """Choose free addresses for the listeners."""
+        self.service = service
         self.name = f'place-{number}'
         self.domain = domain
         self.store = store
@@ -211,7 +212,7 @@
             {
                 'instance': {
                     'name': self.name,
-                    'service': SERVICE,
+                    'service': self.service,
                     'domain': self.domain,
                 },
                 'listeners': self.addresses,
@@ -237,7 +238,7 @@
                 instance=instance or self.target.instance,
                 started_ms=started_ms,
                 sequence=self.sequence,
-                service=SERVICE,
+                service=self.service,
                 domain=self.domain,
                 address=f'{TARGET_HOST}:{self.target.port}',
                 slot_count=8,
@@ -296,9 +297,9 @@
         self.store = FakeStore()
         self.nodes: list[Node] = []
 
-    async def add_node(self, domain='north') -> Node:
+    async def add_node(self, domain='north', service=SERVICE) -> Node:
         """Start a node and wait until all nodes know its target."""
-        node = Node(len(self.nodes) + 1, domain, self.store)
+        node = Node(len(self.nodes) + 1, domain, self.store, service)
         self.nodes.append(node)
         await node.start(self.group)
         await wait_until(node.sidecar.store_sync.is_listed.is_set)
@@ -311,7 +312,7 @@
 
 def knows(node, other) -> bool:
     """Return whether a sidecar sends requests to another node's target."""
-    serving = node.sidecar.state.members.serving(SERVICE, frozenset())
+    serving = node.sidecar.state.members.serving(other.service, frozenset())
     return other.name in {record.name for record in serving}
 
 
--- a/packages/mesh/tests/test_rate_limits.py
+++ b/packages/mesh/tests/test_rate_limits.py
@@ -3,8 +3,11 @@
 import asyncio
 
 import pytest
+from cornelbeam_core.routes import RequestKind, ServiceShare
+from cornelbeam_core.shared_objects import SharedKind
 from fake_target import TARGET_HOST
-from mesh_harness import wait_until
+from mesh_harness import SERVICE, configuration, route, wait_until
+from test_silent_peers import paused
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
@@ -120,6 +123,51 @@
         assert len(refused) >= REQUEST_COUNT - BOUND
         assert all(b'retry-after' in fields for _, fields, _ in refused)
 
+    async def test_second_attempts_beside_a_silent_peer_keep_it(self, harness):
+        limited = await limit_node(harness)
+        silent = await harness.add_node('south')
+        near = await harness.add_node('south')
+        near.send_heartbeat(is_draining=True)
+        silent.target.script = silent.target.hang
+        async with asyncio.TaskGroup() as group:
+            waiting = group.create_task(near.send_request())
+            await silent.target.is_hanging.wait()
+            with paused(near.sidecar._pool.connections()):
+                await wait_until(lambda: len(limited.target.requests) > 1)
+                silent.target.script = silent.target.answer
+                await send_many(near, count=12)
+            await waiting
+        assert busiest_window(limited.target) <= BOUND
+
+    async def test_probes_go_on_and_lift_it(self, harness):
+        """No caller sends a request that would learn of the end."""
+        node = await limit_node(harness)
+        limit = node.sidecar._gate.rate_limit
+        assert limit.is_active
+        node.target.script = node.target.answer
+        node.target.health_script = node.target.answer_health
+        await wait_until(lambda: not limit.is_active)
+
+
+class TestWeights:
+    """Guards against a service that gets the share of one in need."""
+
+    async def test_weights_hold_under_a_limit(self, harness):
+        shares = ServiceShare(SERVICE, 1), ServiceShare('yards', 1)
+        split = route('split', RequestKind.IDEMPOTENT, shares=shares)
+        services = (SERVICE, 'yards')
+        harness.store.put(
+            SharedKind.CONFIGURATION,
+            'main',
+            configuration(2, (split,), services),
+        )
+        limited = await limit_node(harness)
+        other = await harness.add_node('south', 'yards')
+        statuses = await send_many(other, count=16, path='/split/1')
+        assert statuses.count(OK) >= 8
+        assert len(other.target.requests) == 8
+        assert busiest_window(limited.target) <= BOUND
+
 
 class TestColdTarget:
     """Guards against full load on a target that has just turned cold."""
