--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -317,3 +317,16 @@
 
 
 Node.knows = knows
+
+
+@contextlib.contextmanager
+def paused(connections):
+    """Leave unread what arrives over connections."""
+    for connection in connections:
+        connection._transport.pause_reading()
+    try:
+        yield
+    finally:
+        for connection in connections:
+            if not connection.is_closed:
+                connection._transport.resume_reading()
--- a/packages/mesh/tests/test_rate_limits.py
+++ b/packages/mesh/tests/test_rate_limits.py
@@ -6,8 +6,13 @@
 from cornelbeam_core.routes import RequestKind, ServiceShare
 from cornelbeam_core.shared_objects import SharedKind
 from fake_target import TARGET_HOST
-from mesh_harness import SERVICE, configuration, route, wait_until
-from test_silent_peers import paused
+from mesh_harness import (
+    SERVICE,
+    configuration,
+    paused,
+    route,
+    wait_until,
+)
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
--- a/packages/mesh/tests/test_silent_peers.py
+++ b/packages/mesh/tests/test_silent_peers.py
@@ -6,7 +6,7 @@
 import pytest
 from cornelbeam_daemon import control_messages
 from fake_target import read_message
-from mesh_harness import WAIT_LIMIT_S, head, wait_until
+from mesh_harness import WAIT_LIMIT_S, head, paused, wait_until
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
@@ -26,19 +26,6 @@
     return tuple(node.sidecar._peer_endpoint.acceptor.connections)
 
 
-@contextlib.contextmanager
-def paused(connections):
-    """Leave unread what arrives over connections."""
-    for connection in connections:
-        connection._transport.pause_reading()
-    try:
-        yield
-    finally:
-        for connection in connections:
-            if not connection.is_closed:
-                connection._transport.resume_reading()
-
-
 @contextlib.asynccontextmanager
 async def sent(node, path, method, **fields):
     """Send a request of a caller and yield the reader of its answer."""
