Share the health answers of fake targets

Three tests wrote the same health answer with one more field. The fake target has it now; assertions are as before, and the tests of both files passed before and after.

--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -46,10 +46,7 @@
 
     async def answer_health(self, writer, attempt) -> None:
         """Answer a health request."""
-        writer.write(
-            b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-load: 100\r\n'
-            b'x-instance: ' + self.instance.encode() + b'\r\n\r\n',
-        )
+        writer.write(self.whole_health())
 
     async def shed(self, writer, attempt) -> None:
         """Refuse a request without running it."""
@@ -101,6 +98,27 @@
         )
         return b'\r\n'.join(lines)
 
+    def state_in_health(self, field, status=b'200 OK') -> None:
+        """Add a field to all health answers from now on."""
+
+        async def answer_health(writer, attempt) -> None:
+            writer.write(self.whole_health((field,), status))
+
+        self.health_script = answer_health
+
+    def whole_health(self, extra=(), status=b'200 OK') -> bytes:
+        """Return a complete health answer."""
+        lines = (
+            b'HTTP/1.1 %b' % status,
+            b'content-length: 0',
+            b'x-load: 100',
+            b'x-instance: %b' % self.instance.encode(),
+            *extra,
+            b'',
+            b'',
+        )
+        return b'\r\n'.join(lines)
+
     async def _serve(self, reader, writer) -> None:
         self._writers.append(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
--- a/packages/mesh/tests/test_rate_limits.py
+++ b/packages/mesh/tests/test_rate_limits.py
@@ -29,17 +29,8 @@
     async def answer(writer, attempt) -> None:
         writer.write(target.whole(attempt, extra=(LIMIT_FIELD,)))
 
-    async def answer_health(writer, attempt) -> None:
-        writer.write(
-            b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-load: 100\r\n'
-            + LIMIT_FIELD
-            + b'\r\nx-instance: '
-            + target.instance.encode()
-            + b'\r\n\r\n'
-        )
-
     target.script = answer
-    target.health_script = answer_health
+    target.state_in_health(LIMIT_FIELD)
 
 
 async def send_many(node, count=REQUEST_COUNT, **request):
@@ -182,21 +173,7 @@
         node = await harness.add_node()
         gate = node.sidecar._gate
         loop = asyncio.get_running_loop()
-        node.target.health_script = answer_cold(node.target)
+        node.target.state_in_health(b'x-cold: 3000')
         await wait_until(lambda: gate.is_cold(loop.time()))
         node.send_heartbeat()
         assert gate.is_cold(loop.time())
-
-
-def answer_cold(target):
-    """Return a health script of a target that is cold for three seconds."""
-
-    async def answer_health(writer, attempt) -> None:
-        writer.write(
-            b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-load: 100\r\n'
-            b'x-cold: 3000\r\nx-instance: '
-            + target.instance.encode()
-            + b'\r\n\r\n'
-        )
-
-    return answer_health
--- a/packages/mesh/tests/test_stated_departure.py
+++ b/packages/mesh/tests/test_stated_departure.py
@@ -19,21 +19,6 @@
     target.script = answer
 
 
-def state_departure_in_health(target) -> None:
-    """Let a target state its departure in health answers only."""
-
-    async def answer_health(writer, attempt) -> None:
-        writer.write(
-            b'HTTP/1.1 503 Leaving\r\ncontent-length: 0\r\nx-load: 100\r\n'
-            + LEAVING_FIELD
-            + b'\r\nx-instance: '
-            + target.instance.encode()
-            + b'\r\n\r\n'
-        )
-
-    target.health_script = answer_health
-
-
 def forget_departure(node, **target_changes) -> None:
     """Replace the daemon's state by that of a new run without the news."""
     registration = node.sidecar.registration
@@ -78,7 +63,7 @@
 
     async def test_health_answer_states_it(self, harness):
         node = await harness.add_node()
-        state_departure_in_health(node.target)
+        node.target.state_in_health(LEAVING_FIELD, b'503 Leaving')
         await wait_until(lambda: not node.sidecar.admission.is_open())
         assert (await node.send_request())[0] == REFUSED
         assert not node.target.requests
