Drop a parameter of the target gate that nobody passes

The gate could be given another bound for stated rates, but neither the daemon nor a test did. Behaviour is the same; the tests of the gate, of rate limits and of slowdowns passed before and after.

--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -70,12 +70,10 @@
         'speed',
     )
 
-    def __init__(
-        self, cold_bound: ColdBound, rate_bound: RateBound | None = None
-    ) -> None:
+    def __init__(self, cold_bound: ColdBound) -> None:
         """Start without slots; ``resize`` sets their number."""
         self._cold_bound = cold_bound
-        self.rate_limit = RateLimit(rate_bound or RateBound())
+        self.rate_limit = RateLimit(RateBound())
         self.slot_count = 0
         self.limit = 0
         self.running_count = 0
