Log when watches end and by which configuration requests are routed

A line for each watch that ends and for the listing after it, the version in the lines of attempts, and a gauge of the version in force.

--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -68,6 +68,14 @@
             default=0,
         )
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version that operators gave the configuration in force.
+
+        Zero before the first one.
+        """
+        return 0 if self.route_table is None else self.route_table.version
+
     def changes_since(self, revision: int) -> list[SharedObject]:
         """Return the objects that a peer at this store position may lack.
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -31,6 +31,7 @@
     __slots__ = (
         'body',
         'caller_spent_ms',
+        'configuration_version',
         'deadline_s',
         'fallback',
         'headers',
@@ -62,6 +63,8 @@
         self.headers: list[bytes] = []
         self.request_id = ''
         self.is_nested = False
+        # Version of the configuration that it is routed by.
+        self.configuration_version = 0
         # Time that the caller has spent on earlier attempts.
         self.caller_spent_ms = 0
         # Targets that received the request.
@@ -161,6 +164,7 @@
             table.pick_service(route),
             started_s,
         )
+        forwarded.configuration_version = table.version
         names = self._adapter.headers
         headers = request.headers
         forwarded.request_id = (
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -342,6 +342,7 @@
             'attempt answered',
             request=forwarded.request_id,
             route=forwarded.route.name,
+            configuration=forwarded.configuration_version,
             target=record.name,
             status=answer.status,
             is_near=record.domain == self._domain,
@@ -385,6 +386,7 @@
         _log.info(
             'attempt failed',
             request=forwarded.request_id,
+            configuration=forwarded.configuration_version,
             target=record.name,
             code=error.code.value,
             step=error.step,
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -66,6 +66,7 @@
         gate: TargetGate,
         is_store_reachable: Callable[[], bool],
         stated_limit_per_s: Callable[[], float],
+        configuration_version: Callable[[], float],
     ) -> None:
         """Add gauges that are read at each scrape."""
         self._add_gauge(
@@ -88,6 +89,11 @@
             'Requests per second that the target accepts; 0 if it states none.',
             stated_limit_per_s,
         )
+        self._add_gauge(
+            'cornelbeam_configuration_version',
+            'Version of the configuration in force; 0 before the first one.',
+            configuration_version,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -215,6 +215,7 @@
             self._gate,
             self.store_sync.is_reachable.is_set,
             lambda: observer.limit_per_s or 0,
+            lambda: self.state.configuration_version,
         )
 
     def stop(self) -> None:
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -12,12 +12,14 @@
 from typing import Final, final
 
 import anyio
+from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.shared_objects import (
     Listing,
     SharedKind,
     SharedObject,
     era_of,
+    revision_of,
 )
 from cornelbeam_daemon.logs import get_log
 
@@ -214,6 +216,8 @@
         self._reported_revision = max(self._reported_revision, revision)
         while True:
             changes: list[SharedObject] | None = None
+            started_s = self._loop.time()
+            ended_by = 'restarted'
             with anyio.CancelScope() as scope:
                 self._watches.add(scope)
                 try:
@@ -223,17 +227,29 @@
                         WATCH_WAIT_MS,
                     )
                 except HistoryGoneError:
-                    _log.info(
-                        'change history expired, listing again',
-                        kind=kind.value,
-                    )
+                    ended_by = 'change history expired'
                 except CornelbeamError as error:
+                    ended_by = str(error)
                     self._mark_unreachable(error)
                 finally:
                     self._watches.discard(scope)
             if changes is None:
                 # Changes may have been missed.
+                ended_s = self._loop.time()
+                _log.info(
+                    'watch ended',
+                    kind=kind.value,
+                    revision=revision_of(revision),
+                    waited_ms=int((ended_s - started_s) * MS_PER_S),
+                    why=ended_by,
+                )
                 revision = await self._relist(kind)
+                _log.info(
+                    'listed again after a watch',
+                    kind=kind.value,
+                    revision=revision_of(revision),
+                    unwatched_ms=int((self._loop.time() - ended_s) * MS_PER_S),
+                )
                 if kind is SharedKind.EVACUATION:
                     revision = await self._relist_settled(kind, revision)
             else:
--- a/packages/mesh/tests/test_metrics.py
+++ b/packages/mesh/tests/test_metrics.py
@@ -25,3 +25,4 @@
         assert 'cornelbeam_requests_total{outcome="200",route="read"} 1' in text
         assert 'outcome="unknown_service"' in text
         assert 'cornelbeam_store_reachable 1' in text
+        assert 'cornelbeam_configuration_version 1' in text
