--- /dev/null
+++ b/packages/mesh/tests/test_missed_changes.py
@@ -0,0 +1,110 @@
+"""Changes by operators that the store does not report to one daemon."""
+
+import pytest
+from cornelbeam_core.routes import RequestKind
+from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_mesh import store_sync
+from mesh_harness import configuration, route, wait_until
+
+pytestmark = pytest.mark.anyio
+OK = 'HTTP/1.1 200 OK'
+
+
+class UnreportingStore:
+    """Store whose watches report no changes to one daemon."""
+
+    def __init__(self, store) -> None:
+        """Pass other calls on to ``store``."""
+        self._store = store
+        self.list_objects = store.list_objects
+        self.put_member = store.put_member
+        self.close = store.close
+
+    async def watch(self, kind, since_revision, wait_ms):
+        """Wait without an end."""
+        while True:
+            await self._store.is_changed.wait()
+
+
+@pytest.fixture(autouse=True)
+def _no_polls(monkeypatch) -> None:
+    """Keep the polls from finding what the watches miss."""
+    monkeypatch.setattr(store_sync, 'POLL_PERIOD_S', 3600)
+    monkeypatch.setattr(store_sync, 'STARTUP_POLL_DELAYS_S', ())
+
+
+@pytest.fixture
+async def nodes(harness):
+    """Return a node that hears of no changes and one that does.
+
+    The target of the first one takes no requests.
+    """
+    deaf = await harness.add_node()
+    hearing = await harness.add_node('south')
+    deaf.sidecar.store_sync._store = UnreportingStore(harness.store)
+    deaf.sidecar.store_sync._restart_watches()
+    deaf.send_heartbeat(is_draining=True)
+    await wait_until(lambda: not hearing.knows(deaf))
+    return deaf, hearing
+
+
+def change_configuration(harness, version=2) -> None:
+    """Write a configuration with one more route."""
+    harness.store.put(
+        SharedKind.CONFIGURATION,
+        'main',
+        configuration(version, (route('new', RequestKind.IDEMPOTENT),)),
+    )
+
+
+def version_at(node) -> int:
+    """Return the version of the configuration in force at a node."""
+    return node.sidecar.state.configuration_version
+
+
+class TestSilentWatch:
+    """Guards against requests that are routed by an old configuration."""
+
+    async def test_change_is_learned_from_the_answer_of_a_peer(
+        self, harness, nodes
+    ):
+        deaf, hearing = nodes
+        change_configuration(harness)
+        await wait_until(lambda: version_at(hearing) == 2)
+        assert (await deaf.send_request())[0] == OK
+        await wait_until(lambda: version_at(deaf) == 2)
+        assert (await deaf.send_request('/new/1'))[0] == OK
+
+    async def test_change_is_learned_from_the_call_of_a_peer(
+        self, harness, nodes
+    ):
+        deaf, hearing = nodes
+        deaf.send_heartbeat(started_ms=2)
+        hearing.send_heartbeat(is_draining=True)
+        await wait_until(lambda: hearing.knows(deaf))
+        change_configuration(harness)
+        await wait_until(lambda: version_at(hearing) == 2)
+        assert (await hearing.send_request())[0] == OK
+        await wait_until(lambda: version_at(deaf) == 2)
+
+    async def test_later_change_is_learned_over_the_same_connection(
+        self, harness, nodes
+    ):
+        deaf, hearing = nodes
+        for version in (2, 3):
+            change_configuration(harness, version)
+            await wait_until(lambda: version_at(hearing) == version)
+            assert (await deaf.send_request())[0] == OK
+            await wait_until(lambda: version_at(deaf) == version)
+
+    async def test_watches_start_anew_after_a_missed_change(
+        self, harness, nodes
+    ):
+        deaf, hearing = nodes
+        change_configuration(harness)
+        await wait_until(lambda: version_at(hearing) == 2)
+        deaf.sidecar.store_sync._store = harness.store
+        await deaf.send_request()
+        await wait_until(lambda: version_at(deaf) == 2)
+        change_configuration(harness, 3)
+        await wait_until(lambda: version_at(deaf) == 3)
--- /dev/null
+++ b/tests/adapter/test_missed_changes.py
@@ -0,0 +1,127 @@
+"""Changes by operators while connections to the store fail."""
+
+import asyncio
+import random
+import socket
+
+import anyio
+import httpx
+import pytest
+from cornelbeam_adapter.store import PlatformStore
+from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_mesh import store_sync
+from cornelbeam_mesh.fleet_state import FleetState
+from fake_store import FakeStore
+from test_store import CONFIGURATION
+
+pytestmark = pytest.mark.anyio
+WAIT_LIMIT_S = 20
+# Operators allow two seconds for a change to take effect.
+MAX_KEEP_ALIVE_S = 2
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Run on asyncio, as the daemon does."""
+    return 'asyncio'
+
+
+class CutWatches:
+    """A store that ends all waiting watches when a test asks for it."""
+
+    def __init__(self) -> None:
+        """Start with the first configuration."""
+        self.store = FakeStore()
+        self.store.put('config', 'main', CONFIGURATION)
+        self.is_cut = asyncio.Event()
+        self.waiting_count = 0
+
+    async def handle(self, request) -> httpx.Response:
+        """Answer a request; a watch without changes waits for the cut."""
+        response = self.store.handle(request)
+        if 'watch' not in request.url.params or response.json()['events']:
+            return response
+        self.waiting_count += 1
+        await self.is_cut.wait()
+        raise httpx.ReadError('the watch was cut off')
+
+    def cut(self) -> None:
+        """End the watches that wait now."""
+        self.is_cut.set()
+        self.is_cut = asyncio.Event()
+
+
+class TestCutWatch:
+    """Guards against changes that wait for the next poll."""
+
+    async def test_change_beside_a_cut_does_not_wait_for_the_next_poll(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(store_sync, 'POLL_PERIOD_S', 3600)
+        monkeypatch.setattr(store_sync, 'STARTUP_POLL_DELAYS_S', ())
+        platform = CutWatches()
+        client = PlatformStore(
+            '10.0.0.1:80', httpx.MockTransport(platform.handle)
+        )
+        state = FleetState('place-1')
+        sync = store_sync.StoreSync(client, state, random.Random(7))
+        async with anyio.create_task_group() as group:
+            group.start_soon(sync.run)
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                while platform.waiting_count < 2:
+                    await asyncio.sleep(0)
+                changed = CONFIGURATION | {'version': '0000000d'}
+                platform.store.put('config', 'main', changed)
+                platform.cut()
+                while state.configuration_version != 13:
+                    await asyncio.sleep(0)
+            group.cancel_scope.cancel()
+        await client.close()
+
+
+class TestSilentConnection:
+    """Guards against watches on connections that went silent for good."""
+
+    async def test_keep_alive_ends_a_silent_connection_in_time(self):
+        options = await read_socket_options()
+        assert options[socket.SO_KEEPALIVE]
+        idle_s = options[socket.TCP_KEEPIDLE]
+        probes_s = options[socket.TCP_KEEPINTVL] * options[socket.TCP_KEEPCNT]
+        assert idle_s + probes_s <= MAX_KEEP_ALIVE_S
+
+
+async def read_socket_options() -> dict[int, int]:
+    """Return the keep-alive options of a connection to the store."""
+    found: dict[int, int] = {}
+
+    async def note_options(response) -> None:
+        stream = response.extensions['network_stream']
+        connected = stream.get_extra_info('socket')
+        found[socket.SO_KEEPALIVE] = connected.getsockopt(
+            socket.SOL_SOCKET, socket.SO_KEEPALIVE
+        )
+        for option in (
+            socket.TCP_KEEPIDLE,
+            socket.TCP_KEEPINTVL,
+            socket.TCP_KEEPCNT,
+        ):
+            found[option] = connected.getsockopt(socket.IPPROTO_TCP, option)
+
+    async def answer(reader, writer) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        content = b'{"items": [], "current_rev": 1}'
+        writer.write(
+            b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(content)
+        )
+        writer.write(content)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    client = PlatformStore(f'{host}:{port}')
+    client._http.event_hooks['response'] = [note_options]
+    await client.list_objects(SharedKind.MEMBER, is_stale_allowed=True)
+    await client.close()
+    server.close()
+    return found
