Pull changes that peers have and the store does not report

Cause: what a daemon routes by depended on its own watch alone. Peers that had the change served its calls and never said so; it asks peers only while it believes the store to be lost. The class of fault: a single channel whose silence looks like no news.

Ruled out: pulls at intervals and a message per request, which cost each daemon messages without news; a refusal by the gate of calls that its newer configuration routes elsewhere, as what the sender lacks would stay unknown.

Change: each connection between daemons announces the store position of its sender with the next frame after it has changed. A daemon that is still behind after 0.3 s, in which watches report a change to all, pulls from that peer and restarts its watches. The position is kept up to date instead of computed, as each frame compares it.

--- a/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable
 from typing import final
 
-from cornelbeam_wire import Identity, PeerConnection, Stream, StreamReceiver
+from cornelbeam_wire import (
+    Identity,
+    PeerConnection,
+    RevisionExchange,
+    Stream,
+    StreamReceiver,
+)
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_daemon.calls import CallServer
@@ -22,6 +28,7 @@
         '_identity',
         '_on_control',
         '_peer_server',
+        '_revisions',
         'connections',
     )
 
@@ -30,11 +37,14 @@
         identity: Identity,
         call_server: CallServer,
         on_control: Callable[[Stream, messages.Frame], None],
+        revisions: RevisionExchange | None = None,
     ) -> None:
         """Serve calls with ``call_server``.
 
         ``on_control`` is called with every other message that opens a stream.
+        All connections exchange store positions by ``revisions``.
         """
+        self._revisions = revisions
         self.connections: set[PeerConnection] = set()
         self._identity = identity
         self._on_control = on_control
@@ -53,6 +63,7 @@
             self._accept_stream,
             self.connections.discard,
             is_opener=False,
+            revisions=self._revisions,
         )
         self.connections.add(connection)
         self._accepted_count += 1
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -44,6 +44,7 @@
         'members',
         'on_change',
         'route_table',
+        'store_revision',
     )
 
     def __init__(self, own_name: str) -> None:
@@ -55,18 +56,8 @@
         self.evacuated_domains: frozenset[str] = frozenset()
         self.is_configured = asyncio.Event()
         self.on_change: Callable[[set[SharedKind]], None] = _ignore
-
-    @property
-    def store_revision(self) -> int:
-        """Return the newest position of the objects written by operators."""
-        return max(
-            (
-                shared_object.version
-                for shared_object in self._objects.versions()
-                if shared_object.kind is not SharedKind.MEMBER
-            ),
-            default=0,
-        )
+        # Newest position of the objects written by operators.
+        self.store_revision = 0
 
     @property
     def configuration_version(self) -> int:
@@ -139,6 +130,8 @@
 
     def _apply(self, changed: list[SharedObject], source: str) -> None:
         for change in changed:
+            if change.is_positioned:
+                self.store_revision = max(self.store_revision, change.version)
             _appliers[change.kind](self, change, source)
         if changed:
             self.on_change({each.kind for each in changed})
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -5,7 +5,7 @@
 
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor
-from cornelbeam_wire import Identity, Stream
+from cornelbeam_wire import Identity, RevisionExchange, Stream
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_mesh.admission import AdmissionController
@@ -31,6 +31,7 @@
         peer_sync: PeerSync,
         messenger: Messenger,
         on_control_message: Callable[[str, str], None],
+        revisions: RevisionExchange,
     ) -> None:
         """Serve calls through ``admission``.
 
@@ -42,7 +43,7 @@
         self._messenger = messenger
         self._on_control_message = on_control_message
         self.acceptor = PeerAcceptor(
-            identity, admission, self._handle_control_message
+            identity, admission, self._handle_control_message, revisions
         )
 
     def _handle_control_message(
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -32,6 +32,9 @@
 # Peers to pull from in each round: a single one may also be cut off from the
 # store.
 PULL_PEER_COUNT: Final = 2
+# Watches report a change to all daemons within this time, so a peer that heard
+# of it first is no reason to ask it.
+CATCH_UP_DELAY_S: Final = 0.3
 # Total size of the objects in one reply; the next pull fetches the rest.
 _MAX_PUSH_CONTENT_BYTES: Final = 200_000
 
@@ -43,6 +46,8 @@
     __slots__ = (
         '_domain',
         '_messenger',
+        '_newer_peers',
+        '_newer_revision_found',
         '_refreshed_at_s',
         '_rng',
         '_state',
@@ -66,6 +71,9 @@
         self._rng = rng
         # Time of the last refresh of each daemon's entry.
         self._refreshed_at_s: dict[str, float] = {}
+        # Position and address of each peer that has newer objects, by name.
+        self._newer_peers: dict[str, tuple[int, str]] = {}
+        self._newer_revision_found = asyncio.Event()
         # Set after the first pull that a peer has answered.
         self.has_pulled = asyncio.Event()
 
@@ -78,6 +86,33 @@
             for peer in self._choose_pull_peers():
                 await self.pull(peer.name, peer.address)
 
+    def note_revision(self, peer: messages.Hello, revision: int) -> None:
+        """Record the store position that a peer announces."""
+        if revision > self._state.store_revision:
+            self._newer_peers[peer.name] = revision, peer.address
+            self._newer_revision_found.set()
+
+    async def catch_up(self) -> None:
+        """Pull what the store does not report but peers have, until cancelled.
+
+        A watch that is silent is not found otherwise before it times out.
+        """
+        while True:
+            await self._newer_revision_found.wait()
+            await anyio.sleep(CATCH_UP_DELAY_S)
+            self._newer_revision_found.clear()
+            newer_peers = self._newer_peers
+            self._newer_peers = {}
+            for name, (revision, address) in newer_peers.items():
+                if revision > self._state.store_revision:
+                    await self._pull_missed(name, address)
+
+    async def _pull_missed(self, name: str, address: str) -> None:
+        held_revision = self._state.store_revision
+        await self.pull(name, address)
+        if self._state.store_revision > held_revision:
+            self._store_sync.note_missed_change(name)
+
     async def ping_lost_peers(self) -> None:
         """Ping lost daemons until cancelled to detect that they are back."""
         while True:
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -22,7 +22,7 @@
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.planned_stop import drain_callers
 from cornelbeam_daemon.silent_connections import SilentConnectionMonitor
-from cornelbeam_wire import Identity, PeerPool
+from cornelbeam_wire import Identity, PeerPool, RevisionExchange
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.fleet_state import FleetState
@@ -164,7 +164,11 @@
             # No secret: the platform's network admits only its own machines.
             b'',
         )
-        self._pool = PeerPool(self._identity, ignore_streams)
+        revisions = RevisionExchange(
+            lambda: self.state.store_revision,
+            lambda peer, revision: self.peer_sync.note_revision(peer, revision),
+        )
+        self._pool = PeerPool(self._identity, ignore_streams, revisions)
         self._messenger = Messenger(self._pool, self.metrics)
         self._silence_monitor = SilentConnectionMonitor(
             self._pool,
@@ -186,6 +190,7 @@
             self.peer_sync,
             self._messenger,
             self._on_control_message,
+            revisions,
         )
         self.forwarder = Forwarder(
             domain,
@@ -251,6 +256,7 @@
             group.start_soon(self.store_sync.run)
             group.start_soon(self.peer_sync.run)
             group.start_soon(self.peer_sync.ping_lost_peers)
+            group.start_soon(self.peer_sync.catch_up)
             group.start_soon(self._probe.run)
             group.start_soon(self._silence_monitor.run)
             group.start_soon(expire_attempts, self.admission.ledger)
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -111,6 +111,12 @@
         self._own_entry = own_entry
         self._write_requested.set()
 
+    def note_missed_change(self, peer: str) -> None:
+        """Restart the watches, as they have not reported what a peer has."""
+        if self.is_reachable.is_set():
+            _log.warning('watches restarted, a peer has newer', peer=peer)
+            self._restart_watches()
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         await self._list_all_kinds()
--- a/packages/wire/src/cornelbeam_wire/__init__.py
+++ b/packages/wire/src/cornelbeam_wire/__init__.py
@@ -15,6 +15,7 @@
 )
 from cornelbeam_wire.identity import Identity
 from cornelbeam_wire.pool import PeerPool
+from cornelbeam_wire.revisions import RevisionExchange
 
 __all__ = (
     'MAX_BODY_PART_BYTES',
@@ -24,6 +25,7 @@
     'Identity',
     'PeerConnection',
     'PeerPool',
+    'RevisionExchange',
     'Stream',
     'StreamReceiver',
     'decode_frame',
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -9,6 +9,7 @@
 from cornelbeam_wire.codec import FrameDecoder, encode_frame, protocol_error
 from cornelbeam_wire.gen.messages import BodyPart, Credit, Frame, Hello
 from cornelbeam_wire.identity import Handshake, Identity
+from cornelbeam_wire.revisions import RevisionExchange
 
 # Body bytes that may be sent on a stream before the receiver grants credit.
 STREAM_CREDIT_BYTES: Final = 256 * 1024
@@ -161,6 +162,7 @@
         on_closed: Callable[['PeerConnection'], None],
         *,
         is_opener: bool,
+        revisions: RevisionExchange | None = None,
     ) -> None:
         """Create the protocol; the event loop calls ``connection_made``."""
         self.ready: asyncio.Future[Hello] = (
@@ -175,6 +177,8 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self._is_retired = False
+        self._revisions = revisions
+        self._announced_revision = 0
         self._acceptor = acceptor
         self._on_closed = on_closed
         self._handshake = Handshake(identity, is_opener=is_opener)
@@ -263,7 +267,13 @@
         """
         if self._transport is None or self.is_closed:
             return
+        if self._revisions is not None and self.peer is not None:
+            revision = self._revisions.current()
+            if revision != self._announced_revision:
+                frame.revision = revision
         encoded = encode_frame(frame)
+        if frame.revision is not None:
+            self._announced_revision = frame.revision
         self.sent_bytes += len(encoded)
         self._transport.write(encoded)
 
@@ -298,6 +308,8 @@
         if self.peer is None:
             self._handle_handshake(frame)
             return
+        if frame.revision is not None and self._revisions is not None:
+            self._revisions.on_peer_revision(self.peer, frame.revision)
         stream = self._streams.get(frame.stream_id)
         if stream is None:
             self._accept(frame)
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -2665,6 +2665,7 @@
      - config_pull
      - probe_request
      - probe_reply
+     - revision
 
     """
 
@@ -2688,10 +2689,11 @@
         'config_pull',
         'probe_request',
         'probe_reply',
+        'revision',
     )
 
 
-    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None,):
+    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None, revision=None,):
         self.stream_id = stream_id
         self.hello = hello
         self.call_start = call_start
@@ -2711,6 +2713,7 @@
         self.config_pull = config_pull
         self.probe_request = probe_request
         self.probe_reply = probe_reply
+        self.revision = revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2834,6 +2837,11 @@
                     self.probe_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2920,6 +2928,10 @@
             oprot.writeFieldBegin('probe_reply', TType.STRUCT, 19)
             self.probe_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 20)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3152,6 +3164,7 @@
     (17, TType.STRUCT, 'config_pull', [ConfigPull, None], None, ),  # 17
     (18, TType.STRUCT, 'probe_request', [ProbeRequest, None], None, ),  # 18
     (19, TType.STRUCT, 'probe_reply', [ProbeReply, None], None, ),  # 19
+    (20, TType.I64, 'revision', None, None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -192,4 +192,7 @@
   17: optional ConfigPull config_pull
   18: optional ProbeRequest probe_request
   19: optional ProbeReply probe_reply
+  // Newest position in the store that the sender holds, if it has changed since
+  // the last frame on this connection.
+  20: optional i64 revision
 }
--- a/packages/wire/src/cornelbeam_wire/pool.py
+++ b/packages/wire/src/cornelbeam_wire/pool.py
@@ -7,6 +7,7 @@
 
 from cornelbeam_wire.connection import Acceptor, PeerConnection
 from cornelbeam_wire.identity import Identity
+from cornelbeam_wire.revisions import RevisionExchange
 
 CONNECT_TIMEOUT_S: Final = 1.0
 
@@ -25,10 +26,20 @@
         '_connections',
         '_identity',
         '_replaced',
+        '_revisions',
     )
 
-    def __init__(self, identity: Identity, acceptor: Acceptor) -> None:
-        """Start without connections; ``acceptor`` gets streams of peers."""
+    def __init__(
+        self,
+        identity: Identity,
+        acceptor: Acceptor,
+        revisions: RevisionExchange | None = None,
+    ) -> None:
+        """Start without connections; ``acceptor`` gets streams of peers.
+
+        All connections exchange store positions by ``revisions``.
+        """
+        self._revisions = revisions
         self._identity = identity
         self._acceptor = acceptor
         self._connections: dict[str, PeerConnection] = {}
@@ -78,6 +89,7 @@
             self._acceptor,
             self._remove,
             is_opener=True,
+            revisions=self._revisions,
         )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
