Find silent connections to the Object API in cornelbeam-daemon too

If both relays of a failure domain lose their connections silently, its daemons learn of a change only from pings of other domains.

Ruled out: the missing exchange of positions between peers; its pings carry revisions already.

Change: the keep-alive options move to the wire package, and the client of the Object API takes socket options.

Evidence: the test of the options covers both clients now; before, the client could not be given any (TypeError).

--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -14,7 +14,7 @@
 from cornelbeam_core.introducers import WriteIntroducers
 from cornelbeam_object_api.client import ObjectApiClient
 from cornelbeam_settings import DaemonSettings
-from cornelbeam_wire import Identity, PeerPool, Stream
+from cornelbeam_wire import KEEP_ALIVE_OPTIONS, Identity, PeerPool, Stream
 from cornelbeam_wire.codec import protocol_error
 from cornelbeam_wire.gen import messages
 from prometheus_client import CollectorRegistry
@@ -194,6 +194,7 @@
             ObjectApiClient(
                 self.settings.object_api.base_url,
                 self.settings.object_api.timeout_ms,
+                KEEP_ALIVE_OPTIONS,
             ) as client,
             anyio.create_task_group() as group,
         ):
--- a/packages/object_api/src/cornelbeam_object_api/client.py
+++ b/packages/object_api/src/cornelbeam_object_api/client.py
@@ -1,5 +1,6 @@
 """Client of the Object API: versions, conditional updates and watches."""
 
+from collections.abc import Iterable
 from typing import Any, Final, Self, TypeVar, final
 from urllib.parse import quote
 
@@ -83,10 +84,17 @@
     ``PROTOCOL_VIOLATION``.
     """
 
-    def __init__(self, base_url: str, timeout_ms: int) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        timeout_ms: int,
+        socket_options: Iterable[tuple[int, int, int]] = (),
+    ) -> None:
         """Create the client without opening a connection.
 
         ``timeout_ms`` limits each call; ``watch`` adds its own wait to it.
+        ``socket_options`` are those of its connections, as ``setsockopt``
+        takes them.
         """
         self._base_url = base_url
         self._timeout_s = timeout_ms / _MS_PER_S
@@ -95,9 +103,13 @@
             timeout=self._timeout_s,
             # Proxy environment variables must not redirect these requests.
             trust_env=False,
-            # Loading the certificate authorities costs memory in each daemon
-            # and is needed for https only.
-            verify=base_url.startswith('https:'),
+            transport=httpx.AsyncHTTPTransport(
+                trust_env=False,
+                # Loading the certificate authorities costs memory in each
+                # daemon and is needed for https only.
+                verify=base_url.startswith('https:'),
+                socket_options=socket_options,
+            ),
         )
 
     async def __aenter__(self) -> Self:
--- a/packages/wire/src/cornelbeam_wire/__init__.py
+++ b/packages/wire/src/cornelbeam_wire/__init__.py
@@ -14,10 +14,12 @@
     StreamReceiver,
 )
 from cornelbeam_wire.identity import Identity
+from cornelbeam_wire.keep_alive import KEEP_ALIVE_OPTIONS
 from cornelbeam_wire.pool import PeerPool
 from cornelbeam_wire.revisions import RevisionExchange
 
 __all__ = (
+    'KEEP_ALIVE_OPTIONS',
     'MAX_BODY_PART_BYTES',
     'MAX_FRAME_BYTES',
     'STREAM_CREDIT_BYTES',
--- a/tests/adapter/test_missed_changes.py
+++ b/tests/adapter/test_missed_changes.py
@@ -11,6 +11,8 @@
 from cornelbeam_core.shared_objects import SharedKind
 from cornelbeam_mesh import store_sync
 from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_object_api.client import ObjectApiClient
+from cornelbeam_wire import KEEP_ALIVE_OPTIONS
 from fake_store import FakeStore
 from test_store import CONFIGURATION
 
@@ -112,19 +114,40 @@
         assert platform.poll_count == 1
 
 
+async def list_platform_objects(base_url, note_options) -> None:
+    """List objects with the client of the platform's store."""
+    client = PlatformStore(base_url.removeprefix('http://'))
+    client._http.event_hooks['response'] = [note_options]
+    await client.list_objects(SharedKind.MEMBER, is_stale_allowed=True)
+    await client.close()
+
+
+async def list_own_objects(base_url, note_options) -> None:
+    """List objects as ``cornelbeam-daemon`` does."""
+    client = ObjectApiClient(base_url, 1000, KEEP_ALIVE_OPTIONS)
+    client._http.event_hooks['response'] = [note_options]
+    async with client:
+        await client.watch(0, 0)
+
+
 class TestSilentConnection:
     """Guards against watches on connections that went silent for good."""
 
-    async def test_keep_alive_ends_a_silent_connection_in_time(self):
-        options = await read_socket_options()
+    @pytest.mark.parametrize(
+        'list_objects', [list_platform_objects, list_own_objects]
+    )
+    async def test_keep_alive_ends_a_silent_connection_in_time(
+        self, list_objects
+    ):
+        options = await read_socket_options(list_objects)
         assert options[socket.SO_KEEPALIVE]
         idle_s = options[socket.TCP_KEEPIDLE]
         probes_s = options[socket.TCP_KEEPINTVL] * options[socket.TCP_KEEPCNT]
         assert idle_s + probes_s <= MAX_KEEP_ALIVE_S
 
 
-async def read_socket_options() -> dict[int, int]:
-    """Return the keep-alive options of a connection to the store."""
+async def read_socket_options(list_objects) -> dict[int, int]:
+    """Return the keep-alive options of a connection to a store."""
     found: dict[int, int] = {}
 
     async def note_options(response) -> None:
@@ -142,7 +165,9 @@
 
     async def answer(reader, writer) -> None:
         await reader.readuntil(b'\r\n\r\n')
-        content = b'{"items": [], "current_rev": 1}'
+        content = (
+            b'{"items": [], "current_rev": 1, "objects": [], "revision": 1}'
+        )
         writer.write(
             b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % len(content)
         )
@@ -152,9 +177,6 @@
 
     server = await asyncio.start_server(answer, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
-    client = PlatformStore(f'{host}:{port}')
-    client._http.event_hooks['response'] = [note_options]
-    await client.list_objects(SharedKind.MEMBER, is_stale_allowed=True)
-    await client.close()
+    await list_objects(f'http://{host}:{port}', note_options)
     server.close()
     return found
