Log the requests that were running when a target crashed

After answers broke off, one connection attempt tells: a target that has crashed refuses it. The line names the requests that broke off together. No request is treated differently.

--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -20,6 +20,7 @@
 from cornelbeam_daemon.calls import Answer, Call
 from cornelbeam_daemon.logs import get_log
 
+from cornelbeam_mesh.crash_detector import CrashDetector, is_broken_off
 from cornelbeam_mesh.members import TargetEntry
 from cornelbeam_mesh.target_exchange import TargetExchange
 
@@ -50,6 +51,7 @@
         '_target',
         '_timer',
         '_waiting',
+        'crashes',
         'is_reachable',
         'ledger',
         'measure_speed',
@@ -87,6 +89,7 @@
         self._gate = gate
         self._retry_budget = retry_budget
         self._exchange = exchange
+        self.crashes = CrashDetector(exchange.is_refusing)
         self._target = target
         self._is_evacuated = is_evacuated
         self._loop = asyncio.get_running_loop()
@@ -164,6 +167,8 @@
             service_time_s = self._loop.time() - started_s
         except CornelbeamError as error:
             is_over = error.run_state is RunState.NOT_RUN
+            if is_broken_off(error):
+                self.crashes.note_broken_off(call)
             self._note_failure(error)
             raise
         finally:
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -87,6 +87,16 @@
         self._observe(call, target, head)
         return self._read_answer(call, connection, head, content)
 
+    async def is_refusing(self) -> bool:
+        """Return whether the target refuses connections."""
+        try:
+            connection = await self._client.open()
+        except CornelbeamError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.close()
+        self._client.release(connection)
+        return False
+
     async def _connect(self, call: Call) -> BackendConnection:
         try:
             idle = self._client.take_idle(is_fresh=is_recorded(call))
--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -34,6 +34,11 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._server.is_serving()
+
     def stop(self) -> None:
         """Stop listening and abort all connections."""
         self._server.close()
