--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -6,6 +6,7 @@
 # Different from the address of most callers in the tests.
 TARGET_HOST = '127.0.0.2'
 SIGNATURE = b'x-signature: s'
+_ACCEPT_ITERATION_COUNT = 3
 Received = tuple[str, dict[bytes, bytes], bytes]
 
 
@@ -45,6 +46,18 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    async def crash(self) -> None:
+        """Refuse connections from now on and abort the open ones.
+
+        The server closes a moment later, as one that closes while it accepts
+        a connection leaves its transport open.
+        """
+        for listening in self._server.sockets:
+            asyncio.get_running_loop().remove_reader(listening.fileno())
+        for _ in range(_ACCEPT_ITERATION_COUNT):
+            await asyncio.sleep(0)
+        self.stop()
+
     async def answer(self, writer, attempt) -> None:
         """Answer a request with status 200."""
         writer.write(self.whole(attempt))
