Quarantine requests that crash the targets which run them

Cause: nothing remembered what was running when a target crashed. The retry of the daemon, that of the caller and the next arrival each went to another target. The class of fault: a failure that the request causes is taken for one of the target, so the remedy, another target, spreads it.

Ruled out, with the reasons in docs/platform-deployment.md: blaming the request that started last, as a crash follows 10 to 105 ms after the start; blaming all that were running twice, as innocent requests are retried beside the deadly one; news through the store or to all daemons.

Change: a request is known by a digest of method, host, path, credentials and body, which goes along with its calls. A crash makes suspects of what was running; gates run suspects one at a time; the one that runs when another target crashes is refused for a minute, longer after further crashes. The gates of the route's services are told, with three attempts within three seconds; a daemon that starts asks two of them. An answer clears a suspect everywhere. Lists of bytes in messages need no check of nested structs, so the codec tells them apart by their type instead of by the name 'headers'.

--- a/packages/core/src/cornelbeam_core/errors.py
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -33,6 +33,7 @@
     TARGET_LEAVING = 'target_leaving'
     DOMAIN_OUT_OF_SERVICE = 'domain_out_of_service'
     WRONG_INCARNATION = 'wrong_incarnation'
+    REQUEST_QUARANTINED = 'request_quarantined'
     RETRY_BUDGET_SPENT = 'retry_budget_spent'
     ATTEMPT_FORBIDDEN = 'attempt_forbidden'
     ATTEMPT_REPEATED = 'attempt_repeated'
--- a/packages/core/src/cornelbeam_core/routes.py
+++ b/packages/core/src/cornelbeam_core/routes.py
@@ -1,8 +1,9 @@
 """Route lookup by host and path prefix, with weighted services."""
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
+from itertools import chain
 from typing import Final, final
 
 # Timeout of routes that set none: the longest time that HTTP callers commonly
@@ -120,6 +121,14 @@
                 return rule
         return None
 
+    def services_of(self, route_names: Collection[str]) -> set[str]:
+        """Return the services that requests of some routes may reach."""
+        services: set[str] = set()
+        for rule in chain.from_iterable(self._routes.values()):
+            if rule.name in route_names:
+                services.update(share.service for share in rule.shares)
+        return services
+
     def pick_service(self, rule: RouteRule) -> str:
         """Choose the service for the next request of a route.
 
--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -230,6 +230,10 @@
         """Return a part that an earlier reader read, or None."""
         return self._kept[index] if index < len(self._kept) else None
 
+    def kept_start(self, size_bytes: int) -> bytes:
+        """Return up to ``size_bytes`` of the start that has been kept."""
+        return b''.join(self._kept)[:size_bytes]
+
     def take_ready(self) -> bytes:
         """Return what has arrived, and keep it for later readers."""
         return self._keep(self._buffer.take_ready())
--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -20,7 +20,9 @@
     a request that was sent to a target before. The attempt waits for a slot
     for at most ``max_slot_wait_ms``; ``is_last_resort`` says that no other
     target of the service has room. ``route`` identifies the kind of work,
-    and ``objective_ms`` is its latency objective.
+    and ``objective_ms`` is its latency objective. ``fingerprint`` is the same
+    for all repetitions of a request, empty if unknown, and ``is_suspect`` says
+    that a target may have crashed while it ran the request.
     """
 
     __slots__ = (
@@ -28,12 +30,14 @@
         'body',
         'caller',
         'deadline_s',
+        'fingerprint',
         'headers',
         'hop_count',
         'is_last_resort',
         'is_nested',
         'is_repeat',
         'is_repeatable',
+        'is_suspect',
         'max_slot_wait_ms',
         'method',
         'objective_ms',
@@ -67,6 +71,8 @@
         objective_ms: int = 0,
         route: str = '',
         is_last_resort: bool = False,
+        fingerprint: bytes = b'',
+        is_suspect: bool = False,
     ) -> None:
         """Create a call; see the class for the parameters."""
         self.priority = priority
@@ -76,6 +82,8 @@
         self.objective_ms = objective_ms
         self.route = route
         self.is_last_resort = is_last_resort
+        self.fingerprint = fingerprint
+        self.is_suspect = is_suspect
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service = service
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -230,5 +230,7 @@
             route=call.route or None,
             is_body_held=is_body_held or None,
             is_last_resort=call.is_last_resort or None,
+            fingerprint=call.fingerprint or None,
+            is_suspect=call.is_suspect or None,
         ),
     )
--- a/packages/daemon/src/cornelbeam_daemon/served_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/served_call.py
@@ -88,6 +88,8 @@
             objective_ms=start.objective_ms or 0,
             route=start.route or '',
             is_last_resort=bool(start.is_last_resort),
+            fingerprint=start.fingerprint or b'',
+            is_suspect=bool(start.is_suspect),
         )
         self.is_cancelled = False
         # Whether a part of the answer has been sent.
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
 from typing import Final, final
 
 from cornelbeam_core.attempts import AttemptLedger
@@ -22,6 +23,8 @@
 
 from cornelbeam_mesh.crash_detector import CrashDetector, is_broken_off
 from cornelbeam_mesh.members import TargetEntry
+from cornelbeam_mesh.quarantine_sync import QuarantineSync
+from cornelbeam_mesh.suspect_runs import SuspectRuns
 from cornelbeam_mesh.target_exchange import TargetExchange
 
 _log = get_log('backend')
@@ -47,7 +50,9 @@
         '_incoming_count',
         '_is_evacuated',
         '_loop',
+        '_quarantine',
         '_retry_budget',
+        '_suspects',
         '_target',
         '_timer',
         '_waiting',
@@ -70,6 +75,7 @@
         exchange: TargetExchange,
         target: Callable[[], TargetEntry | None],
         is_evacuated: Callable[[], bool],
+        quarantine: QuarantineSync,
     ) -> None:
         """Admit calls to the target that ``target`` returns.
 
@@ -89,7 +95,10 @@
         self._gate = gate
         self._retry_budget = retry_budget
         self._exchange = exchange
+        self._quarantine = quarantine
+        self._suspects = SuspectRuns(quarantine)
         self.crashes = CrashDetector(exchange.is_refusing)
+        self.crashes.on_crash = quarantine.note_crash
         self._target = target
         self._is_evacuated = is_evacuated
         self._loop = asyncio.get_running_loop()
@@ -139,14 +148,19 @@
         arrived_s = self._loop.time()
         target = self._check_call(call)
         record_attempt(self.ledger, call, arrived_s, self.name)
-        try:
-            await self._wait_for_body(call)
-            await self._admit(call)
-        except BaseException:
-            now_s = self._loop.time()
-            note_run_state(self.ledger, call, RunState.NOT_RUN, now_s)
-            raise
-        return await self._run(call, target, self._loop.time() - arrived_s)
+        async with AsyncExitStack() as isolation:
+            try:
+                await self._wait_for_body(call)
+                await isolation.enter_async_context(
+                    self._suspects.isolated(call)
+                )
+                await self._admit(call)
+            except BaseException:
+                now_s = self._loop.time()
+                note_run_state(self.ledger, call, RunState.NOT_RUN, now_s)
+                raise
+            waited_s = self._loop.time() - arrived_s
+            return await self._run(call, target, waited_s)
 
     async def _run(
         self,
@@ -164,6 +178,7 @@
             answer = await self._exchange.run(call, target)
             is_over = answer.body.is_ended
             answer.load = self.load_for(call.route)
+            self._quarantine.note_answer(call)
             service_time_s = self._loop.time() - started_s
         except CornelbeamError as error:
             is_over = error.run_state is RunState.NOT_RUN
@@ -222,6 +237,7 @@
             raise self._refusal_error(
                 Refusal.NO_TARGET, 'it serves another service'
             )
+        self._quarantine.check(call.fingerprint)
         if call.target_incarnation != self.ledger.incarnation:
             raise CornelbeamError(ErrorCode.WRONG_INCARNATION, 'admission')
         now_s = self._loop.time()
--- a/packages/mesh/src/cornelbeam_mesh/caller_answers.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_answers.py
@@ -69,6 +69,9 @@
         if error.load is not None:
             wait_ms = max(wait_ms, error.load.wait_ms)
         delay_s = retry_delay_s(wait_ms, left_s, timing.jitter)
+        if error.code is ErrorCode.REQUEST_QUARANTINED:
+            # It is refused until then, whatever time its caller has left.
+            delay_s = wait_ms / MS_PER_S
         headers += (b'retry-after', f'{delay_s:.2f}'.encode())
     responder.send_whole(status, headers, f'{error}\n'.encode())
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -6,7 +6,8 @@
 from cornelbeam_core.call_origins import CallOrigins
 from cornelbeam_core.caller_wait import CallerWaitEstimator
 from cornelbeam_core.deadlines import MS_PER_S, check_deadline, remaining_ms
-from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.quarantine import fingerprint_request
 from cornelbeam_core.routes import RouteRule, RouteTable
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import RequestBody
@@ -34,8 +35,10 @@
         'configuration_version',
         'deadline_s',
         'fallback',
+        'fingerprint',
         'headers',
         'is_nested',
+        'is_suspect',
         'order',
         'reached_targets',
         'request',
@@ -63,6 +66,10 @@
         self.headers: list[bytes] = []
         self.request_id = ''
         self.is_nested = False
+        # Identifies repetitions of the request; set once its body is here.
+        self.fingerprint = b''
+        # True if a target broke off while it ran the request.
+        self.is_suspect = False
         # Version of the configuration that it is routed by.
         self.configuration_version = 0
         # Time that the caller has spent on earlier attempts.
@@ -84,6 +91,27 @@
             and len(self.run_targets) < self.route.max_target_count
         )
 
+    def may_try_next(self, error: CornelbeamError) -> bool:
+        """Return whether another target may get the request after an error."""
+        if error.code is ErrorCode.REQUEST_QUARANTINED:
+            return False
+        return error.run_state is RunState.NOT_RUN or self.is_retryable
+
+    def final_error(
+        self, last_error: CornelbeamError | None
+    ) -> CornelbeamError:
+        """Return the error to answer with when no target is left."""
+        if last_error is None:
+            return CornelbeamError(
+                ErrorCode.NO_ELIGIBLE_TARGET,
+                'placement',
+                detail=f'no target of {self.service}',
+            )
+        if self.run_targets and last_error.run_state is RunState.NOT_RUN:
+            # The last attempt did not run, but an earlier one may have.
+            last_error.run_state = RunState.UNKNOWN
+        return last_error
+
     def objective_remaining_ms(self, now_s: float) -> int:
         """Return the milliseconds in which an answer meets the objective.
 
@@ -110,6 +138,26 @@
         """
         if not self.body.is_whole:
             await self.body.buffer_until(self.deadline_s)
+        self.fingerprint = self._compute_fingerprint()
+
+    def _compute_fingerprint(self) -> bytes:
+        """Return what is the same for all repetitions of this request.
+
+        The fields of an attempt, its id and remaining time among them, are
+        not, nor is the service on whose instance it arrives. The caller is
+        known by its credentials, if it sends any.
+        """
+        request = self.request
+        return fingerprint_request(
+            (
+                request.method,
+                fields.find(request.headers, b'host') or b'',
+                request.target,
+                fields.find(request.headers, b'authorization') or b'',
+                # A longer body may not have arrived, so its start must do.
+                self.body.kept_start(MAX_REPLAYABLE_BODY_BYTES),
+            )
+        )
 
 
 @final
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -30,10 +30,12 @@
     forward_in_time,
     send_error,
 )
+from cornelbeam_mesh.crash_detector import is_broken_off
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import ForwardedRequest, RequestReader
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.metrics import MeshMetrics
+from cornelbeam_mesh.quarantine_sync import QuarantineSync
 from cornelbeam_mesh.target_client import TargetClient
 
 _log = get_log('caller')
@@ -50,6 +52,7 @@
         '_loop',
         '_metrics',
         '_on_stale_entry',
+        '_quarantine',
         '_reader',
         '_rng',
         '_state',
@@ -65,12 +68,14 @@
         admission: AdmissionController,
         metrics: MeshMetrics,
         on_stale_entry: Callable[[MemberEntry], None],
+        quarantine: QuarantineSync,
         rng: random.Random,
     ) -> None:
         """Forward requests from the failure domain ``domain``.
 
         ``admission`` knows the load of the local target. ``on_stale_entry`` is
-        called if a daemon has restarted since its entry was read.
+        called if a daemon has restarted since its entry was read, and
+        ``quarantine`` knows requests that crash targets.
         """
         self._domain = domain
         self._state = state
@@ -79,6 +84,7 @@
         self._admission = admission
         self._metrics = metrics
         self._on_stale_entry = on_stale_entry
+        self._quarantine = quarantine
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self.in_flight_count = 0
@@ -92,6 +98,7 @@
         try:
             forwarded = self._reader.read(request, started_s)
             await forwarded.buffer_body()
+            self._quarantine.check(forwarded.fingerprint)
             answer = await self._try_targets(forwarded)
             outcome = str(answer.status)
             await forward_in_time(forwarded, answer, responder)
@@ -135,12 +142,9 @@
                 last_error = error
                 if error.run_state is RunState.NOT_RUN:
                     forwarded.order.note_refusal(
-                        record.name,
-                        error,
-                        attempt_started_s,
+                        record.name, error, attempt_started_s
                     )
-                    continue
-                if not forwarded.is_retryable:
+                if not forwarded.may_try_next(error):
                     break
                 continue
             if not self._should_retry(forwarded, answer):
@@ -150,23 +154,7 @@
             fallback = forwarded.fallback
             forwarded.fallback = None
             return fallback
-        raise self._final_error(forwarded, last_error)
-
-    def _final_error(
-        self,
-        forwarded: ForwardedRequest,
-        last_error: CornelbeamError | None,
-    ) -> CornelbeamError:
-        if last_error is None:
-            return CornelbeamError(
-                ErrorCode.NO_ELIGIBLE_TARGET,
-                'placement',
-                detail=f'no target of {forwarded.service}',
-            )
-        if forwarded.run_targets and last_error.run_state is RunState.NOT_RUN:
-            # The last attempt did not run, but an earlier one may have.
-            last_error.run_state = RunState.UNKNOWN
-        return last_error
+        raise forwarded.final_error(last_error)
 
     def _should_retry(
         self,
@@ -371,6 +359,9 @@
             # fail too.
             is_unreachable = True
             self._on_stale_entry(member)
+        self._quarantine.note_refusal(forwarded.fingerprint, error)
+        if is_broken_off(error):
+            forwarded.is_suspect = True
         is_refused = error.code is ErrorCode.BACKEND_REFUSED
         may_have_run = error.run_state is not RunState.NOT_RUN
         if may_have_run:
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -67,6 +67,7 @@
         is_store_reachable: Callable[[], bool],
         stated_limit_per_s: Callable[[], float],
         configuration_version: Callable[[], float],
+        quarantined_count: Callable[[], float],
     ) -> None:
         """Add gauges that are read at each scrape."""
         self._add_gauge(
@@ -94,6 +95,11 @@
             'Version of the configuration in force; 0 before the first one.',
             configuration_version,
         )
+        self._add_gauge(
+            'cornelbeam_quarantined',
+            'Requests that are refused, as they crashed targets.',
+            quarantined_count,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -10,6 +10,7 @@
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.peer_sync import PeerSync
+from cornelbeam_mesh.quarantine_sync import QuarantineSync
 
 
 @final
@@ -21,6 +22,7 @@
         '_messenger',
         '_on_control_message',
         '_peer_sync',
+        '_quarantine',
         'acceptor',
     )
 
@@ -32,6 +34,7 @@
         messenger: Messenger,
         on_control_message: Callable[[str, str], None],
         revisions: RevisionExchange,
+        quarantine: QuarantineSync,
     ) -> None:
         """Serve calls through ``admission``.
 
@@ -40,6 +43,7 @@
         """
         self._identity = identity
         self._peer_sync = peer_sync
+        self._quarantine = quarantine
         self._messenger = messenger
         self._on_control_message = on_control_message
         self.acceptor = PeerAcceptor(
@@ -60,9 +64,20 @@
                 stream.connection.peer_name,
             )
         elif frame.ping is not None:
-            self._answer_ping(stream)
+            self._acknowledge(stream)
+        else:
+            self._handle_quarantine(stream, frame)
 
-    def _answer_ping(self, stream: Stream) -> None:
+    def _handle_quarantine(self, stream: Stream, frame: messages.Frame) -> None:
+        if frame.crash_report is not None:
+            self._quarantine.adopt(
+                frame.crash_report, stream.connection.peer_name
+            )
+            self._acknowledge(stream)
+        elif frame.quarantine_pull is not None:
+            self._quarantine.answer_pull(stream)
+
+    def _acknowledge(self, stream: Stream) -> None:
         self._messenger.reply(
             stream,
             ack=messages.Ack(
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -30,6 +30,17 @@
     readiness: str
     metrics: str
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """All addresses."""
+        return (
+            self.callers,
+            self.peers,
+            self.registration,
+            self.readiness,
+            self.metrics,
+        )
+
 
 class MeshBackendServer(Section, frozen=True):
     """The backend server on this instance; ``address`` is ``ip:port``."""
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -40,6 +40,7 @@
 from cornelbeam_mesh.peer_endpoint import PeerEndpoint
 from cornelbeam_mesh.peer_sync import PeerSync
 from cornelbeam_mesh.platform_adapter import PlatformAdapter, Store
+from cornelbeam_mesh.quarantine_sync import QuarantineSync
 from cornelbeam_mesh.registration import Registration
 from cornelbeam_mesh.settings import MeshSettings, split_address
 from cornelbeam_mesh.status_pages import StatusPages
@@ -81,15 +82,7 @@
         """
         self.settings = settings
         listeners = settings.listeners
-        self._listeners = Listeners(
-            (
-                listeners.callers,
-                listeners.peers,
-                listeners.registration,
-                listeners.readiness,
-                listeners.metrics,
-            ),
-        )
+        self._listeners = Listeners(listeners.addresses)
         self._store = store
         self._rng = random.Random()
         self._stop = asyncio.Event()
@@ -112,6 +105,24 @@
             self._publish,
             lambda heartbeat: self._probe.note_heartbeat(heartbeat),
         )
+        self._identity = Identity(
+            name,
+            settings.instance.service,
+            domain,
+            self._incarnation,
+            listeners.peers,
+            # No secret: the platform's network admits only its own machines.
+            b'',
+        )
+        revisions = RevisionExchange(
+            lambda: self.state.store_revision,
+            lambda peer, revision: self.peer_sync.note_revision(peer, revision),
+        )
+        self._pool = PeerPool(self._identity, ignore_streams, revisions)
+        self._messenger = Messenger(self._pool, self.metrics)
+        self.quarantine = QuarantineSync(
+            name, self.state, self._messenger, self._start_task, self._rng
+        )
         bounds = settings.bounds
         self._gate = TargetGate(
             ColdBound(bounds.cold_factor, bounds.cold_slack_count),
@@ -141,6 +152,7 @@
             ),
             self._local_target,
             lambda: domain in self.state.evacuated_domains,
+            self.quarantine,
         )
         self._probe = TargetProbe(
             adapter,
@@ -155,21 +167,6 @@
         self.admission.on_failure = self._probe.request_probe
         self.admission.on_slow_queue = self._probe.request_probe
         self.admission.measure_speed = self._probe.measure_speed
-        self._identity = Identity(
-            name,
-            settings.instance.service,
-            domain,
-            self._incarnation,
-            listeners.peers,
-            # No secret: the platform's network admits only its own machines.
-            b'',
-        )
-        revisions = RevisionExchange(
-            lambda: self.state.store_revision,
-            lambda peer, revision: self.peer_sync.note_revision(peer, revision),
-        )
-        self._pool = PeerPool(self._identity, ignore_streams, revisions)
-        self._messenger = Messenger(self._pool, self.metrics)
         self._silence_monitor = SilentConnectionMonitor(
             self._pool,
             SILENCE_MS,
@@ -191,6 +188,7 @@
             self._messenger,
             self._on_control_message,
             revisions,
+            self.quarantine,
         )
         self.forwarder = Forwarder(
             domain,
@@ -213,6 +211,7 @@
             self.admission,
             self.metrics,
             self._on_stale_entry,
+            self.quarantine,
             self._rng,
         )
 
@@ -221,6 +220,7 @@
             self.store_sync.is_reachable.is_set,
             lambda: observer.limit_per_s or 0,
             lambda: self.state.configuration_version,
+            lambda: self.quarantine.count,
         )
 
     def stop(self) -> None:
@@ -232,8 +232,7 @@
         try:
             await self._serve()
         finally:
-            await self._store.close()
-            self._close()
+            await self._close()
         _log.info('stopped', member=self.settings.instance.name)
 
     async def _serve(self) -> None:
@@ -271,7 +270,10 @@
             await self._drain()
             group.cancel_scope.cancel()
 
-    def _close(self) -> None:
+    async def _close(self) -> None:
+        # A crash may still be found while connections close.
+        self._group = None
+        await self._store.close()
         self._listeners.close()
         for caller in tuple(self._caller_connections):
             caller.abort()
@@ -290,6 +292,7 @@
             self.store_sync.is_listed,
             self.peer_sync.has_pulled,
         )
+        self._start_task(self.quarantine.pull(self.settings.instance.service))
         name = self.settings.instance.name
         stored = self.state.get(SharedKind.MEMBER, name)
         entry = None if stored is None else decode_member(stored)
--- a/packages/mesh/src/cornelbeam_mesh/target_client.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_client.py
@@ -191,6 +191,8 @@
             is_last_resort=choice.is_last_resort,
             objective_ms=forwarded.objective_remaining_ms(self._loop.time()),
             route=forwarded.route.name,
+            fingerprint=forwarded.fingerprint,
+            is_suspect=forwarded.is_suspect,
         )
 
     async def _query_outcome(
--- a/packages/mesh/tests/test_crashes.py
+++ b/packages/mesh/tests/test_crashes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import operator
+from functools import partial
 
 import pytest
 from mesh_harness import wait_until
@@ -42,8 +44,13 @@
 
 
 async def restart_targets(nodes) -> None:
-    """Start the targets that have crashed, and wait until they are used."""
+    """Start the targets that have crashed, and wait until they are used.
+
+    Targets need longer for a restart than daemons to notice the crash.
+    """
     for node in nodes:
+        crashes = node.sidecar.admission.crashes
+        await wait_until(partial(operator.not_, crashes._tasks))
         if not node.target.is_listening:
             await node.target.start()
         await wait_until(node.sidecar.admission.is_open)
--- a/packages/wire/src/cornelbeam_wire/codec.py
+++ b/packages/wire/src/cornelbeam_wire/codec.py
@@ -15,15 +15,26 @@
 MAX_FRAME_BYTES: Final = 256 * 1024
 LENGTH_BYTES: Final = 4
 _TYPE_ARGUMENTS: Final = [Frame, Frame.thrift_spec]
-_NESTED_TYPES: Final = frozenset((TType.STRUCT, TType.LIST))
-# For each message, the names of its fields that hold structs. An entry of a
-# ``thrift_spec`` holds the id, type, name and type arguments of a field. Lists
-# hold structs, except ``headers``, which holds bytes.
+
+
+def _holds_structs(entry: tuple[Any, ...]) -> bool:
+    """Return whether an entry of a ``thrift_spec`` is of structs.
+
+    It holds the id, type, name and type arguments of a field. Those of a list
+    start with the type of its items.
+    """
+    field_type = entry[1]
+    if field_type == TType.LIST:
+        field_type = entry[3][0]
+    return bool(field_type == TType.STRUCT)
+
+
+# For each message, the names of its fields that hold structs.
 _NESTED_FIELDS: Final = {
     message[2]: tuple(
         each[2]
         for each in message[3][0].thrift_spec
-        if each and each[1] in _NESTED_TYPES and each[2] != 'headers'
+        if each and _holds_structs(each)
     )
     for message in Frame.thrift_spec
     if message and message[1] == TType.STRUCT
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -382,6 +382,8 @@
      - route
      - is_body_held
      - is_last_resort
+     - fingerprint
+     - is_suspect
 
     """
 
@@ -407,10 +409,12 @@
         'route',
         'is_body_held',
         'is_last_resort',
+        'fingerprint',
+        'is_suspect',
     )
 
 
-    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None, priority=None, is_nested=None, is_repeat=None, patience_ms=None, objective_ms=None, route=None, is_body_held=None, is_last_resort=None,):
+    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None, priority=None, is_nested=None, is_repeat=None, patience_ms=None, objective_ms=None, route=None, is_body_held=None, is_last_resort=None, fingerprint=None, is_suspect=None,):
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service_name = service_name
@@ -432,6 +436,8 @@
         self.route = route
         self.is_body_held = is_body_held
         self.is_last_resort = is_last_resort
+        self.fingerprint = fingerprint
+        self.is_suspect = is_suspect
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -552,6 +558,16 @@
                     self.is_last_resort = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.BOOL:
+                    self.is_suspect = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -649,6 +665,14 @@
             oprot.writeFieldBegin('is_last_resort', TType.BOOL, 21)
             oprot.writeBool(self.is_last_resort)
             oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 22)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.is_suspect is not None:
+            oprot.writeFieldBegin('is_suspect', TType.BOOL, 23)
+            oprot.writeBool(self.is_suspect)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2643,6 +2667,311 @@
         return not (self == other)
 
 
+class QuarantinedRequest(object):
+    """
+    Attributes:
+     - fingerprint
+     - remaining_ms
+     - strike_count
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'remaining_ms',
+        'strike_count',
+    )
+
+
+    def __init__(self, fingerprint=None, remaining_ms=None, strike_count=None,):
+        self.fingerprint = fingerprint
+        self.remaining_ms = remaining_ms
+        self.strike_count = strike_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.remaining_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.strike_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuarantinedRequest')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I32, 2)
+            oprot.writeI32(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.strike_count is not None:
+            oprot.writeFieldBegin('strike_count', TType.I32, 3)
+            oprot.writeI32(self.strike_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.remaining_ms is None:
+            raise TProtocolException(message='Required field remaining_ms is unset!')
+        if self.strike_count is None:
+            raise TProtocolException(message='Required field strike_count is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - crash
+     - suspects
+     - quarantined
+     - cleared
+
+    """
+
+    __slots__ = (
+        'crash',
+        'suspects',
+        'quarantined',
+        'cleared',
+    )
+
+
+    def __init__(self, crash=None, suspects=None, quarantined=None, cleared=None,):
+        self.crash = crash
+        self.suspects = suspects
+        self.quarantined = quarantined
+        self.cleared = cleared
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.crash = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readBinary()
+                        self.suspects.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.quarantined = []
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = QuarantinedRequest()
+                        _elem62.read(iprot)
+                        self.quarantined.append(_elem62)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.cleared = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readBinary()
+                        self.cleared.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.crash is not None:
+            oprot.writeFieldBegin('crash', TType.STRING, 1)
+            oprot.writeString(self.crash.encode('utf-8') if sys.version_info[0] == 2 else self.crash)
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.suspects))
+            for iter69 in self.suspects:
+                oprot.writeBinary(iter69)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.quarantined is not None:
+            oprot.writeFieldBegin('quarantined', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.quarantined))
+            for iter70 in self.quarantined:
+                iter70.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.cleared is not None:
+            oprot.writeFieldBegin('cleared', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRING, len(self.cleared))
+            for iter71 in self.cleared:
+                oprot.writeBinary(iter71)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.crash is None:
+            raise TProtocolException(message='Required field crash is unset!')
+        if self.suspects is None:
+            raise TProtocolException(message='Required field suspects is unset!')
+        if self.quarantined is None:
+            raise TProtocolException(message='Required field quarantined is unset!')
+        if self.cleared is None:
+            raise TProtocolException(message='Required field cleared is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuarantinePull(object):
+    """
+    Attributes:
+     - service_name
+
+    """
+
+    __slots__ = (
+        'service_name',
+    )
+
+
+    def __init__(self, service_name=None,):
+        self.service_name = service_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuarantinePull')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2666,6 +2995,8 @@
      - probe_request
      - probe_reply
      - revision
+     - crash_report
+     - quarantine_pull
 
     """
 
@@ -2690,10 +3021,12 @@
         'probe_request',
         'probe_reply',
         'revision',
+        'crash_report',
+        'quarantine_pull',
     )
 
 
-    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None, revision=None,):
+    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None, revision=None, crash_report=None, quarantine_pull=None,):
         self.stream_id = stream_id
         self.hello = hello
         self.call_start = call_start
@@ -2714,6 +3047,8 @@
         self.probe_request = probe_request
         self.probe_reply = probe_reply
         self.revision = revision
+        self.crash_report = crash_report
+        self.quarantine_pull = quarantine_pull
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2842,6 +3177,18 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.crash_report = CrashReport()
+                    self.crash_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.quarantine_pull = QuarantinePull()
+                    self.quarantine_pull.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2932,6 +3279,14 @@
             oprot.writeFieldBegin('revision', TType.I64, 20)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.crash_report is not None:
+            oprot.writeFieldBegin('crash_report', TType.STRUCT, 21)
+            self.crash_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.quarantine_pull is not None:
+            oprot.writeFieldBegin('quarantine_pull', TType.STRUCT, 22)
+            self.quarantine_pull.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3006,6 +3361,8 @@
     (19, TType.STRING, 'route', 'UTF8', None, ),  # 19
     (20, TType.BOOL, 'is_body_held', None, None, ),  # 20
     (21, TType.BOOL, 'is_last_resort', None, None, ),  # 21
+    (22, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 22
+    (23, TType.BOOL, 'is_suspect', None, None, ),  # 23
 )
 all_structs.append(BodyPart)
 BodyPart.thrift_spec = (
@@ -3142,6 +3499,26 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.STRUCT, 'load', [LoadReport, None], None, ),  # 3
 )
+all_structs.append(QuarantinedRequest)
+QuarantinedRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'remaining_ms', None, None, ),  # 2
+    (3, TType.I32, 'strike_count', None, None, ),  # 3
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'crash', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'suspects', (TType.STRING, 'BINARY', False), None, ),  # 2
+    (3, TType.LIST, 'quarantined', (TType.STRUCT, [QuarantinedRequest, None], False), None, ),  # 3
+    (4, TType.LIST, 'cleared', (TType.STRING, 'BINARY', False), None, ),  # 4
+)
+all_structs.append(QuarantinePull)
+QuarantinePull.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3165,6 +3542,8 @@
     (18, TType.STRUCT, 'probe_request', [ProbeRequest, None], None, ),  # 18
     (19, TType.STRUCT, 'probe_reply', [ProbeReply, None], None, ),  # 19
     (20, TType.I64, 'revision', None, None, ),  # 20
+    (21, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 21
+    (22, TType.STRUCT, 'quarantine_pull', [QuarantinePull, None], None, ),  # 22
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -50,6 +50,10 @@
   20: optional bool is_body_held
   // No other target of the service has room.
   21: optional bool is_last_resort
+  // Identifies repetitions of the same request, whatever their attempt ids.
+  22: optional binary fingerprint
+  // A target broke off while it ran this request.
+  23: optional bool is_suspect
 }
 
 struct BodyPart {
@@ -172,6 +176,25 @@
   3: required LoadReport load
 }
 
+struct QuarantinedRequest {
+  1: required binary fingerprint
+  2: required i32 remaining_ms
+  3: required i32 strike_count
+}
+
+// What crashes and answers of targets have shown; `crash` may be empty.
+struct CrashReport {
+  1: required string crash
+  2: required list<binary> suspects
+  3: required list<QuarantinedRequest> quarantined
+  // Suspects that a target has answered.
+  4: required list<binary> cleared
+}
+
+struct QuarantinePull {
+  1: required string service_name
+}
+
 struct Frame {
   1: required i32 stream_id
   2: optional Hello hello
@@ -195,4 +218,6 @@
   // Newest position in the store that the sender holds, if it has changed since
   // the last frame on this connection.
   20: optional i64 revision
+  21: optional CrashReport crash_report
+  22: optional QuarantinePull quarantine_pull
 }
