Ignore odd entries, heartbeats and answers instead of failing on them

What operators of like systems saw: another writer left one odd entry, nested very deeply, with a number too large or a port out of range, and the machines that read the list ended or stopped following it.

A deeply nested value raises RecursionError in the decoder, which nobody expects, and hides all other entries of a listing. Numbers of 31 digits are taken for revisions, incarnations and slots, and fail later where they are sent in 32 or 64 bits. A port out of range raises OverflowError out of the task that connects there. An era of many digits moves all positions, and the digit '²' raises ValueError. The class of fault: what decodes is taken for what can be used.

Ruled out: a higher recursion limit, as the decoder then overflows its stack.

A bound of 2**53 for sequences broke the test of a clock that was set back, where the sequence goes on from the stored version, and was widened.

--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -145,7 +145,7 @@
             return
         try:
             configuration = _configuration_decoder.decode(shared_object.content)
-        except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             _log.error('invalid configuration ignored', why=str(error))
             return
         if configuration == self._configuration:
@@ -212,7 +212,7 @@
         return 0
     try:
         return _version_decoder.decode(content).version
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         _log.warning('configuration without a version', why=str(error))
         return 0
 
--- a/packages/mesh/src/cornelbeam_mesh/members.py
+++ b/packages/mesh/src/cornelbeam_mesh/members.py
@@ -1,7 +1,8 @@
 """Member entries: the known daemons and their targets."""
 
+import ipaddress
 from collections.abc import Iterable
-from typing import Final, final
+from typing import Annotated, Final, final
 
 import msgspec
 from cornelbeam_core.placement import TargetRecord
@@ -11,16 +12,25 @@
 # Low bits of an entry's version: they count the changes made by one run of the
 # daemon. The bits above hold the incarnation in milliseconds.
 _SEQUENCE_BITS: Final = 12
+_MAX_PORT: Final = 65_535
+# Integers that every reader of JSON can represent (RFC 8259, section 6).
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Versions of entries are sent in 63 bits. The sequence is large on a daemon
+# whose clock was set back, as it goes on after its stored version.
+Incarnation = Annotated[int, msgspec.Meta(ge=0, le=2**49)]
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+# Load reports send slots in 31 bits.
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=2**20)]
 
 
 class TargetEntry(msgspec.Struct, frozen=True):
     """Target on a daemon's instance, as its heartbeats describe it."""
 
     instance: str
-    started_ms: int
-    sequence: int
+    started_ms: Count
+    sequence: Count
     service: str
-    slot_count: int
+    slot_count: SlotCount
     is_draining: bool
 
 
@@ -33,8 +43,8 @@
     name: str
     domain: str
     address: str
-    incarnation: int
-    sequence: int
+    incarnation: Incarnation
+    sequence: Sequence
     is_leaving: bool
     target: TargetEntry | None
 
@@ -80,9 +90,20 @@
     """
     try:
         entry = _decoder.decode(shared_object.content)
-    except (msgspec.ValidationError, msgspec.DecodeError):
+    except (msgspec.MsgspecError, RecursionError):
         return None
-    return entry if entry.name == shared_object.name else None
+    is_valid = entry.name == shared_object.name and _is_address(entry.address)
+    return entry if is_valid else None
+
+
+def _is_address(stated: str) -> bool:
+    """Return whether a value is an ``ip:port`` to connect to."""
+    host, _, port = stated.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+        return 0 < int(port) <= _MAX_PORT
+    except ValueError:
+        return False
 
 
 @final
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable
 from typing import Final, final
 
@@ -37,6 +38,7 @@
 MAX_PROBES_PER_S: Final = 40
 PROBE_BURST_COUNT: Final = 40
 PROBE_TIMEOUT_S: Final = 1.0
+_COLD_PATTERN: Final = re.compile(rb'\d{1,9}')
 
 
 @final
@@ -223,7 +225,7 @@
     ) -> None:
         stated = fields.find(headers, self._adapter.headers.cold_remaining_ms)
         cold_ms = 0
-        if stated is not None and stated.isdigit():
+        if stated is not None and _COLD_PATTERN.fullmatch(stated):
             cold_ms = int(stated)
         self._set_cold(cold_ms, service)
 
--- a/packages/wire/src/cornelbeam_wire/pool.py
+++ b/packages/wire/src/cornelbeam_wire/pool.py
@@ -10,6 +10,8 @@
 from cornelbeam_wire.revisions import RevisionExchange
 
 CONNECT_TIMEOUT_S: Final = 1.0
+# The last two are those of a port that is no number or out of range.
+_CONNECT_ERRORS: Final = (OSError, CornelbeamError, ValueError, OverflowError)
 
 
 @final
@@ -99,7 +101,7 @@
                     int(port),
                 )
                 await asyncio.shield(connection.ready)
-        except (OSError, CornelbeamError) as error:
+        except _CONNECT_ERRORS as error:
             connection.close()
             raise CornelbeamError(
                 ErrorCode.PEER_UNREACHABLE,
