Take a refusal that a target repeats for no other request

What callers of like systems saw: 'not run, try again' for requests that a target was running, and bookings that ran at a second target. A faulty target had written an earlier refusal once more on a kept connection.

It can happen here where two requests carry the same attempt id: the repeated refusal is taken for the answer to the second one, its caller is told that it has not run, or another target runs it too. With different ids it can't, as the echoed id tells the answers apart; a test shows that. Health answers were not checked at all: a refusal taken for one ended the cold time of a target. The class of fault: an answer is matched by less than what makes it one's own.

Ruled out: a new connection after each refusal, as targets that shed would get as many new connections as refusals.

Change: a connection over which an attempt was refused does not carry an attempt of the same id again; answers that name an attempt are no health answers.

--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -72,6 +72,10 @@
         self.is_reused = False
         self.has_no_answer_bytes = True
         self.idle_since_s: float = 0
+        # Attempts that were refused over this connection. A refusal that the
+        # server sends once more can't be told from one of a later request with
+        # the same id.
+        self.refused_attempts: set[bytes | None] = set()
 
     @property
     def is_stale(self) -> bool:
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -23,6 +23,9 @@
 
 _ENCODING: Final = b'content-encoding'
 _MISDIRECTED_REQUEST: Final = 421
+# A connection remembers the attempts that were refused over it, up to this
+# number; then a new one is opened.
+MAX_REFUSED_ATTEMPTS: Final = 256
 
 
 @final
@@ -100,6 +103,11 @@
     async def _connect(self, call: Call) -> BackendConnection:
         try:
             idle = self._client.take_idle(is_fresh=is_recorded(call))
+            attempt = self._attempt_id(call)
+            while idle is not None and attempt in idle.refused_attempts:
+                idle.close()
+                self._client.release(idle)
+                idle = self._client.take_idle(is_fresh=is_recorded(call))
             return idle or await self._client.open()
         except CornelbeamError:
             self._note_run_state(call, RunState.NOT_RUN)
@@ -139,7 +147,7 @@
             target.instance.encode(),
             *body.fields,
         ]
-        attempt = fields.find(call.headers, names.attempt_id)
+        attempt = self._attempt_id(call)
         return await connection.exchange(
             fields.render(
                 b'%b %b HTTP/1.1' % (call.method, call.path),
@@ -156,6 +164,9 @@
             ),
         )
 
+    def _attempt_id(self, call: Call) -> bytes | None:
+        return fields.find(call.headers, self._adapter.headers.attempt_id)
+
     def _observe(
         self, call: Call, target: TargetEntry, head: BackendAnswer
     ) -> None:
@@ -174,6 +185,9 @@
     ) -> Answer:
         is_refusal = fields.find(head.headers, self._adapter.headers.not_run)
         if is_refusal or head.status == _MISDIRECTED_REQUEST:
+            connection.refused_attempts.add(self._attempt_id(call))
+            if len(connection.refused_attempts) >= MAX_REFUSED_ATTEMPTS:
+                connection.close()
             self._client.release(connection)
             self._note_run_state(call, RunState.NOT_RUN)
             raise CornelbeamError(
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -211,6 +211,10 @@
                 is_complete=True,
                 is_chunked=False,
                 is_head_request=False,
+                # Only answers to requests name an attempt.
+                is_own_answer=lambda answered: (
+                    not fields.find(answered, self._adapter.headers.attempt_id)
+                ),
             )
             await head.body.skip_health_body()
         except BaseException:
