Ask peers for the configuration in force when a daemon starts

What callers would see: a daemon that starts between a restore of the store and the moment in which operators write again routes by the copy's configuration.

Ruled out: announcing the operators' version with the position, as only daemons that have just started lack it.

The fake store of the tests keeps the operators' versions.

--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -177,15 +177,25 @@
 
     async def pull(self, name: str, address: str) -> None:
         """Fetch and merge the objects that this daemon lacks."""
-        if await self._pull(name, address, is_own_entry_only=False) is not None:
+        if await self._pull(name, address) is not None:
             self.has_pulled.set()
 
+    async def pull_from_any(self) -> None:
+        """Fetch what operators wrote and the store has lost since.
+
+        A store that was restored from a copy may hold an older configuration
+        than the one in force.
+        """
+        for peer in self._choose_pull_peers():
+            await self._pull(peer.name, peer.address, is_without_members=True)
+
     async def _pull(
         self,
         name: str,
         address: str,
         *,
-        is_own_entry_only: bool,
+        is_own_entry_only: bool = False,
+        is_without_members: bool = False,
     ) -> messages.ConfigPush | None:
         """Fetch and merge objects; return ``None`` without an answer."""
         try:
@@ -194,6 +204,7 @@
                 config_pull=messages.ConfigPull(
                     since_revision=self._state.store_revision,
                     is_own_entry_only=is_own_entry_only,
+                    is_without_members=is_without_members,
                 ),
             )
         except CornelbeamError as error:
@@ -228,7 +239,10 @@
 
     def _objects_for(self, pull: messages.ConfigPull) -> list[SharedObject]:
         if not pull.is_own_entry_only:
-            return self._state.changes_since(pull.since_revision)
+            changes = self._state.changes_since(pull.since_revision)
+            if pull.is_without_members:
+                return [each for each in changes if each.is_positioned]
+            return changes
         own_entry = self._state.get(
             SharedKind.MEMBER, self._state.members.own_name
         )
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -293,6 +293,7 @@
             self.peer_sync.has_pulled,
         )
         self._start_task(self.quarantine.pull(self.settings.instance.service))
+        self._start_task(self.peer_sync.pull_from_any())
         name = self.settings.instance.name
         stored = self.state.get(SharedKind.MEMBER, name)
         entry = None if stored is None else decode_member(stored)
--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -17,6 +17,7 @@
     ServiceShare,
 )
 from cornelbeam_core.shared_objects import Listing, SharedKind, SharedObject
+from cornelbeam_mesh.fleet_state import read_authored_version
 from cornelbeam_mesh.platform_adapter import HeaderNames, Heartbeat, TargetLoad
 from cornelbeam_mesh.settings import MeshSettings
 from cornelbeam_mesh.sidecar import Sidecar
@@ -82,6 +83,7 @@
             self.revision,
             is_deleted,
             content,
+            read_authored_version(kind, content),
         )
         self.is_changed.set()
         self.is_changed = asyncio.Event()
--- a/packages/mesh/tests/test_missed_changes.py
+++ b/packages/mesh/tests/test_missed_changes.py
@@ -2,7 +2,7 @@
 
 import pytest
 from cornelbeam_core.routes import RequestKind
-from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_core.shared_objects import SharedKind, store_position
 from cornelbeam_mesh import store_sync
 from mesh_harness import configuration, route, wait_until
 
@@ -109,3 +109,17 @@
         await until_version(deaf, 2)
         change_configuration(harness, 3)
         await until_version(deaf, 3)
+
+
+class TestStartAfterRestore:
+    """Guards against a daemon that starts with what an old copy holds."""
+
+    async def test_newer_configuration_of_a_peer_is_taken(self, harness):
+        """Operators have not written it again yet."""
+        await harness.add_node()
+        change_configuration(harness, 8)
+        await until_version(harness.nodes[0], 8)
+        harness.store.revision = store_position(1, 3)
+        harness.store.put(SharedKind.CONFIGURATION, 'main', configuration(4))
+        late = await harness.add_node('south')
+        await until_version(late, 8)
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -2421,18 +2421,21 @@
     Attributes:
      - since_revision
      - is_own_entry_only
+     - is_without_members
 
     """
 
     __slots__ = (
         'since_revision',
         'is_own_entry_only',
+        'is_without_members',
     )
 
 
-    def __init__(self, since_revision=None, is_own_entry_only=None,):
+    def __init__(self, since_revision=None, is_own_entry_only=None, is_without_members=None,):
         self.since_revision = since_revision
         self.is_own_entry_only = is_own_entry_only
+        self.is_without_members = is_without_members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2453,6 +2456,11 @@
                     self.is_own_entry_only = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_without_members = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2471,6 +2479,10 @@
             oprot.writeFieldBegin('is_own_entry_only', TType.BOOL, 2)
             oprot.writeBool(self.is_own_entry_only)
             oprot.writeFieldEnd()
+        if self.is_without_members is not None:
+            oprot.writeFieldBegin('is_without_members', TType.BOOL, 3)
+            oprot.writeBool(self.is_without_members)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3486,6 +3498,7 @@
     None,  # 0
     (1, TType.I64, 'since_revision', None, None, ),  # 1
     (2, TType.BOOL, 'is_own_entry_only', None, None, ),  # 2
+    (3, TType.BOOL, 'is_without_members', None, None, ),  # 3
 )
 all_structs.append(ProbeRequest)
 ProbeRequest.thrift_spec = (
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -164,6 +164,8 @@
   1: required i64 since_revision
   // Asks only for the entry of the receiving daemon itself.
   2: optional bool is_own_entry_only
+  // Asks for no entries of members.
+  3: optional bool is_without_members
 }
 
 struct ProbeRequest {
