--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -133,6 +133,7 @@
         self.callers: set[HttpServerConnection] = set()
         self.peers: set[PeerConnection] = set()
         self._stack = contextlib.AsyncExitStack()
+        self._backend_server: asyncio.Server
 
     async def start(self) -> None:
         """Listen for callers and peers."""
@@ -245,9 +246,21 @@
         return None
 
     async def _listen_backend(self) -> int:
-        server = await asyncio.start_server(self.backend.serve, HOST, 0)
-        self._stack.callback(server.close)
-        return server.sockets[0].getsockname()[1]
+        self._backend_server = await asyncio.start_server(
+            self.backend.serve, HOST, 0
+        )
+        self._stack.callback(lambda: self._backend_server.close())
+        return self._backend_server.sockets[0].getsockname()[1]
+
+    async def restart_backend(self) -> None:
+        """Let the backend server refuse connections, and start it again."""
+        port = self._backend_server.sockets[0].getsockname()[1]
+        self._backend_server.close()
+        await self._backend_server.wait_closed()
+        await self.wait(lambda: not self.backend.open_count)
+        self._backend_server = await asyncio.start_server(
+            self.backend.serve, HOST, port
+        )
 
     async def _listen(self, factory) -> int:
         server = await asyncio.get_running_loop().create_server(
