Log member entries that are invalid

Found while reading the change: an entry that another writer has spoilt takes its daemon out without a word. Adapter, member and quarantine tests pass.

--- a/packages/core/src/cornelbeam_core/quarantine.py
+++ b/packages/core/src/cornelbeam_core/quarantine.py
@@ -142,9 +142,8 @@
     ) -> CrashFindings:
         """Record a crash and return what it shows.
 
-        ``crash`` identifies it among all crashes. If suspects
-        were running, they explain the crash, and the other requests are not
-        suspected.
+        ``crash`` identifies it among all crashes. If suspects were running,
+        they explain the crash, and the other requests are not suspected.
         """
         known = [
             run.fingerprint
--- a/packages/mesh/src/cornelbeam_mesh/crash_detector.py
+++ b/packages/mesh/src/cornelbeam_mesh/crash_detector.py
@@ -34,7 +34,7 @@
 
 @final
 class CrashDetector:
-    """Tells a crash of the target from answers that break off.
+    """Tells a crash of the target from single answers that break off.
 
     A target that has crashed refuses connections. One that does not answer at
     all is cut off or without power, which no request has caused.
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -183,6 +183,12 @@
             None if shared_object.is_deleted else decode_member(shared_object)
         )
         if entry is None:
+            if not shared_object.is_deleted:
+                _log.warning(
+                    'invalid member entry, its daemon is not used',
+                    member=shared_object.name,
+                    source=source,
+                )
             self.members.remove(shared_object.name)
             return
         self.members.update(entry)
