Split addresses in one place, and drop a field that echoes its argument

Found by reading the whole change. Entries of members were checked by a second splitting of ip:port beside split_address, and the findings of a crash repeated the id that their caller had passed in.

--- a/packages/core/src/cornelbeam_core/quarantine.py
+++ b/packages/core/src/cornelbeam_core/quarantine.py
@@ -80,7 +80,6 @@
 class CrashFindings:
     """What a crash has shown: suspects, or requests to refuse from now on."""
 
-    crash: str
     suspects: tuple[bytes, ...]
     quarantined: tuple[QuarantineEntry, ...]
 
@@ -153,11 +152,10 @@
         if not known:
             suspects = tuple(dict.fromkeys(run.fingerprint for run in runs))
             self.note_suspects(crash, suspects)
-            return CrashFindings(crash, suspects, ())
+            return CrashFindings(suspects, ())
         self.note_suspects(crash, known)
         convicted = self._most_suspect(known)
         return CrashFindings(
-            crash,
             tuple(each for each in known if each not in convicted),
             tuple(self._quarantine(each, now_s) for each in convicted),
         )
--- a/packages/mesh/src/cornelbeam_mesh/members.py
+++ b/packages/mesh/src/cornelbeam_mesh/members.py
@@ -9,6 +9,8 @@
 from cornelbeam_core.shared_objects import SharedKind, SharedObject
 from cornelbeam_core.targets import Target
 
+from cornelbeam_mesh.settings import split_address
+
 # Low bits of an entry's version: they count the changes made by one run of the
 # daemon. The bits above hold the incarnation in milliseconds.
 _SEQUENCE_BITS: Final = 12
@@ -98,12 +100,12 @@
 
 def _is_address(stated: str) -> bool:
     """Return whether a value is an ``ip:port`` to connect to."""
-    host, _, port = stated.rpartition(':')
     try:
+        host, port = split_address(stated)
         ipaddress.IPv4Address(host)
-        return 0 < int(port) <= _MAX_PORT
     except ValueError:
         return False
+    return 0 < port <= _MAX_PORT
 
 
 @final
--- a/packages/mesh/src/cornelbeam_mesh/quarantine_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/quarantine_sync.py
@@ -130,9 +130,7 @@
                 duration_s=int(entry.remaining_s),
                 strike_count=entry.strike_count,
             )
-        report = _make_report(
-            findings.crash, findings.suspects, findings.quarantined
-        )
+        report = _make_report(crash, findings.suspects, findings.quarantined)
         self._tell_concerned_peers(report, {call.route for call in known})
 
     def adopt(self, report: messages.CrashReport, source: str) -> None:
