Serve the other routes when the kind of one is unknown

What callers saw: on deployments whose configuration has a route of kind 'download', every request was refused with 'no configuration yet', for good, and no daemon was ever ready.

Cause: a kind that the decoder does not know made the whole configuration invalid. The same would happen between daemons of different releases, as the enum of the encoded configuration rejects a value that it lacks.

Change: an unknown kind becomes RequestKind.UNSUPPORTED, in the adapter and in what daemons send each other. Requests of such a route are refused with 503 unsupported_route, as it isn't known whether they may repeat; a line at each such configuration and the body of the readiness answer name the routes. A later version with such a route is taken like any other: to keep the older one would serve routes that operators have removed. Invalid configurations are ignored as before. 'download' is a kind of its own, handled as idempotent.

The new tests fail without the change, where the enum has neither value and decode_configuration raises ValueError for the kind.

--- a/packages/core/src/cornelbeam_core/errors.py
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -27,6 +27,7 @@
     HEAD_TOO_LARGE = 'head_too_large'
     BODY_TOO_LARGE = 'body_too_large'
     UNKNOWN_SERVICE = 'unknown_service'
+    UNSUPPORTED_ROUTE = 'unsupported_route'
     CONTRADICTORY_SELECTORS = 'contradictory_selectors'
     NO_ELIGIBLE_TARGET = 'no_eligible_target'
     OVERLOADED = 'overloaded'
--- a/packages/core/src/cornelbeam_core/routes.py
+++ b/packages/core/src/cornelbeam_core/routes.py
@@ -13,11 +13,33 @@
 
 @final
 class RequestKind(enum.Enum):
-    """Kind of a request; only ``IDEMPOTENT`` ones may run more than once."""
+    """Kind of a request, which says whether it may run more than once.
+
+    Kinds that this version does not know become ``UNSUPPORTED``, so that one
+    such route does not invalidate the configuration.
+
+    >>> RequestKind('a later kind')
+    <RequestKind.UNSUPPORTED: 'unsupported'>
+    """
 
     IDEMPOTENT = 'idempotent'
     NON_IDEMPOTENT = 'non-idempotent'
     UPLOAD = 'upload'
+    # An idempotent request with a large answer.
+    DOWNLOAD = 'download'
+    UNSUPPORTED = 'unsupported'
+
+    @classmethod
+    # The enum module prescribes the name.
+    def _missing_(  # noqa: WPS120
+        cls, value: object
+    ) -> 'RequestKind | None':
+        return cls.UNSUPPORTED if isinstance(value, str) else None
+
+
+_IDEMPOTENT_KINDS: Final = frozenset(
+    (RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD),
+)
 
 
 @final
@@ -53,7 +75,12 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RequestKind.IDEMPOTENT
+        return self.kind in _IDEMPOTENT_KINDS
+
+    @property
+    def is_supported(self) -> bool:
+        """Whether it is known how its requests must be handled."""
+        return self.kind is not RequestKind.UNSUPPORTED
 
 
 @final
@@ -121,6 +148,14 @@
                 return rule
         return None
 
+    def unsupported_routes(self) -> list[str]:
+        """Return the sorted names of routes whose kind is not supported."""
+        return sorted(
+            rule.name
+            for rule in chain.from_iterable(self._routes.values())
+            if not rule.is_supported
+        )
+
     def services_of(self, route_names: Collection[str]) -> set[str]:
         """Return the services that requests of some routes may reach."""
         services: set[str] = set()
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -67,6 +67,12 @@
         """
         return 0 if self.route_table is None else self.route_table.version
 
+    def unsupported_routes(self) -> list[str]:
+        """Return the names of configured routes that can't be served."""
+        if self.route_table is None:
+            return []
+        return self.route_table.unsupported_routes()
+
     def changes_since(self, revision: int) -> list[SharedObject]:
         """Return the objects that a peer at this store position may lack.
 
@@ -161,6 +167,13 @@
             routes=len(configuration.routes),
             source=source,
         )
+        unsupported = self.unsupported_routes()
+        if unsupported:
+            _log.error(
+                'routes of unsupported kinds are refused',
+                version=configuration.version,
+                routes=' '.join(unsupported),
+            )
 
     def apply_evacuation(
         self, shared_object: SharedObject, source: str
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -206,6 +206,12 @@
                 detail='no configuration yet',
             )
         route = _find_route(request, table)
+        if not route.is_supported:
+            raise CornelbeamError(
+                ErrorCode.UNSUPPORTED_ROUTE,
+                'routing',
+                detail=f'the kind of route {route.name} is not supported',
+            )
         forwarded = ForwardedRequest(
             request,
             route,
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -237,7 +237,9 @@
 
     async def _serve(self) -> None:
         addresses, serve = self.settings.listeners, self._listeners.serve_http
-        pages = StatusPages(self.metrics, self._is_ready)
+        pages = StatusPages(
+            self.metrics, self._is_ready, self.state.unsupported_routes
+        )
         await self._listeners.serve(
             addresses.peers, self._peer_endpoint.acceptor.accept
         )
--- a/packages/mesh/src/cornelbeam_mesh/status_pages.py
+++ b/packages/mesh/src/cornelbeam_mesh/status_pages.py
@@ -15,23 +15,36 @@
 class StatusPages:
     """Answers what the platform asks about this daemon."""
 
-    __slots__ = ('_is_ready', '_metrics')
+    __slots__ = ('_is_ready', '_metrics', '_unsupported_routes')
 
     def __init__(
-        self, metrics: MeshMetrics, is_ready: Callable[[], bool]
+        self,
+        metrics: MeshMetrics,
+        is_ready: Callable[[], bool],
+        unsupported_routes: Callable[[], list[str]],
     ) -> None:
-        """Export ``metrics``; ``is_ready`` decides about new callers."""
+        """Export ``metrics``; ``is_ready`` decides about new callers.
+
+        ``unsupported_routes`` returns the names of the routes whose requests
+        are refused.
+        """
         self._metrics = metrics
         self._is_ready = is_ready
+        self._unsupported_routes = unsupported_routes
 
     async def answer_readiness(
         self,
         request: HttpRequest,
         responder: Responder,
     ) -> None:
-        """Answer 200 if callers may connect, 503 otherwise."""
+        """Answer 200 if callers may connect, 503 otherwise.
+
+        The body names the routes whose requests are refused.
+        """
         status = _OK if self._is_ready() else _UNAVAILABLE
-        responder.send_whole(status, [], b'')
+        names = ', '.join(self._unsupported_routes())
+        content = f'unsupported routes: {names}\n'.encode() if names else b''
+        responder.send_whole(status, [], content)
 
     async def answer_metrics(
         self,
--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -255,11 +255,12 @@
         method='GET',
         body=b'',
         from_host=CALLER_HOST,
+        listener='callers',
         **fields,
     ):
         """Send a request; return status line, header fields and body."""
         reader, writer = await asyncio.open_connection(
-            *self.addresses['callers'].split(':'),
+            *self.addresses[listener].split(':'),
             local_addr=(from_host, 0),
         )
         try:
--- a/tests/adapter/test_message_parser.py
+++ b/tests/adapter/test_message_parser.py
@@ -115,6 +115,19 @@
         with pytest.raises(ValueError):
             decode_configuration(json.dumps(broken).encode())
 
+    @pytest.mark.parametrize(
+        ('kind', 'decoded_kind'),
+        [
+            ('download', RequestKind.DOWNLOAD),
+            ('stream-of-2031', RequestKind.UNSUPPORTED),
+        ],
+    )
+    def test_kind(self, kind, decoded_kind):
+        changed = json.loads(json.dumps(CONFIGURATION))
+        changed['listeners'][0]['rules'][0]['kind'] = kind
+        decoded = decode_configuration(json.dumps(changed).encode())
+        assert decoded.routes[0].kind is decoded_kind
+
     def test_route_without_time_limit(self):
         unlimited = json.loads(json.dumps(CONFIGURATION))
         unlimited['listeners'][0]['rules'][0]['action'].pop('timeout_ms')
