Move the detection and the quarantine of crashes below both daemons

Cause: cornelbeam-daemon lets a request crash backend server after backend server, as the quarantine is a part of the mesh. Mending it there by a copy would make two of everything once more.

Change: crash_detector, suspect_runs and quarantine_sync are modules of cornelbeam_daemon. Which peers a crash concerns is passed in: the mesh knows them by route, cornelbeam-daemon will by its own service. The fingerprint of a request has a module of its own. No change of behaviour.

Evidence: test_crashes.py and test_forwarding.py pass unchanged.

--- a/packages/mesh/src/cornelbeam_mesh/crash_detector.py
+++ b/packages/daemon/src/cornelbeam_daemon/crash_detector.py
@@ -5,6 +5,7 @@
 from typing import Final, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+
 from cornelbeam_daemon.calls import Call
 from cornelbeam_daemon.logs import get_log
 
--- a/packages/mesh/src/cornelbeam_mesh/quarantine_sync.py
+++ b/packages/daemon/src/cornelbeam_daemon/quarantine_sync.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection, Coroutine, Iterable
-from typing import Any, Final, final
+from collections.abc import Callable, Collection, Coroutine, Iterable, Sequence
+from typing import Any, Final, Protocol, final
 
 from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
@@ -13,14 +13,12 @@
     QuarantineEntry,
     Verdict,
 )
-from cornelbeam_daemon.calls import Call
-from cornelbeam_daemon.control_messages import Messenger
-from cornelbeam_daemon.logs import get_log
 from cornelbeam_wire import Stream
 from cornelbeam_wire.gen import messages
 
-from cornelbeam_mesh.fleet_state import FleetState
-from cornelbeam_mesh.members import MemberEntry
+from cornelbeam_daemon.calls import Call
+from cornelbeam_daemon.control_messages import Messenger
+from cornelbeam_daemon.logs import get_log
 
 _log = get_log('backend')
 # A report is sent again if no reply arrives. With the timeout of a message,
@@ -32,35 +30,52 @@
 _CRASH_ID_BYTES: Final = 8
 
 
+class Peer(Protocol):
+    """Another daemon, whose ``address`` is ``ip:port``."""
+
+    @property
+    def name(self) -> str:
+        """Name of the daemon."""
+
+    @property
+    def address(self) -> str:
+        """Address for control messages."""
+
+
+# Returns the daemons beside targets that repetitions of calls may reach.
+FindPeers = Callable[[Collection[Call]], Sequence[Peer]]
+
+
 @final
 class QuarantineSync:
     """Quarantine of one daemon, kept up to date with its peers.
 
-    Only the daemon beside a target reaches it, so those beside the targets of
-    a route's services are told of a crash. Others learn from their refusals.
+    Only the daemon beside a target reaches it, so those beside the targets
+    that repetitions may reach are told of a crash. Others learn from their
+    refusals.
     """
 
     __slots__ = (
+        '_find_peers',
         '_loop',
         '_messenger',
         '_name',
         '_quarantine',
         '_rng',
         '_start_task',
-        '_state',
     )
 
     def __init__(
         self,
         name: str,
-        state: FleetState,
+        find_peers: FindPeers,
         messenger: Messenger,
         start_task: Callable[[Coroutine[Any, Any, None]], None],
         rng: random.Random,
     ) -> None:
-        """Share as the daemon ``name`` with the members of ``state``."""
+        """Share as the daemon ``name`` with the peers concerned."""
         self._name = name
-        self._state = state
+        self._find_peers = find_peers
         self._messenger = messenger
         self._start_task = start_task
         self._rng = rng
@@ -99,7 +114,7 @@
         """
         if self._quarantine.clear(call.fingerprint, self._loop.time()):
             report = _make_report(cleared=(call.fingerprint,))
-            self._tell_concerned_peers(report, {call.route})
+            self._tell_concerned_peers(report, [call])
 
     def note_refusal(self, fingerprint: bytes, error: CornelbeamError) -> None:
         """Remember that a peer refuses a request."""
@@ -131,7 +146,7 @@
                 strike_count=entry.strike_count,
             )
         report = _make_report(crash, findings.suspects, findings.quarantined)
-        self._tell_concerned_peers(report, {call.route for call in known})
+        self._tell_concerned_peers(report, known)
 
     def adopt(self, report: messages.CrashReport, source: str) -> None:
         """Take over what the daemon ``source`` has found."""
@@ -154,11 +169,10 @@
             stream, crash_report=_make_report(quarantined=entries)
         )
 
-    async def pull(self, service: str) -> None:
-        """Ask daemons beside targets of a service what they refuse."""
-        peers = self._peers_of({service})
-        self._rng.shuffle(peers)
-        for peer in peers[:PULL_PEER_COUNT]:
+    async def pull(self, service: str, peers: Sequence[Peer]) -> None:
+        """Ask some of the daemons beside targets of a service."""
+        count = min(PULL_PEER_COUNT, len(peers))
+        for peer in self._rng.sample(peers, count):
             try:
                 frame = await self._messenger.ask(
                     peer.address,
@@ -182,24 +196,12 @@
             )
 
     def _tell_concerned_peers(
-        self, report: messages.CrashReport, routes: Collection[str]
+        self, report: messages.CrashReport, calls: Collection[Call]
     ) -> None:
-        """Tell those beside targets that requests of the routes may reach."""
-        table = self._state.route_table
-        services = set() if table is None else table.services_of(routes)
-        for peer in self._peers_of(services):
+        for peer in self._find_peers(calls):
             self._start_task(self._send(peer, report))
 
-    def _peers_of(self, services: Collection[str]) -> list[MemberEntry]:
-        return [
-            peer
-            for peer in self._state.members.others()
-            if peer.target is not None and peer.target.service in services
-        ]
-
-    async def _send(
-        self, peer: MemberEntry, report: messages.CrashReport
-    ) -> None:
+    async def _send(self, peer: Peer, report: messages.CrashReport) -> None:
         for _ in range(MAX_SEND_ATTEMPTS):
             try:
                 await self._messenger.ask(peer.address, crash_report=report)
--- a/packages/mesh/src/cornelbeam_mesh/suspect_runs.py
+++ b/packages/daemon/src/cornelbeam_daemon/suspect_runs.py
@@ -6,8 +6,7 @@
 from typing import Final, final
 
 from cornelbeam_daemon.calls import Call
-
-from cornelbeam_mesh.quarantine_sync import QuarantineSync
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 
 # Longest wait of a suspect for the one that is running. Most suspects are
 # innocent, so they are not held back until their deadlines.
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -19,12 +19,12 @@
 from cornelbeam_core.tickets import Refusal, Ticket
 from cornelbeam_daemon.attempt_records import note_run_state, record_attempt
 from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.crash_detector import CrashDetector, is_broken_off
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
+from cornelbeam_daemon.suspect_runs import SuspectRuns
 
-from cornelbeam_mesh.crash_detector import CrashDetector, is_broken_off
 from cornelbeam_mesh.members import TargetEntry
-from cornelbeam_mesh.quarantine_sync import QuarantineSync
-from cornelbeam_mesh.suspect_runs import SuspectRuns
 from cornelbeam_mesh.target_exchange import TargetExchange
 
 _log = get_log('backend')
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -1,7 +1,7 @@
 """This daemon's view of the fleet, merged from the store and its peers."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final, final
 
 import msgspec
@@ -14,9 +14,10 @@
     era_of,
     revision_of,
 )
+from cornelbeam_daemon.calls import Call
 from cornelbeam_daemon.logs import get_log
 
-from cornelbeam_mesh.members import Members, decode_member
+from cornelbeam_mesh.members import MemberEntry, Members, decode_member
 
 _log = get_log('config')
 _configuration_decoder: Final = msgspec.json.Decoder(RoutingConfiguration)
@@ -73,6 +74,21 @@
             return []
         return self.route_table.unsupported_routes()
 
+    def peers_beside(self, services: Collection[str]) -> list[MemberEntry]:
+        """Return the other daemons beside targets of the services."""
+        return [
+            peer
+            for peer in self.members.others()
+            if peer.target is not None and peer.target.service in services
+        ]
+
+    def peers_for_calls(self, calls: Collection[Call]) -> list[MemberEntry]:
+        """Return the daemons whose targets repetitions of calls may reach."""
+        if self.route_table is None:
+            return []
+        routes = {call.route for call in calls}
+        return self.peers_beside(self.route_table.services_of(routes))
+
     def changes_since(self, revision: int) -> list[SharedObject]:
         """Return the objects that a peer at this store position may lack.
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -7,12 +7,12 @@
 from cornelbeam_core.caller_wait import CallerWaitEstimator
 from cornelbeam_core.deadlines import MS_PER_S, check_deadline, remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
-from cornelbeam_core.quarantine import fingerprint_request
 from cornelbeam_core.routes import RouteRule, RouteTable
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import RequestBody
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest, malformed, read_number
+from cornelbeam_daemon.request_fingerprint import compute_fingerprint
 
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.platform_adapter import PlatformAdapter
@@ -138,25 +138,8 @@
         """
         if not self.body.is_whole:
             await self.body.buffer_until(self.deadline_s)
-        self.fingerprint = self._compute_fingerprint()
-
-    def _compute_fingerprint(self) -> bytes:
-        """Return what is the same for all repetitions of this request.
-
-        The fields of an attempt, its id and remaining time among them, are
-        not, nor is the service on whose instance it arrives. The caller is
-        known by its credentials, if it sends any.
-        """
-        request = self.request
-        return fingerprint_request(
-            (
-                request.method,
-                fields.find(request.headers, b'host') or b'',
-                request.target,
-                fields.find(request.headers, b'authorization') or b'',
-                # A longer body may not have arrived, so its start must do.
-                self.body.kept_start(MAX_REPLAYABLE_BODY_BYTES),
-            )
+        self.fingerprint = compute_fingerprint(
+            self.request, self.body, MAX_REPLAYABLE_BODY_BYTES
         )
 
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -20,8 +20,10 @@
     rank_targets,
 )
 from cornelbeam_daemon.calls import Answer
+from cornelbeam_daemon.crash_detector import is_broken_off
 from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.racing import SecondAttempt, race
 
 from cornelbeam_mesh.admission import AdmissionController
@@ -30,12 +32,10 @@
     forward_in_time,
     send_error,
 )
-from cornelbeam_mesh.crash_detector import is_broken_off
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import ForwardedRequest, RequestReader
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.metrics import MeshMetrics
-from cornelbeam_mesh.quarantine_sync import QuarantineSync
 from cornelbeam_mesh.target_client import TargetClient
 
 _log = get_log('caller')
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -5,12 +5,12 @@
 
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_wire import Identity, RevisionExchange, Stream
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.peer_sync import PeerSync
-from cornelbeam_mesh.quarantine_sync import QuarantineSync
 
 
 @final
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -21,6 +21,7 @@
 from cornelbeam_daemon.peer_acceptor import ignore_streams
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.planned_stop import drain_callers
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.silent_connections import SilentConnectionMonitor
 from cornelbeam_wire import Identity, PeerPool, RevisionExchange
 
@@ -40,7 +41,6 @@
 from cornelbeam_mesh.peer_endpoint import PeerEndpoint
 from cornelbeam_mesh.peer_sync import PeerSync
 from cornelbeam_mesh.platform_adapter import PlatformAdapter, Store
-from cornelbeam_mesh.quarantine_sync import QuarantineSync
 from cornelbeam_mesh.registration import Registration
 from cornelbeam_mesh.settings import MeshSettings, split_address
 from cornelbeam_mesh.status_pages import StatusPages
@@ -121,7 +121,11 @@
         self._pool = PeerPool(self._identity, ignore_streams, revisions)
         self._messenger = Messenger(self._pool, self.metrics)
         self.quarantine = QuarantineSync(
-            name, self.state, self._messenger, self._start_task, self._rng
+            name,
+            self.state.peers_for_calls,
+            self._messenger,
+            self._start_task,
+            self._rng,
         )
         bounds = settings.bounds
         self._gate = TargetGate(
@@ -294,7 +298,9 @@
             self.store_sync.is_listed,
             self.peer_sync.has_pulled,
         )
-        self._start_task(self.quarantine.pull(self.settings.instance.service))
+        service = self.settings.instance.service
+        peers = self.state.peers_beside({service})
+        self._start_task(self.quarantine.pull(service, peers))
         self._start_task(self.peer_sync.pull_from_any())
         name = self.settings.instance.name
         stored = self.state.get(SharedKind.MEMBER, name)
