Quarantine requests that crash backend servers in cornelbeam-daemon too

What callers saw: a request that crashes the backend server which runs it did so each time it came, and took its room from all other callers.

Change: the caller side computes the fingerprint of a request and refuses a quarantined one; the backend side keeps suspects apart, finds out that its backend server has crashed, and tells the other members of its service, as in the mesh. A daemon asks two of them once it knows some. The fingerprint is empty for repeatable requests with more than 64 KiB of body, which are sent on while they arrive.

The test as it stood closed the connection first and refused connections only for an instant afterwards, which is an answer that breaks off, not a crash; now the backend server refuses connections from the moment at which it breaks off, and the bound is the same.

--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -86,6 +86,16 @@
             error.run_state = RunState.UNKNOWN
             raise
 
+    async def is_refusing(self) -> bool:
+        """Return whether the server refuses connections."""
+        try:
+            connection = await self.open()
+        except CornelbeamError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.close()
+        self.release(connection)
+        return False
+
     def release(self, connection: BackendConnection) -> None:
         """Put a connection back, or close it if it cannot be reused."""
         self._in_use.discard(connection)
--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import AsyncExitStack
 from http import HTTPStatus
 from typing import final
 
@@ -31,7 +32,10 @@
 )
 from cornelbeam_daemon.body_framing import BodyFraming
 from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.crash_detector import CrashDetector, is_broken_off
 from cornelbeam_daemon.metrics import BACKEND_SIDE, Metrics, answer_code
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
+from cornelbeam_daemon.suspect_runs import SuspectRuns
 
 
 @final
@@ -44,7 +48,10 @@
         '_in_service',
         '_loop',
         '_metrics',
+        '_quarantine',
         '_queue',
+        '_suspects',
+        'crashes',
         'is_leaving',
         'ledger',
         'name',
@@ -59,10 +66,12 @@
         client: BackendClient,
         metrics: Metrics,
         in_service: Callable[[], bool],
+        quarantine: QuarantineSync,
     ) -> None:
         """Serve calls as the target ``name``.
 
-        ``in_service`` returns whether the failure domain is in service.
+        ``in_service`` returns whether the failure domain is in service, and
+        ``quarantine`` knows requests that crash backend servers.
         """
         self.name = name
         self.ledger = ledger
@@ -73,6 +82,10 @@
         self._client = client
         self._metrics = metrics
         self._in_service = in_service
+        self._quarantine = quarantine
+        self._suspects = SuspectRuns(quarantine)
+        self.crashes = CrashDetector(client.is_refusing)
+        self.crashes.on_crash = quarantine.note_crash
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -130,12 +143,19 @@
     async def _serve(self, call: Call, started_s: float) -> Answer:
         self._check(call, started_s)
         self._record(call, started_s)
-        try:
-            await self._queue.wait_for_body(call)
-            await self._queue.admit(call, started_s)
-        except BaseException:
-            self._note_run_state(call, RunState.NOT_RUN)
-            raise
+        async with AsyncExitStack() as isolation:
+            try:
+                await self._queue.wait_for_body(call)
+                await isolation.enter_async_context(
+                    self._suspects.isolated(call)
+                )
+                await self._queue.admit(call, started_s)
+            except BaseException:
+                self._note_run_state(call, RunState.NOT_RUN)
+                raise
+            return await self._run(call, started_s)
+
+    async def _run(self, call: Call, started_s: float) -> Answer:
         connection = await self._connect(call)
         handed_over_s = self._loop.time()
         try:
@@ -153,12 +173,15 @@
                 self.name,
                 run_state=RunState.UNKNOWN,
             ) from error
-        except CornelbeamError:
+        except CornelbeamError as error:
             self._abandon(call, connection, CallOutcome.FAILED)
+            if is_broken_off(error):
+                self.crashes.note_broken_off(call)
             raise
         except BaseException:
             self._abandon(call, connection, CallOutcome.CANCELLED)
             raise
+        self._quarantine.note_answer(call)
         service_time_s = self._loop.time() - handed_over_s
 
         def close() -> None:  # noqa: WPS430
@@ -191,6 +214,7 @@
             raise self._refusal(ErrorCode.TARGET_LEAVING)
         if not self._in_service():
             raise self._refusal(ErrorCode.DOMAIN_OUT_OF_SERVICE)
+        self._quarantine.check(call.fingerprint)
 
     def _record(self, call: Call, now_s: float) -> None:
         try:
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -21,6 +21,7 @@
 from cornelbeam_daemon.answer_forwarding import forward_answer
 from cornelbeam_daemon.backend_side import BackendSide
 from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.crash_detector import is_broken_off
 from cornelbeam_daemon.hedging import Hedger
 from cornelbeam_daemon.http_message import (
     HttpRequest,
@@ -35,6 +36,7 @@
     buffer_body,
     read_head,
 )
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.racing import Attempt
 from cornelbeam_daemon.routing_table import RoutingTable, no_target_error
 from cornelbeam_daemon.target_choice import TargetChooser
@@ -58,6 +60,7 @@
         '_loop',
         '_metrics',
         '_name',
+        '_quarantine',
         '_table',
         'in_flight',
     )
@@ -71,11 +74,13 @@
         limits: LimitsSettings,
         policy: str,
         metrics: Metrics,
+        quarantine: QuarantineSync,
     ) -> None:
         """Route by ``table``; use ``backend_side`` for the local target.
 
-        ``name`` is the name of this daemon, and ``policy`` that of the target
-        selection policy.
+        ``name`` is the name of this daemon, ``policy`` that of the target
+        selection policy, and ``quarantine`` knows requests that crash backend
+        servers.
         """
         self._name = name
         self._table = table
@@ -83,6 +88,7 @@
         self._backend_side = backend_side
         self._limits = limits
         self._metrics = metrics
+        self._quarantine = quarantine
         self._budget = RetryBudget(
             limits.retry_ratio,
             limits.retry_min_per_s,
@@ -128,6 +134,8 @@
     async def _serve(self, pending: PendingRequest) -> Answer:
         if not pending.body.is_whole:
             await buffer_body(pending)
+        pending.note_body()
+        self._quarantine.check(pending.fingerprint)
         last_error: CornelbeamError | None = None
         while True:
             state = self._choose(pending, pending.failed)
@@ -269,6 +277,8 @@
             hop_count=pending.hop_count,
             request_id=pending.request_id,
             body=pending.body,
+            fingerprint=pending.fingerprint,
+            is_suspect=pending.is_suspect,
         )
 
     async def _attempt(
@@ -291,6 +301,9 @@
             ) from error
         except CornelbeamError as error:
             self._chooser.note_error(state, error)
+            self._quarantine.note_refusal(pending.fingerprint, error)
+            if is_broken_off(error):
+                pending.is_suspect = True
             raise
         except BaseException:
             self._chooser.note_cancelled(state, self._loop.time() - started_s)
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import uuid
+from collections.abc import Collection
 from pathlib import Path
 from typing import Final, final
 
@@ -12,6 +13,7 @@
 from cornelbeam_core.directory import ServiceDirectory
 from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.introducers import WriteIntroducers
+from cornelbeam_core.targets import Target
 from cornelbeam_object_api.client import ObjectApiClient
 from cornelbeam_settings import DaemonSettings
 from cornelbeam_wire import KEEP_ALIVE_OPTIONS, Identity, PeerPool, Stream
@@ -23,6 +25,7 @@
 from cornelbeam_daemon.backend_client import BackendClient
 from cornelbeam_daemon.backend_side import BackendSide
 from cornelbeam_daemon.caller_side import CallerSide
+from cornelbeam_daemon.calls import Call
 from cornelbeam_daemon.config_sync import ConfigSync
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.fleet_sync import FleetSync
@@ -44,6 +47,7 @@
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.planned_stop import STOP_POLL_S, drain_callers
 from cornelbeam_daemon.probing import EjectedTargetProber, Prober
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.routing_table import RoutingTable
 from cornelbeam_daemon.silent_connections import SilentConnectionMonitor
 
@@ -101,6 +105,13 @@
         )
         self._pool = PeerPool(self._identity, ignore_streams)
         self._messenger = Messenger(self._pool, self.metrics)
+        self.quarantine = QuarantineSync(
+            own.name,
+            self._service_peers,
+            self._messenger,
+            lambda exchange: self.fleet.start_task(exchange),
+            self._rng,
+        )
         self.admission = AdmissionLimit(make_admission_settings(settings))
         client = BackendClient(
             settings.backend_server.host,
@@ -114,6 +125,7 @@
             client,
             self.metrics,
             lambda: self.table.is_own_domain_in_service,
+            self.quarantine,
         )
         self._acceptor = PeerAcceptor(
             self._identity,
@@ -140,6 +152,7 @@
             settings.limits,
             settings.policy.selection,
             self.metrics,
+            self.quarantine,
         )
         self.config = ConfigSync(
             self._messenger,
@@ -286,6 +299,7 @@
         elif frame.probe_request is not None:  # noqa: WPS223 - one per message
             self.fleet.start_task(self.prober.answer(stream, self._messenger))
         else:
+            self.quarantine.answer(stream, frame, self.fleet.acknowledge)
             self._dispatch_config(stream, frame, peer.address)
 
     def _dispatch_config(
@@ -299,6 +313,18 @@
         elif frame.config_push is not None:
             self.config.on_push(frame.config_push, sender)
 
+    def _service_peers(self, calls: Collection[Call]) -> list[Target]:
+        """Return the other members of the own service.
+
+        The calls ran at the own backend server, so repetitions go to those of
+        the same service.
+        """
+        return [
+            target
+            for target in self.fleet.targets(self.own.service)
+            if target.name != self.own.name
+        ]
+
     def _apply_members(self) -> None:
         has_changed = False
         for service in self.fleet.services():
@@ -309,9 +335,16 @@
             self.caller_side.forget_removed_targets()
 
     async def _apply_member_changes(self) -> None:
+        is_quarantine_known = False
         while True:
             await self.fleet.members_changed.wait()
             self.fleet.members_changed.clear()
+            peers = self._service_peers(())
+            if peers and not is_quarantine_known:
+                is_quarantine_known = True
+                self.fleet.start_task(
+                    self.quarantine.pull(self.own.service, peers)
+                )
             if self.fleet.replaced_by_incarnation > self.own.incarnation:
                 _log.error('replaced by a later run of this target')
                 self.stop()
--- a/packages/daemon/src/cornelbeam_daemon/fleet_sync.py
+++ b/packages/daemon/src/cornelbeam_daemon/fleet_sync.py
@@ -188,6 +188,10 @@
         self._record_revision(peer.name, peer.address, ping.revision)
         self._messenger.reply(stream, ack=self._make_ack(answer))
 
+    def acknowledge(self, stream: Stream) -> None:
+        """Confirm a message that has no answer of its own."""
+        self._messenger.reply(stream, ack=self._make_ack(()))
+
     def answer_indirect_ping(
         self,
         stream: Stream,
--- a/packages/daemon/src/cornelbeam_daemon/pending_request.py
+++ b/packages/daemon/src/cornelbeam_daemon/pending_request.py
@@ -12,6 +12,7 @@
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, RequestBody
 from cornelbeam_daemon.http_message import HttpRequest, malformed, read_number
+from cornelbeam_daemon.request_fingerprint import compute_fingerprint
 from cornelbeam_daemon.routing_table import RoutingTable
 
 _MS_PER_S: Final = 1000
@@ -30,9 +31,11 @@
         'deadline_s',
         'facts',
         'failed',
+        'fingerprint',
         'has_possibly_run',
         'headers',
         'hop_count',
+        'is_suspect',
         'request',
         'request_id',
         'route',
@@ -52,6 +55,11 @@
         # Failed targets; True if only the connection to the target was lost.
         self.failed: dict[str, bool] = {}
         self.has_possibly_run = False
+        # Identifies repetitions of the request, empty if its body was not
+        # buffered.
+        self.fingerprint = b''
+        # True if a backend server broke off while it ran the request.
+        self.is_suspect = False
         self.facts = RequestFacts('', '', '', {})
         self.route = Route((), {}, False, None)
 
@@ -60,6 +68,13 @@
         if run_state is not RunState.NOT_RUN:
             self.has_possibly_run = True
 
+    def note_body(self) -> None:
+        """Compute the fingerprint, once ``buffer_body`` has returned."""
+        if self.body.is_whole or not self.route.is_repeatable:
+            self.fingerprint = compute_fingerprint(
+                self.request, self.body, REPLAY_LIMIT_BYTES
+            )
+
     @property
     def is_idempotent(self) -> bool:
         """Return whether the method is idempotent."""
--- a/packages/daemon/src/cornelbeam_daemon/quarantine_sync.py
+++ b/packages/daemon/src/cornelbeam_daemon/quarantine_sync.py
@@ -162,12 +162,21 @@
         for fingerprint in report.cleared:
             self._quarantine.clear(fingerprint, self._loop.time())
 
-    def answer_pull(self, stream: Stream) -> None:
-        """Send the requests that are refused now."""
-        entries = self._quarantine.entries(self._loop.time())
-        self._messenger.reply(
-            stream, crash_report=_make_report(quarantined=entries)
-        )
+    def answer(
+        self,
+        stream: Stream,
+        frame: messages.Frame,
+        acknowledge: Callable[[Stream], None],
+    ) -> None:
+        """Handle a crash report or the request for one; ignore others."""
+        if frame.crash_report is not None:
+            self.adopt(frame.crash_report, stream.connection.peer_name)
+            acknowledge(stream)
+        elif frame.quarantine_pull is not None:
+            entries = self._quarantine.entries(self._loop.time())
+            self._messenger.reply(
+                stream, crash_report=_make_report(quarantined=entries)
+            )
 
     async def pull(self, service: str, peers: Sequence[Peer]) -> None:
         """Ask some of the daemons beside targets of a service."""
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
@@ -21,6 +22,7 @@
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.peer_server import PeerServer
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.routing_table import RoutingTable
 from cornelbeam_settings import LimitsSettings
 from cornelbeam_wire import Identity, PeerConnection, PeerPool
@@ -65,6 +67,7 @@
         self.requests: list[tuple[bytes, bytes]] = []
         self.connection_count = 0
         self.open_count = 0
+        self._writers: set[asyncio.StreamWriter] = set()
 
     def has_received_request(self) -> bool:
         """Return whether a request has arrived."""
@@ -78,6 +81,7 @@
         """Run the script on one connection."""
         self.connection_count += 1
         self.open_count += 1
+        self._writers.add(writer)
         try:
             with contextlib.suppress(
                 OSError,
@@ -86,8 +90,17 @@
             ):
                 await self.script(reader, writer)
         finally:
-            self.open_count -= 1
-            writer.close()
+            self._close(writer)
+
+    def _close(self, writer: asyncio.StreamWriter) -> None:
+        self.open_count -= 1
+        self._writers.discard(writer)
+        writer.close()
+
+    def abort(self) -> None:
+        """Abort all connections."""
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def answer_all(
         self,
@@ -118,6 +131,13 @@
         await reader.read()
 
 
+def make_quarantine(name: str) -> QuarantineSync:
+    """Return the quarantine of a daemon without peers."""
+    return QuarantineSync(
+        name, lambda calls: (), None, lambda work: None, random.Random(1)
+    )
+
+
 class Bed:
     """Test bed with one caller side in front of one backend side."""
 
@@ -132,6 +152,11 @@
         self.is_in_service = True
         self.callers: set[HttpServerConnection] = set()
         self.peers: set[PeerConnection] = set()
+        # The daemon of the caller side, and that of the backend side.
+        self.quarantines = [
+            make_quarantine('edge-1'),
+            make_quarantine('yard-1'),
+        ]
         self._stack = contextlib.AsyncExitStack()
         self._backend_server: asyncio.Server
 
@@ -147,6 +172,7 @@
             self.client,
             metrics,
             lambda: self.is_in_service,
+            self.quarantines[1],
         )
         self.peer_server = PeerServer(self.backend_side)
         self.peer_address = f'{HOST}:{await self._listen(self._accept_peer)}'
@@ -163,6 +189,7 @@
             LIMITS,
             'power_of_two',
             metrics,
+            self.quarantines[not self.is_remote],
         )
         self.port = await self._listen(self._accept_caller)
 
@@ -252,14 +279,24 @@
         self._stack.callback(lambda: self._backend_server.close())
         return self._backend_server.sockets[0].getsockname()[1]
 
-    async def restart_backend(self) -> None:
-        """Let the backend server refuse connections, and start it again."""
-        port = self._backend_server.sockets[0].getsockname()[1]
+    @property
+    def is_backend_listening(self) -> bool:
+        """Whether the backend server accepts connections."""
+        return self._backend_server.is_serving()
+
+    async def stop_backend(self) -> None:
+        """Let the backend server refuse connections and abort open ones."""
+        self._backend_port = self._backend_server.sockets[0].getsockname()[1]
         self._backend_server.close()
-        await self._backend_server.wait_closed()
+        # A server that closes while it accepts leaves a transport open.
+        await asyncio.sleep(0)
+        self.backend.abort()
+
+    async def restart_backend(self) -> None:
+        """Start the stopped backend server at the same port."""
         await self.wait(lambda: not self.backend.open_count)
         self._backend_server = await asyncio.start_server(
-            self.backend.serve, HOST, port
+            self.backend.serve, HOST, self._backend_port
         )
 
     async def _listen(self, factory) -> int:
--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -14,6 +14,7 @@
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest
 from cornelbeam_daemon.metrics import Metrics
+from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.routing_table import RoutingTable
 from cornelbeam_settings import LimitsSettings
 from prometheus_client import CollectorRegistry
@@ -118,6 +119,9 @@
             LimitsSettings(),
             'power_of_two',
             Metrics(CollectorRegistry()),
+            QuarantineSync(
+                'edge-1', lambda calls: (), None, lambda work: None, None
+            ),
         )
         return [await send_one(side, method) for _ in range(count)]
 
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -66,16 +66,7 @@
         elif frame.ping is not None:
             self._acknowledge(stream)
         else:
-            self._handle_quarantine(stream, frame)
-
-    def _handle_quarantine(self, stream: Stream, frame: messages.Frame) -> None:
-        if frame.crash_report is not None:
-            self._quarantine.adopt(
-                frame.crash_report, stream.connection.peer_name
-            )
-            self._acknowledge(stream)
-        elif frame.quarantine_pull is not None:
-            self._quarantine.answer_pull(stream)
+            self._quarantine.answer(stream, frame, self._acknowledge)
 
     def _acknowledge(self, stream: Stream) -> None:
         self._messenger.reply(
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -92,13 +92,7 @@
 
     async def is_refusing(self) -> bool:
         """Return whether the target refuses connections."""
-        try:
-            connection = await self._client.open()
-        except CornelbeamError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        connection.close()
-        self._client.release(connection)
-        return False
+        return await self._client.is_refusing()
 
     async def _connect(self, call: Call) -> BackendConnection:
         try:
