Test that a crash is known at all daemons of its service

Two processes of cornelbeam-daemon: a booking whose backend server is killed while it runs it is refused by both daemons after the second time, though each has seen one crash only.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -160,6 +160,64 @@
         anyio.run(body)
 
 
+class TestDeadlyRequest:
+    """Guards against crashes that only the daemon beside them hears of."""
+
+    def test_every_daemon_of_the_service_refuses_it(self, fleet):
+        targets = [fleet.nodes['bookings-1'], fleet.nodes['bookings-2']]
+
+        async def body():
+            async with open_caller(fleet):
+                for node in targets:
+                    node.inject(service_time_ms=3_600_000)
+                for _ in targets:
+                    await send_and_kill(fleet.nodes['edge-1'], targets)
+            for node in targets:
+                await wait_until(partial(is_quarantined, node))
+
+        fleet.start()
+        anyio.run(body)
+
+
+async def send_and_kill(entry, targets):
+    """Send the same booking again, and kill the backend server it runs at."""
+    before = {node.name: read_started(node) for node in targets}
+
+    def find_running():
+        return [
+            node for node in targets if read_started(node) > before[node.name]
+        ]
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(anyio.to_thread.run_sync, book_deadly, entry)
+        await wait_until(find_running)
+        find_running()[0].backend.kill()
+
+
+def read_started(node):
+    """Return how many requests a backend server has begun, 0 if it is gone."""
+    if not node.backend.is_running:
+        return 0
+    return node.read_counts().get('started', 0)
+
+
+def book_deadly(node):
+    """Send the booking that is blamed for the crashes; return the answer."""
+    return httpx.post(
+        f'{node.caller_url}/booking',
+        headers={'host': f'{SERVICE}.mesh'},
+        content=b'deadly',
+        timeout=None,
+        trust_env=False,
+    )
+
+
+def is_quarantined(node):
+    """Return whether a daemon refuses the booking for its crashes."""
+    code = book_deadly(node).headers.get('cornelbeam-code')
+    return code == 'request_quarantined'
+
+
 class TestSilentConnection:
     """Guards against hanging calls and repeated runs on silent connections."""
 
