Run pipelined reads at the same time, answered in order

What callers saw: a caller that sends further reads before the first is answered waited for each in turn, though the targets had room. The time left was counted from the start of a request, not from its arrival, so a target got more time than the caller had. More than 16 requests at once were refused with 400.

Cause: a connection had one request at work at a time.

Change: each request of a connection has an answer of its own that is written in its turn. Requests with a safe method and a route that may repeat run beside each other (RFC 9112, section 9.3.2); all others run alone, so a booking is never passed on behind an answer that may end the connection. limits.pipelined_count bounds what is read ahead, and reading pauses there. A planned stop closes behind the last request that has been passed on; what waits behind it counts as not read.

--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -34,6 +34,7 @@
 from cornelbeam_daemon.pending_request import (
     PendingRequest,
     buffer_body,
+    read_facts,
     read_head,
 )
 from cornelbeam_daemon.quarantine_sync import QuarantineSync
@@ -98,6 +99,14 @@
         self._loop = asyncio.get_running_loop()
         self.in_flight = 0
 
+    def may_overlap(self, request: HttpRequest) -> bool:
+        """Return whether a pipelined request may run beside others."""
+        try:
+            return self._table.route(read_facts(request)).is_repeatable
+        except CornelbeamError:
+            # It is refused in its turn.
+            return False
+
     def retry_tokens(self) -> float:
         """Return how many retries and hedges the budget allows now."""
         return self._budget.tokens(self._loop.time())
@@ -108,7 +117,7 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Handle one request and write its answer or error."""
-        pending = PendingRequest(request, self._loop.time())
+        pending = PendingRequest(request, request.received_s)
         self.in_flight += 1
         # Counted if the handling is cancelled or fails unexpectedly.
         code = ErrorCode.OUTCOME_UNKNOWN.value
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -45,6 +45,7 @@
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor, ignore_streams
 from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_daemon.pipelining import PipelineRules
 from cornelbeam_daemon.planned_stop import STOP_POLL_S, drain_callers
 from cornelbeam_daemon.probing import EjectedTargetProber, Prober
 from cornelbeam_daemon.quarantine_sync import QuarantineSync
@@ -257,6 +258,10 @@
                 self.settings.limits.head_bytes,
                 self.settings.limits.body_bytes,
                 self._callers,
+                pipeline_rules=PipelineRules(
+                    self.settings.limits.pipelined_count,
+                    self.caller_side.may_overlap,
+                ),
             ),
             sock=self.sockets['caller'],
             backlog=LISTEN_BACKLOG,
--- a/packages/daemon/src/cornelbeam_daemon/http_message.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_message.py
@@ -1,5 +1,6 @@
 """HTTP requests of callers and the answers to them."""
 
+import asyncio
 import re
 from http import HTTPStatus
 from typing import Final, Protocol, final
@@ -37,6 +38,7 @@
         'is_keep_alive',
         'method',
         'peer_host',
+        'received_s',
         'target',
         'version',
     )
@@ -47,6 +49,8 @@
         self.target = b''
         self.version = ''
         self.peer_host = ''
+        # Time of the event loop at which the head was complete.
+        self.received_s = asyncio.get_running_loop().time()
         self.headers: list[bytes] = []
         self.is_keep_alive = True
         self.body = body
--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from itertools import islice
 from typing import Final, final
 
 import httptools
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
 
-from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES, BodyBuffer
 from cornelbeam_daemon.http_message import (
     HttpRequest,
@@ -18,6 +18,8 @@
     truncated_answer,
 )
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.pipelining import PipelinedAnswer, PipelineRules
+from cornelbeam_daemon.request_head import check_head, is_awaiting_continue
 
 _log = get_log('caller')
 # Limits how long an incomplete request head can occupy a connection.
@@ -34,10 +36,12 @@
 # Bytes of a header line in addition to name and value, and of a request line in
 # addition to its target.
 _LINE_OVERHEAD_BYTES: Final = 4
-_VERSIONS: Final = frozenset(('1.0', '1.1'))
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_MAX_PIPELINED: Final = 16
 _NEVER_S: Final = float('inf')
+# Input is parsed in parts, which are short outside of bodies, so that a part
+# holds few requests.
+_HEAD_PART_BYTES: Final = 1024
+_BODY_PART_BYTES: Final = 65_536
 
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
@@ -54,12 +58,14 @@
         body_limit_bytes: int,
         connections: set['HttpServerConnection'],
         on_open: Callable[['HttpServerConnection'], None] | None = None,
+        pipeline_rules: PipelineRules | None = None,
     ) -> None:
         """Create the protocol for one accepted connection.
 
         It is a member of ``connections`` while it is open. ``on_open`` is
         called before anything is read.
         """
+        self._rules = pipeline_rules or PipelineRules()
         self._on_open = on_open
         self._handler = handler
         self._head_limit_bytes = head_limit_bytes
@@ -69,11 +75,11 @@
         self._parser = httptools.HttpRequestParser(self)
         self._transport: asyncio.Transport | None = None
         self._peer_host = ''
-        # The request that is being received, and the one being answered.
+        # The request that is being received, and those not answered yet.
         self._request: HttpRequest | None = None
-        self._answering: HttpRequest | None = None
-        self._waiting: deque[HttpRequest] = deque()
-        self._task: asyncio.Task[None] | None = None
+        self._pipeline: deque[PipelinedAnswer] = deque()
+        # Input behind the last request that may be read ahead.
+        self._unparsed = b''
         self._head_bytes = 0
         self._line_bytes = 0
         self._body_bytes = 0
@@ -107,6 +113,37 @@
         """Parse input; refuse a malformed request after earlier answers."""
         if self._error is not None or self._is_discarding:
             return
+        self._unparsed += received
+        self._parse()
+
+    def _parse(self) -> None:
+        unparsed = self._unparsed
+        self._unparsed = b''
+        start = 0
+        while start < len(unparsed) and not self._is_pipeline_full():
+            part_bytes = _HEAD_PART_BYTES
+            if self._is_in_body():
+                part_bytes = _BODY_PART_BYTES
+            part = unparsed[start : start + part_bytes]
+            start += len(part)
+            self._feed(part)
+            if self._error is not None or self._is_discarding:
+                return
+        self._unparsed = unparsed[start:]
+        if self._unparsed:
+            self._pause_reading()
+
+    def _is_pipeline_full(self) -> bool:
+        is_full = len(self._pipeline) >= self._rules.request_count
+        return is_full and not self._is_in_body()
+
+    def _is_in_body(self) -> bool:
+        request = self._request
+        if request is None or request.body.is_complete:
+            return False
+        return self._is_head_done
+
+    def _feed(self, received: bytes) -> None:
         self._has_body_part = False
         try:
             self._parser.feed_data(received)
@@ -133,8 +170,7 @@
         self.resume_writing()
         if self._request is not None:
             self._request.body.fail(malformed('the caller disconnected'))
-        if self._task is not None:
-            self._task.cancel()
+        self._cancel_answers()
 
     def pause_writing(self) -> None:
         """Make ``drain`` wait."""
@@ -147,6 +183,7 @@
         self._drain_waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
+        self._start_ready()
 
     # Called by the parser.
 
@@ -189,12 +226,10 @@
         request.is_keep_alive = (
             self._parser.should_keep_alive() and not is_upgrade
         )
-        _check_head(request, is_upgrade=is_upgrade)
-        if len(self._waiting) >= _MAX_PIPELINED:
-            raise malformed('too many pipelined requests')
-        self._waiting.append(request)
-        if self._task is None:
-            self._start_next()
+        check_head(request, is_upgrade=is_upgrade)
+        request.received_s = self._loop.time()
+        self._pipeline.append(PipelinedAnswer(self, request))
+        self._start_ready()
 
     def on_body(self, content: bytes) -> None:
         """Buffer a part of the body; pause reading when the buffer is full."""
@@ -217,6 +252,7 @@
         """Mark the body as complete."""
         assert self._request is not None  # noqa: S101
         self._request.body.finish()
+        self._start_ready()
 
     # Called by the responder and the application.
 
@@ -251,61 +287,93 @@
     def close_when_idle(self) -> None:
         """Close now if no request is in progress, else after its answer."""
         self._is_leaving = True
-        if self._task is None:
-            self.is_closing = True
-            if self._transport is not None:
-                self._transport.close()
-        elif self._answering is not None and not self._waiting:
-            self._answering.is_keep_alive = False
+        started = [each for each in self._pipeline if each.task is not None]
+        if started:
+            # What follows it has not been passed on, so callers send it again.
+            started[-1].request.is_keep_alive = False
+            return
+        self.is_closing = True
+        if self._transport is not None:
+            self._transport.close()
 
     # Internal.
 
-    def _start_next(self) -> None:
-        request = self._waiting.popleft()
-        self._answering = request
-        if self._is_leaving and not self._waiting:
-            request.is_keep_alive = False
-        if _is_awaiting_continue(request):
+    def _start_ready(self) -> None:
+        """Start the first request, and those that may run beside it."""
+        if self.is_closing or self._is_write_paused or self._is_leaving:
+            return
+        may_overlap = self._rules.may_overlap
+        first_ones = islice(self._pipeline, self._rules.request_count)
+        for position, answer in enumerate(first_ones):
+            if answer.task is None:
+                if position and not may_overlap(answer.request):
+                    return
+                self._start(answer)
+            if position:
+                continue
+            answer.take_turn()
+            if len(self._pipeline) == 1 or not may_overlap(answer.request):
+                return
+
+    def _start(self, answer: PipelinedAnswer) -> None:
+        if is_awaiting_continue(answer.request):
             # Sent only now: earlier, it would get into the previous answer.
             self.write(_CONTINUE)
-        responder = Responder(self, request)
-        self._task = self._loop.create_task(self._run(request, responder))
+        answer.task = self._loop.create_task(self._run(answer))
 
-    async def _run(self, request: HttpRequest, responder: Responder) -> None:
+    async def _run(self, answer: PipelinedAnswer) -> None:
+        request = answer.request
         try:
-            await self._handler(request, responder)
+            await self._handler(request, Responder(answer, request))
             # The next request waits until the caller has read this answer.
-            await self.drain()
+            await answer.wait_turn()
         except CornelbeamError:
-            self.abort()
+            answer.abort()
         except Exception as error:
             # Otherwise the next answer would be taken for this one.
             _log.error('request failed', problem=repr(error))
-            self.abort()
+            answer.abort()
         finally:
-            self._task = None
-            self._finish_answer(request)
+            answer.is_done = True
+            self._finish_answers()
 
-    def _finish_answer(self, request: HttpRequest) -> None:
+    def _finish_answers(self) -> None:
         if self.is_closing or self._transport is None:
             return
-        if request.body.is_complete and request.is_keep_alive:
-            self._start_next_or_idle()
-        elif request.body.is_complete:
-            self._transport.close()
-        else:
-            # The rest of an unread body would be parsed as the next request.
-            self._lingering_close()
-
-    def _start_next_or_idle(self) -> None:
-        if self._waiting:
-            self._start_next()
-        elif self._error is None:
-            if self._is_head_done:
-                self._set_timeout(IDLE_TIMEOUT_S)
-            self._resume_reading()
-        else:
-            self._send_error(self._error)
+        while self._pipeline and self._pipeline[0].is_done:
+            request = self._pipeline.popleft().request
+            if not request.body.is_complete:
+                # The rest of an unread body would be parsed as a request.
+                self._cancel_answers()
+                self._lingering_close()
+                return
+            if not request.is_keep_alive:
+                self._cancel_answers()
+                self._transport.close()
+                return
+            if self._pipeline:
+                self._pipeline[0].take_turn()
+        self._continue_reading()
+
+    def _cancel_answers(self) -> None:
+        for answer in self._pipeline:
+            if answer.task is not None:
+                answer.task.cancel()
+        self._pipeline.clear()
+
+    def _continue_reading(self) -> None:
+        self._start_ready()
+        if self._unparsed:
+            self._parse()
+        if self._is_discarding:
+            return
+        if self._error is not None:
+            if not self._pipeline:
+                self._send_error(self._error)
+            return
+        if self._is_head_done and not self._pipeline:
+            self._set_timeout(IDLE_TIMEOUT_S)
+        self._resume_reading()
 
     def _lingering_close(self) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -334,6 +402,10 @@
                 self._timer = self._loop.call_at(timeout_at_s, self._on_timer)
             return
         self._timeout_at_s = _NEVER_S
+        if self._unparsed:
+            # The rest of the head is here, but it is not its turn yet.
+            self._set_timeout(HEAD_TIMEOUT_S)
+            return
         if self._is_head_done or self._is_discarding:
             if self._transport is not None:
                 self._transport.close()
@@ -351,7 +423,7 @@
         self._pause_reading()
         if self._request is not None and not self._request.body.is_complete:
             self._request.body.fail(error)
-        if self._task is None:
+        if not self._pipeline:
             self._send_error(error)
 
     def _send_error(self, error: CornelbeamError) -> None:
@@ -399,6 +471,8 @@
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
+        if self._unparsed:
+            return
         if self._is_reading_paused and self._transport is not None:
             self._is_reading_paused = False
             if not self._transport.is_closing():
@@ -407,33 +481,3 @@
     def _on_consumed(self, size_bytes: int) -> None:
         if self._error is None:
             self._resume_reading()
-
-
-def _check_head(request: HttpRequest, *, is_upgrade: bool) -> None:
-    """Refuse ambiguous heads (RFC 9112, sections 3.2 and 6.1).
-
-    Another parser could read them as a different request.
-    """
-    headers = request.headers
-    if request.version not in _VERSIONS:
-        raise malformed(f'HTTP/{request.version} is not supported')
-    if headers[::2].count(b'host') > 1:
-        raise malformed('there are several Host headers')
-    encoding = fields.find(headers, b'transfer-encoding')
-    if encoding is not None and encoding.strip().lower() != b'chunked':
-        raise malformed('chunked is the only supported transfer coding')
-    if encoding is not None and request.version != '1.1':
-        raise malformed('HTTP/1.0 has no transfer codings')
-    length = fields.find(headers, b'content-length') or b'0'
-    if is_upgrade and (encoding is not None or length.strip(b'0')):
-        # The parser reports no body for a request with an upgrade.
-        raise malformed('a request with an upgrade must not have a body')
-
-
-def _is_awaiting_continue(request: HttpRequest) -> bool:
-    return (
-        fields.find(request.headers, b'expect') is not None
-        and request.version == '1.1'
-        and not request.body.is_complete
-        and not request.body.size_bytes
-    )
--- a/packages/daemon/src/cornelbeam_daemon/pending_request.py
+++ b/packages/daemon/src/cornelbeam_daemon/pending_request.py
@@ -92,6 +92,25 @@
     """
     request = pending.request
     headers = request.headers
+    pending.facts = read_facts(request)
+    pending.request_id = _read_request_id(headers)
+    pending.hop_count = read_number(headers, fields.HOPS, 0, _MAX_DIGITS) + 1
+    check_hop_count(pending.hop_count)
+    body_bytes = read_number(headers, b'content-length', 0, _MAX_DIGITS)
+    if body_bytes > limits.body_bytes:
+        raise CornelbeamError(ErrorCode.BODY_TOO_LARGE, 'request head')
+    pending.headers = fields.strip(headers)
+    pending.route = table.route(pending.facts)
+    pending.deadline_s = pending.started_s + _timeout_s(pending, table, limits)
+    check_deadline(pending.deadline_s, pending.started_s, 'routing')
+
+
+def read_facts(request: HttpRequest) -> RequestFacts:
+    """Return what routing depends on.
+
+    Raise ``malformed_request`` if the head does not say it.
+    """
+    headers = request.headers
     try:
         path = request.target.decode('ascii')
         method = request.method.decode('ascii')
@@ -103,22 +122,12 @@
     service = host.partition(':')[0].partition('.')[0]
     if not service:
         raise malformed('the Host header does not name a service')
-    pending.facts = RequestFacts(
+    return RequestFacts(
         service.lower(),
         method,
         path,
         fields.HeaderView(headers),
     )
-    pending.request_id = _read_request_id(headers)
-    pending.hop_count = read_number(headers, fields.HOPS, 0, _MAX_DIGITS) + 1
-    check_hop_count(pending.hop_count)
-    body_bytes = read_number(headers, b'content-length', 0, _MAX_DIGITS)
-    if body_bytes > limits.body_bytes:
-        raise CornelbeamError(ErrorCode.BODY_TOO_LARGE, 'request head')
-    pending.headers = fields.strip(headers)
-    pending.route = table.route(pending.facts)
-    pending.deadline_s = pending.started_s + _timeout_s(pending, table, limits)
-    check_deadline(pending.deadline_s, pending.started_s, 'routing')
 
 
 def _timeout_s(
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -176,6 +176,17 @@
         self._origins = origins
         self._caller_wait = CallerWaitEstimator()
 
+    def may_overlap(self, request: HttpRequest) -> bool:
+        """Return whether a pipelined request may run beside others."""
+        table = self._state.route_table
+        try:
+            return (
+                table is not None and _find_route(request, table).is_idempotent
+            )
+        except CornelbeamError:
+            # It is refused in its turn.
+            return False
+
     def read(self, request: HttpRequest, started_s: float) -> ForwardedRequest:
         """Determine the route, service and deadline of a request.
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -91,7 +91,7 @@
 
     async def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one request of a caller."""
-        started_s = self._loop.time()
+        started_s = request.received_s
         self.in_flight_count += 1
         outcome = 'cancelled'
         forwarded: ForwardedRequest | None = None
--- a/packages/mesh/src/cornelbeam_mesh/listeners.py
+++ b/packages/mesh/src/cornelbeam_mesh/listeners.py
@@ -7,6 +7,7 @@
 from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.listening import LISTEN_BACKLOG, bind_listener
+from cornelbeam_daemon.pipelining import PipelineRules
 
 from cornelbeam_mesh.settings import split_address
 
@@ -40,6 +41,7 @@
         handler: Handler,
         connections: set[HttpServerConnection] | None = None,
         on_open: Callable[[HttpServerConnection], None] | None = None,
+        pipeline_rules: PipelineRules | None = None,
     ) -> None:
         """Serve HTTP requests at an address with ``handler``.
 
@@ -57,6 +59,7 @@
                 BODY_LIMIT_BYTES,
                 tracked,
                 on_open,
+                pipeline_rules,
             ),
         )
 
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -1,9 +1,11 @@
 """Settings of the daemon for routes by host and path."""
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_daemon.pipelining import DEFAULT_PIPELINED_COUNT
 from cornelbeam_settings.jsonc_document import DocumentError, parse_document
 from cornelbeam_settings.model import Section
 
@@ -73,6 +75,18 @@
     grace_s: float = 6
 
 
+class MeshLimits(Section, frozen=True):
+    """Limits of what callers may occupy.
+
+    Of each connection, ``pipelined_count`` requests are read before the first
+    is answered.
+    """
+
+    pipelined_count: Annotated[int, msgspec.Meta(ge=1)] = (
+        DEFAULT_PIPELINED_COUNT
+    )
+
+
 class MeshLog(Section, frozen=True):
     """Lowest level of logged lines, and whether they are JSON."""
 
@@ -88,6 +102,7 @@
     backend_server: MeshBackendServer
     store: MeshStore
     bounds: MeshBounds = MeshBounds()
+    limits: MeshLimits = MeshLimits()
     log: MeshLog = MeshLog()
 
 
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -20,6 +20,7 @@
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.peer_acceptor import ignore_streams
 from cornelbeam_daemon.peer_client import PeerClient
+from cornelbeam_daemon.pipelining import PipelineRules
 from cornelbeam_daemon.planned_stop import drain_callers
 from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.silent_connections import SilentConnectionMonitor
@@ -194,16 +195,17 @@
             revisions,
             self.quarantine,
         )
+        self._reader = RequestReader(
+            adapter,
+            self.state,
+            settings.instance.service,
+            host,
+            self.admission.origins,
+        )
         self.forwarder = Forwarder(
             domain,
             self.state,
-            RequestReader(
-                adapter,
-                self.state,
-                settings.instance.service,
-                host,
-                self.admission.origins,
-            ),
+            self._reader,
             TargetClient(
                 name,
                 adapter,
@@ -255,6 +257,10 @@
             self.forwarder.handle,
             self._caller_connections,
             self._on_caller_connection,
+            PipelineRules(
+                self.settings.limits.pipelined_count,
+                self._reader.may_overlap,
+            ),
         )
         async with anyio.create_task_group() as group:
             self._group = group
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -207,6 +207,16 @@
             1024 * _MEBIBYTE,
         ),
     ] = 64 * _MEBIBYTE
+    pipelined_count: Annotated[
+        int,
+        quantity(
+            'Requests of one caller connection that are read before the first'
+            ' is answered. Those that may repeat run at the same time.',
+            'requests',
+            1,
+            1000,
+        ),
+    ] = 8
     queue_count: Annotated[
         int,
         quantity(
