Answer every request before the grace period of a planned stop ends

What callers saw: requests with more time left than the stopping daemon were cut without an answer at the end of the grace period, bookings among them; those that waited for a slot, here or at another daemon, as well.

Cause: requests that arrive after SIGTERM kept the deadline of their callers, and the daemon aborted all connections when the grace period was nearly over. Gates knew nothing of the stop.

Change: StopDeadline, 0.8 s before the end of the grace period, bounds the deadline of each request and call that arrives during a stop, so the backend server stops in time too. A request whose shortest known service time does not fit is refused as not run. At that time gates hand back what waits, and 0.1 s later what still runs is answered with 504.

--- a/packages/core/src/cornelbeam_core/deadlines.py
+++ b/packages/core/src/cornelbeam_core/deadlines.py
@@ -1,6 +1,7 @@
 """Checks of the deadline and of the hop count of a request."""
 
-from typing import Final
+import math
+from typing import Final, final
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
 
@@ -35,3 +36,51 @@
             'routing',
             detail=f'{hop_count} hops, at most {MAX_HOP_COUNT} are supported',
         )
+
+
+@final
+class StopDeadline:
+    """Time by which a daemon that stops must have answered every request.
+
+    Load that this answers: a planned stop under load, in which requests with
+    more time left than the daemon arrive until the last moment.
+
+    >>> stop = StopDeadline()
+    >>> stop.limit(12.0)
+    12.0
+    >>> stop.begin(10.0)
+    >>> stop.limit(12.0)
+    10.0
+    """
+
+    __slots__ = ('at_s',)
+
+    def __init__(self) -> None:
+        """Start without a stop."""
+        self.at_s = math.inf
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the daemon is stopping."""
+        return not math.isinf(self.at_s)
+
+    def begin(self, at_s: float) -> None:
+        """Begin a stop in which all work must have ended at ``at_s``."""
+        self.at_s = at_s
+
+    def limit(self, deadline_s: float) -> float:
+        """Return the deadline of a request, that of the stop at the latest."""
+        return min(deadline_s, self.at_s)
+
+    def check(self, service_ms: float, now_s: float) -> None:
+        """Raise ``CornelbeamError`` (``TARGET_LEAVING``) if it would be late.
+
+        ``service_ms`` is the shortest time that the request may take.
+        """
+        left_ms = (self.at_s - now_s) * MS_PER_S
+        if left_ms < service_ms:
+            raise CornelbeamError(
+                ErrorCode.TARGET_LEAVING,
+                'planned stop',
+                detail='it would not end before the daemon does',
+            )
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -10,7 +10,7 @@
 
 from cornelbeam_core.attempts import AttemptLedger
 from cornelbeam_core.call_origins import CallOrigins
-from cornelbeam_core.deadlines import MS_PER_S
+from cornelbeam_core.deadlines import MS_PER_S, StopDeadline
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.rate_limit import RateUse
 from cornelbeam_core.repeat_budget import RepeatBudget
@@ -52,6 +52,7 @@
         '_loop',
         '_quarantine',
         '_retry_budget',
+        '_stop',
         '_suspects',
         '_target',
         '_timer',
@@ -76,11 +77,13 @@
         target: Callable[[], TargetEntry | None],
         is_evacuated: Callable[[], bool],
         quarantine: QuarantineSync,
+        stop: StopDeadline,
     ) -> None:
         """Admit calls to the target that ``target`` returns.
 
-        ``name`` is the name of this daemon.
+        ``name`` is the name of this daemon. Calls end by the time of ``stop``.
         """
+        self._stop = stop
         self.name = name
         self.ledger = ledger
         self.origins = CallOrigins()
@@ -146,6 +149,7 @@
 
     async def _serve(self, call: Call) -> Answer:
         arrived_s = self._loop.time()
+        call.deadline_s = self._stop.limit(call.deadline_s)
         target = self._check_call(call)
         record_attempt(self.ledger, call, arrived_s, self.name)
         async with AsyncExitStack() as isolation:
@@ -224,7 +228,7 @@
         target = self._target()
         if target is None or not self.is_reachable:
             return Refusal.NO_TARGET
-        if target.is_draining:
+        if target.is_draining or self._loop.time() >= self._stop.at_s:
             return Refusal.DRAINING
         return Refusal.EVACUATED if self._is_evacuated() else None
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -5,7 +5,12 @@
 from cornelbeam_core.attempt_order import AttemptOrder
 from cornelbeam_core.call_origins import CallOrigins
 from cornelbeam_core.caller_wait import CallerWaitEstimator
-from cornelbeam_core.deadlines import MS_PER_S, check_deadline, remaining_ms
+from cornelbeam_core.deadlines import (
+    MS_PER_S,
+    StopDeadline,
+    check_deadline,
+    remaining_ms,
+)
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.routes import RouteRule, RouteTable
 from cornelbeam_daemon import headers as fields
@@ -154,6 +159,7 @@
         '_host',
         '_origins',
         '_state',
+        '_stop',
     )
 
     def __init__(
@@ -163,12 +169,14 @@
         caller_service: str,
         host: str,
         origins: CallOrigins,
+        stop: StopDeadline,
     ) -> None:
         """Read requests of callers on an instance of ``caller_service``.
 
         ``host`` is the IP address of the backend server, and ``origins`` knows
-        the requests that it runs.
+        the requests that it runs. No deadline is later than that of ``stop``.
         """
+        self._stop = stop
         self._adapter = adapter
         self._state = state
         self._caller_service = caller_service.encode()
@@ -224,7 +232,7 @@
             route.timeout_ms,
             _MAX_DIGITS,
         )
-        forwarded.deadline_s = (
+        forwarded.deadline_s = self._stop.limit(
             started_s + min(left_ms, route.timeout_ms) / MS_PER_S
         )
         check_deadline(forwarded.deadline_s, started_s, 'routing')
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from http import HTTPStatus
-from typing import final
+from typing import Final, final
 
 from cornelbeam_core.attempt_order import (
     REFUSAL_AGE_LIMIT_S,
     Choice,
     time_left,
 )
-from cornelbeam_core.deadlines import MS_PER_S, remaining_ms
+from cornelbeam_core.deadlines import MS_PER_S, StopDeadline, remaining_ms
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.placement import (
     PlacementRequest,
@@ -39,6 +40,8 @@
 from cornelbeam_mesh.target_client import TargetClient
 
 _log = get_log('caller')
+# Time in which gates hand back what waits there at the end of a planned stop.
+HAND_BACK_S: Final = 0.1
 
 
 @final
@@ -47,6 +50,7 @@
 
     __slots__ = (
         '_admission',
+        '_answer_limits',
         '_client',
         '_domain',
         '_loop',
@@ -56,6 +60,7 @@
         '_reader',
         '_rng',
         '_state',
+        '_stop',
         'in_flight_count',
     )
 
@@ -70,13 +75,17 @@
         on_stale_entry: Callable[[MemberEntry], None],
         quarantine: QuarantineSync,
         rng: random.Random,
+        stop: StopDeadline,
     ) -> None:
         """Forward requests from the failure domain ``domain``.
 
         ``admission`` knows the load of the local target. ``on_stale_entry`` is
         called if a daemon has restarted since its entry was read, and
-        ``quarantine`` knows requests that crash targets.
+        ``quarantine`` knows requests that crash targets. All requests are
+        answered by the time of ``stop``.
         """
+        self._stop = stop
+        self._answer_limits: set[asyncio.Timeout] = set()
         self._domain = domain
         self._state = state
         self._reader = reader
@@ -97,9 +106,13 @@
         forwarded: ForwardedRequest | None = None
         try:
             forwarded = self._reader.read(request, started_s)
-            await forwarded.buffer_body()
-            self._quarantine.check(forwarded.fingerprint)
-            answer = await self._try_targets(forwarded)
+            if self._stop.is_begun:
+                service_ms = self._shortest_service_ms(forwarded)
+                self._stop.check(service_ms, started_s)
+            async with self._limited_by_stop():
+                await forwarded.buffer_body()
+                self._quarantine.check(forwarded.fingerprint)
+                answer = await self._try_targets(forwarded)
             outcome = str(answer.status)
             await forward_in_time(forwarded, answer, responder)
         except CornelbeamError as error:
@@ -113,6 +126,31 @@
         finally:
             self._finish(forwarded, outcome, started_s)
 
+    def begin_stop(self) -> None:
+        """Answer the requests in work by the time of the stop."""
+        for limit in self._answer_limits:
+            limit.reschedule(self._stop.at_s + HAND_BACK_S)
+
+    @asynccontextmanager
+    async def _limited_by_stop(self) -> AsyncIterator[None]:
+        """Raise ``deadline_passed`` if there is no answer before a stop.
+
+        Requests that arrived before it have a later deadline of their own.
+        """
+        limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                self._answer_limits.add(limit)
+                yield
+        except TimeoutError as error:
+            raise CornelbeamError(
+                ErrorCode.DEADLINE_PASSED,
+                'planned stop',
+                run_state=RunState.UNKNOWN,
+            ) from error
+        finally:
+            self._answer_limits.discard(limit)
+
     def _finish(
         self,
         forwarded: ForwardedRequest | None,
@@ -182,6 +220,8 @@
     ) -> tuple[TargetRecord, Choice] | None:
         """Choose the next target and how long to wait for a slot there."""
         now_s = self._loop.time()
+        if now_s >= self._stop.at_s:
+            return None
         records = [
             record
             for record in self._state.members.serving(
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -8,6 +8,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from cornelbeam_core.deadlines import StopDeadline
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.routes import ServiceRule
 from cornelbeam_core.shared_objects import SharedKind
@@ -60,6 +61,8 @@
 READINESS_FAILURE_S: Final = 2.2
 # Part of the grace period that remains when the last connections are closed.
 STOP_MARGIN_S: Final = 0.5
+# Part of the grace period that remains when the last requests are answered.
+ANSWER_MARGIN_S: Final = 0.8
 # Time in which a target that starts together with its daemon registers.
 FIRST_TARGET_TIMEOUT_S: Final = 1.0
 # A peer connection with open calls is given up after this silence, because
@@ -87,6 +90,7 @@
         self._store = store
         self._rng = random.Random()
         self._stop = asyncio.Event()
+        self._stop_deadline = StopDeadline()
         self._is_leaving = False
         # Set when a planned stop no longer accepts callers.
         self._is_refusing_callers = False
@@ -158,6 +162,7 @@
             self._local_target,
             lambda: domain in self.state.evacuated_domains,
             self.quarantine,
+            self._stop_deadline,
         )
         self._probe = TargetProbe(
             adapter,
@@ -201,6 +206,7 @@
             settings.instance.service,
             host,
             self.admission.origins,
+            self._stop_deadline,
         )
         self.forwarder = Forwarder(
             domain,
@@ -219,6 +225,7 @@
             self._on_stale_entry,
             self.quarantine,
             self._rng,
+            self._stop_deadline,
         )
 
         self.metrics.add_gauges(
@@ -397,8 +404,9 @@
         _log.info('leaving', in_flight=self.forwarder.in_flight_count)
         self._is_leaving = True
         self._publish()
-        grace_s = self.settings.bounds.grace_s - STOP_MARGIN_S
-        with anyio.move_on_after(grace_s):
+        grace_s = self.settings.bounds.grace_s
+        self._limit_work(grace_s - ANSWER_MARGIN_S)
+        with anyio.move_on_after(grace_s - STOP_MARGIN_S):
             await anyio.sleep(READINESS_FAILURE_S)
             self._is_refusing_callers = True
             await drain_callers(
@@ -409,6 +417,14 @@
                 ),
             )
 
+    def _limit_work(self, duration_s: float) -> None:
+        """Answer everything within a time, as nothing is answered after it."""
+        loop = asyncio.get_running_loop()
+        at_s = loop.time() + duration_s
+        self._stop_deadline.begin(at_s)
+        self.forwarder.begin_stop()
+        loop.call_at(at_s, self.admission.reevaluate_waiting)
+
 
 async def _run_coroutine(work: Coroutine[Any, Any, None]) -> None:
     await work
