Count all that reaches a cold target

Cause: two ways to a cold target passed the bucket by. And a target states its cold time in health answers only, so the calls that had started in the second before it was known were not counted.

Change: sending again needs a token of the bucket and room under the stated rate, else the call fails like any broken one and may go to another target. A bucket that begins starts with the debt of the last second.

All three new tests fail without the change.

--- a/packages/core/src/cornelbeam_core/rate_limit.py
+++ b/packages/core/src/cornelbeam_core/rate_limit.py
@@ -14,6 +14,7 @@
 """
 
 import enum
+from bisect import bisect_right
 from collections import deque
 from dataclasses import dataclass
 from itertools import islice
@@ -128,6 +129,11 @@
             self._paced.try_take(now_s)
             self._excess.try_take(now_s)
 
+    def count_starts(self, now_s: float, window_s: float) -> int:
+        """Return how many calls have started within the last window."""
+        from_s = now_s - window_s
+        return len(self._starts_s) - bisect_right(self._starts_s, from_s)
+
     def may_start(self, now_s: float, use: RateUse) -> bool:
         """Return whether a call may start."""
         if self.limit_per_s is None:
--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -41,6 +41,9 @@
 MIN_LEARNED_WAIT_S: Final = 0.01
 # Maximum of queued calls per slot; more would wait longer than most callers do.
 QUEUE_PER_SLOT: Final = 4
+# It is known this long after it has happened, at the latest, that a target has
+# turned cold: operators limit the calls in each second of the cold time.
+COLD_LAG_S: Final = 1.0
 
 
 @final
@@ -116,6 +119,11 @@
                 bound.usable_burst_count,
                 self._cold_per_s,
             )
+            # The target may have been cold before this is known here.
+            started_count = self.rate_limit.count_starts(now_s, COLD_LAG_S)
+            self._cold_bucket.add(
+                now_s, -min(started_count, self._cold_per_s * COLD_LAG_S)
+            )
         self._cold_until_s = now_s + cold_s
 
     def is_cold(self, now_s: float) -> bool:
@@ -274,6 +282,19 @@
             return ticket
         return None
 
+    def may_send_again(self, now_s: float) -> bool:
+        """Return whether a running call may be sent a second time.
+
+        It may have arrived before its connection was closed, so it counts like
+        another start.
+        """
+        if not self.rate_limit.may_start(now_s, RateUse.TOLERATED):
+            return False
+        if not self._may_start(now_s):
+            return False
+        self.rate_limit.note_start(now_s)
+        return True
+
     def _sort_key(self, ticket: Ticket, now_s: float) -> tuple[bool, bool, int]:
         usual_s = self.service_s(ticket.route)
         is_late = now_s + usual_s > ticket.objective_at_s
--- a/packages/core/tests/test_target_gate.py
+++ b/packages/core/tests/test_target_gate.py
@@ -159,6 +159,34 @@
             window = [each for each in started if start_s <= each < start_s + 1]
             assert len(window) <= rate * COLD_FACTOR + COLD_SLACK
 
+    def test_starts_before_it_is_known_count(self):
+        """The target turns cold at 0 s, and says so at 0.2 s."""
+        gate = open_gate()
+        rate, known_at_s = 6, 0.2
+        started = []
+        for tick in range(60):
+            now_s = tick / 30
+            if now_s >= known_at_s and not gate.is_cold(now_s):
+                gate.set_cold(now_s, 3, rate)
+            gate.enqueue(ticket((tick, 1)), now_s)
+            gate.enqueue(ticket((tick, 2)), now_s)
+            while gate.start_next(now_s) is not None:
+                started.append(now_s)
+                gate.finish('windows', 0.1)
+        first = [each for each in started if each < 1]
+        assert len(first) <= rate * COLD_FACTOR + COLD_SLACK
+        assert len(started) > len(first) + rate
+
+    def test_call_that_is_sent_again_counts(self):
+        gate = open_gate()
+        gate.set_cold(0, 3, 1)
+        sent_count = 0
+        while gate.may_send_again(0):
+            sent_count += 1
+        assert 0 < sent_count < COLD_SLACK
+        gate.enqueue(ticket('next'), 0)
+        assert gate.start_next(0) is None
+
     def test_most_of_the_bound_is_used(self):
         """After a power failure all targets are cold, and callers wait."""
         gate = open_gate()
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -179,7 +179,11 @@
         is_over = False
         self.origins.start(call, call.deadline_s)
         try:
-            answer = await self._exchange.run(call, target)
+            answer = await self._exchange.run(
+                call,
+                target,
+                lambda: self._gate.may_send_again(self._loop.time()),
+            )
             is_over = answer.body.is_ended
             answer.load = self.load_for(call.route)
             self._quarantine.note_answer(call)
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -1,6 +1,7 @@
 """Exchange of a request and its answer with the target on this instance."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final, final
 
 from cornelbeam_core.attempts import AttemptLedger
@@ -57,16 +58,26 @@
         self._observer = observer
         self._loop = asyncio.get_running_loop()
 
-    async def run(self, call: Call, target: TargetEntry) -> Answer:
+    async def run(
+        self,
+        call: Call,
+        target: TargetEntry,
+        may_send_again: Callable[[], bool],
+    ) -> Answer:
         """Send a call and return its answer, a short one with its whole body.
 
+        If the target closes a reused connection and ``may_send_again`` agrees,
+        a call that may repeat is sent again.
+
         Raise ``backend_unreachable`` or ``backend_refused`` if the target has
         not run it, and other errors with run state ``UNKNOWN``.
         """
         connection = await self._connect(call)
         try:
             async with asyncio.timeout_at(call.deadline_s):
-                head = await self._try_reused(call, target, connection)
+                head = await self._try_reused(
+                    call, target, connection, may_send_again
+                )
                 if head is None:
                     self._client.release(connection)
                     connection = await self._client.open_replacement()
@@ -112,6 +123,7 @@
         call: Call,
         target: TargetEntry,
         connection: BackendConnection,
+        may_send_again: Callable[[], bool],
     ) -> BackendAnswer | None:
         """Send the request on a connection that may have been reused.
 
@@ -121,7 +133,8 @@
         try:
             return await self._send_request(call, target, connection)
         except CornelbeamError:
-            if connection.is_stale and call.is_repeatable:
+            is_repeatable = connection.is_stale and call.is_repeatable
+            if is_repeatable and may_send_again():
                 return None
             raise
 
--- a/packages/mesh/tests/test_rate_limits.py
+++ b/packages/mesh/tests/test_rate_limits.py
@@ -177,3 +177,28 @@
         await wait_until(lambda: gate.is_cold(loop.time()))
         node.send_heartbeat()
         assert gate.is_cold(loop.time())
+
+    async def test_calls_that_are_sent_again_count(self, harness):
+        """Connections break after the target has run a request."""
+        node = await harness.add_node()
+        gate = node.sidecar._gate
+        loop = asyncio.get_running_loop()
+        target = node.target
+
+        async def break_every_second(writer, attempt) -> None:
+            if len(target.requests) % 2:
+                await target.answer(writer, attempt)
+            else:
+                writer.transport.abort()
+
+        await send_many(node, count=8)
+        target.state_in_health(b'x-cold: 9000')
+        await wait_until(lambda: gate.is_cold(loop.time()))
+        target.script = break_every_second
+        cold_from = len(target.received_at_s)
+        await send_many(node, count=30)
+        arrivals_s = target.received_at_s[cold_from:]
+        for at_s in arrivals_s:
+            window = [each for each in arrivals_s if at_s <= each < at_s + 1]
+            # 5 a second by the service, times 1.5, and 5.
+            assert len(window) <= 12
