Probe idle targets less often, and busy ones by their calls

A probe costs about as much as a request.

Cause: a target was probed every 0.3 s, however few requests it got and however recently a request had asked for its speed. The period is meant to notice in time that a target has turned cold, which matters only if it gets many calls.

Change: the period is 0.6 s since the last probe of any kind; besides, a target is probed once the calls since its last probe are a quarter of what it withstands in a second while cold.

Evidence: test_probes_for_requests_take_the_place_of_others fails on the previous code.

--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -64,6 +64,7 @@
         'name',
         'on_failure',
         'on_slow_queue',
+        'on_start',
         'origins',
     )
 
@@ -93,6 +94,8 @@
         self.on_failure: Callable[[], None] = _ignore
         # Called when a call must wait while the host is slow.
         self.on_slow_queue: Callable[[], None] = _ignore
+        # Called when a call starts at the target.
+        self.on_start: Callable[[], None] = _ignore
         # Asks the target for its current speed.
         self.measure_speed: Callable[[], Awaitable[None]] = _skip_measurement
         self._gate = gate
@@ -178,6 +181,7 @@
         service_time_s: float | None = None
         is_over = False
         self.origins.start(call, call.deadline_s)
+        self.on_start()
         try:
             answer = await self._exchange.run(
                 call,
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -176,6 +176,7 @@
         )
         self.admission.on_failure = self._probe.request_probe
         self.admission.on_slow_queue = self._probe.request_probe
+        self.admission.on_start = self._probe.note_start
         self.admission.measure_speed = self._probe.measure_speed
         self._silence_monitor = SilentConnectionMonitor(
             self._pool,
--- a/packages/mesh/src/cornelbeam_mesh/target_probe.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_probe.py
@@ -26,8 +26,10 @@
 
 _log = get_log('backend')
 # A target may become cold at any time, which only its health answers report. It
-# can withstand the calls that arrive within this period at a usual rate.
-PROBE_PERIOD_S: Final = 0.3
+# is probed after this period, and earlier once the calls that have started
+# since the last probe are this share of what it withstands in a second.
+PROBE_PERIOD_S: Final = 0.6
+UNPROBED_START_SHARE: Final = 0.25
 # An unreachable target is probed more often to detect that it is back.
 UNREACHABLE_PERIOD_S: Final = 0.15
 # Probe period while calls wait because the host is slow.
@@ -60,6 +62,7 @@
         '_probed_at_s',
         '_service',
         '_target',
+        '_unprobed_start_count',
     )
 
     def __init__(
@@ -91,12 +94,30 @@
         self._pending_probe: asyncio.Task[None] | None = None
         self._probed_at_s = float('-inf')
         self._has_speed_report = True
+        self._unprobed_start_count = 0
         self._budget = TokenBucket(PROBE_BURST_COUNT, MAX_PROBES_PER_S)
 
     def request_probe(self) -> None:
         """Probe soon, for example after a failed request."""
         self._is_requested.set()
 
+    def note_start(self) -> None:
+        """Count a call, which the target would not withstand if it were cold.
+
+        Load that this answers: many daemons beside targets with few requests,
+        whose probes would cost more than the requests.
+        """
+        self._unprobed_start_count += 1
+        service = self._service()
+        if service is None or service.cold_per_s is None:
+            return
+        bearable_count = UNPROBED_START_SHARE * service.cold_per_s
+        is_due = self._unprobed_start_count > bearable_count
+        if not is_due or self._pending_probe is not None:
+            return
+        if self._budget.try_take(self._loop.time()):
+            self._start_probe()
+
     def note_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply the slots and the cold time of an accepted heartbeat."""
         self._gate.resize(heartbeat.slot_count)
@@ -127,13 +148,19 @@
 
     async def run(self) -> None:
         """Probe until cancelled."""
+        period_s: float = 0
         while True:
-            if self._pending_probe is None:
+            age_s = self._loop.time() - self._probed_at_s
+            is_due = self._is_requested.is_set() or age_s >= period_s
+            if is_due and self._pending_probe is None:
                 self._start_probe()
             if self._pending_probe is not None:
                 await asyncio.wait((self._pending_probe,))
             self._is_requested.clear()
-            with anyio.move_on_after(self._choose_period_s()):
+            period_s = self._choose_period_s()
+            age_s = self._loop.time() - self._probed_at_s
+            wait_s = max(SLOW_QUEUE_PERIOD_S, period_s - age_s)
+            with anyio.move_on_after(wait_s):
                 await self._is_requested.wait()
                 # Requests in quick succession lead to a single probe.
                 await anyio.sleep(SLOW_QUEUE_PERIOD_S)
@@ -147,11 +174,12 @@
         return PROBE_PERIOD_S
 
     def _start_probe(self) -> None:
+        self._probed_at_s = self._loop.time()
+        self._unprobed_start_count = 0
         target = self._target()
         service = self._service()
         if target is None or service is None:
             return
-        self._probed_at_s = self._loop.time()
         self._pending_probe = asyncio.ensure_future(
             self._probe(target, service)
         )
--- a/packages/mesh/tests/test_rate_limits.py
+++ b/packages/mesh/tests/test_rate_limits.py
@@ -1,10 +1,12 @@
 """Targets that state how many requests a second they accept."""
 
 import asyncio
+from functools import partial
 
 import pytest
 from cornelbeam_core.routes import RequestKind, ServiceShare
 from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_mesh import target_probe
 from fake_target import TARGET_HOST
 from mesh_harness import (
     SERVICE,
@@ -21,6 +23,10 @@
 BOUND = 17
 REQUEST_COUNT = 40
 CONCURRENCY = 4
+# A longer time than the period, with short pauses.
+PERIOD_S = 2
+PAUSE_S = 0.2
+MEASUREMENT_COUNT = 12
 
 
 def state_limit(target) -> None:
@@ -202,3 +208,51 @@
             window = [each for each in arrivals_s if at_s <= each < at_s + 1]
             # 5 a second by the service, times 1.5, and 5.
             assert len(window) <= 12
+
+    async def test_busy_target_is_probed_in_time(self, harness, monkeypatch):
+        """Its next probe after the period would come too late."""
+        monkeypatch.setattr(target_probe, 'PROBE_PERIOD_S', 3600)
+        node = await harness.add_node()
+        gate = node.sidecar._gate
+        loop = asyncio.get_running_loop()
+        node.target.state_in_health(b'x-cold: 9000')
+        started_count = 0
+        while not gate.is_cold(loop.time()):
+            await node.send_request()
+            started_count += 1
+        # 5 a second by the service, times 1.5, and 5.
+        assert started_count <= 12
+
+
+class TestIdleTarget:
+    """Guards against probes that cost more than the requests."""
+
+    async def test_probes_for_requests_take_the_place_of_others(
+        self, harness, monkeypatch
+    ):
+        monkeypatch.setattr(target_probe, 'PROBE_PERIOD_S', PERIOD_S)
+        node = await harness.add_node()
+        probe = node.sidecar._probe
+        probed = []
+
+        async def count_probe(writer, attempt) -> None:
+            probed.append(attempt)
+            await node.target.answer_health(writer, attempt)
+
+        await wait_until(partial(has_no_probe, probe))
+        node.target.health_script = count_probe
+        for number in range(1, MEASUREMENT_COUNT + 1):
+            await probe.measure_speed()
+            await wait_until(partial(has_no_probe, probe))
+            await wait_until(partial(is_past, probe._probed_at_s + PAUSE_S))
+            assert len(probed) == number
+
+
+def is_past(at_s) -> bool:
+    """Return whether the event loop is past a time."""
+    return asyncio.get_running_loop().time() > at_s
+
+
+def has_no_probe(probe) -> bool:
+    """Return whether no probe is on its way."""
+    return probe._pending_probe is None
