Send a read again when its connection is silent for good

What callers saw: a read waited for its deadline and got 504 when the connection to the only daemon with a target of its service was silent for good, though a new connection to that daemon worked.

Cause: while an attempt goes on at a silent peer, its target is left out of the choice, as the peer may only be slow.

Change: the target is a choice again if the peer has answered over a new connection and the old one stays silent for 0.3 s more: a slow peer reads both. The callback for a silent connection gets the connection.

--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -1,7 +1,6 @@
 """Send calls and outcome queries to other daemons."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Final, final
 
 from cornelbeam_core.attempts import interpret_outcome
@@ -19,7 +18,7 @@
 
 from cornelbeam_daemon.attempt_records import is_recorded
 from cornelbeam_daemon.calls import Answer, Call
-from cornelbeam_daemon.remote_call import RemoteCall
+from cornelbeam_daemon.remote_call import NotifySilent, RemoteCall
 
 # Time between two outcome queries to a daemon that cannot be reached.
 OUTCOME_RETRY_PERIOD_S: Final = 0.25
@@ -41,7 +40,7 @@
         self,
         target: Target,
         call: Call,
-        notify_silent: Callable[[], None] | None = None,
+        notify_silent: NotifySilent | None = None,
     ) -> Answer:
         """Send a call and return its answer once the head has arrived.
 
--- a/packages/daemon/src/cornelbeam_daemon/remote_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/remote_call.py
@@ -6,7 +6,7 @@
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.targets import LoadReport
-from cornelbeam_wire import MAX_BODY_PART_BYTES, Stream
+from cornelbeam_wire import MAX_BODY_PART_BYTES, PeerConnection, Stream
 from cornelbeam_wire.codec import protocol_error
 from cornelbeam_wire.gen import messages
 
@@ -15,6 +15,8 @@
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.convert import load_from_wire, refusal_from_wire
 
+# Called with the connection that went silent while a call waited on it.
+NotifySilent = Callable[[PeerConnection], None]
 _MIN_STATUS: Final = 200
 _MAX_STATUS: Final = 999
 
@@ -38,7 +40,7 @@
     def __init__(
         self,
         deadline_s: float,
-        notify_silent: Callable[[], None] | None = None,
+        notify_silent: NotifySilent | None = None,
     ) -> None:
         """Start without an answer.
 
@@ -83,13 +85,14 @@
 
         The answer may still arrive: the peer is slow, cut off or gone.
         """
+        stream = self.stream
         if self.head.done():
             loop = asyncio.get_running_loop()
             loop.call_at(self._deadline_s, self._fail_if_silent)
         elif self.is_body_held or self._notify_silent is None:
             self._fail_if_silent()
-        else:
-            self._notify_silent()
+        elif stream is not None:
+            self._notify_silent(stream.connection)
 
     def fail(self, error: CornelbeamError) -> None:
         """Raise an error for those who wait for the answer or its body."""
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -26,6 +26,8 @@
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_daemon.racing import SecondAttempt, race
+from cornelbeam_daemon.remote_call import NotifySilent
+from cornelbeam_wire import PeerConnection
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.caller_answers import (
@@ -42,6 +44,9 @@
 _log = get_log('caller')
 # Time in which gates hand back what waits there at the end of a planned stop.
 HAND_BACK_S: Final = 0.1
+# A connection that is silent for this long after its peer was found silent is
+# gone if the peer answers over another one.
+RESEND_AFTER_S: Final = 0.3
 
 
 @final
@@ -274,11 +279,15 @@
         member = self._state.members.get(record.name)
         if member is None:
             raise CornelbeamError(ErrorCode.NO_ELIGIBLE_TARGET, 'placement')
-        others = SecondAttempt(lambda: self._try_others(forwarded))
+        silent: list[PeerConnection] = []
+        others = SecondAttempt(
+            lambda: self._try_others(forwarded, record, silent[0])
+        )
 
-        def on_silent() -> None:  # noqa: WPS430
+        def on_silent(connection: PeerConnection) -> None:  # noqa: WPS430
             self._note_silence(forwarded, record)
             if forwarded.is_retryable:
+                silent.append(connection)
                 others.start()
 
         async def attempt() -> Answer:  # noqa: WPS430
@@ -308,12 +317,25 @@
             elapsed_ms=int((now_s - forwarded.started_s) * MS_PER_S),
         )
 
-    async def _try_others(self, forwarded: ForwardedRequest) -> Answer:
+    async def _try_others(
+        self,
+        forwarded: ForwardedRequest,
+        record: TargetRecord,
+        silent: PeerConnection,
+    ) -> Answer:
         """Try other targets while an attempt at a silent peer goes on.
 
-        Targets that refuse are asked again, as the silent peer may be gone.
+        Targets that refuse are asked again, as the silent peer may be gone. So
+        is that of the silent peer, over a new connection, if the peer has
+        answered on one and the old connection stays silent: a slow peer would
+        have read and answered both.
         """
+        resend_at_s = self._loop.time() + RESEND_AFTER_S
         while True:
+            is_old_gone = silent.is_silent or silent.is_closed
+            is_waited = self._loop.time() >= resend_at_s
+            if is_waited and is_old_gone and not record.is_unreachable:
+                forwarded.reached_targets.discard(record.name)
             try:
                 answer = await self._try_targets(forwarded)
             except CornelbeamError:
@@ -353,7 +375,7 @@
         record: TargetRecord,
         member: MemberEntry,
         choice: Choice,
-        on_silent: Callable[[], None],
+        on_silent: NotifySilent,
     ) -> Answer:
         try:
             answer = await self._client.attempt(
--- a/packages/mesh/src/cornelbeam_mesh/target_client.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Final, final
 
 from cornelbeam_core.attempt_order import Choice
@@ -11,6 +10,8 @@
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.racing import SecondAttempt, race
+from cornelbeam_daemon.remote_call import NotifySilent
+from cornelbeam_wire import PeerConnection
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.forwarded_request import ForwardedRequest
@@ -62,7 +63,7 @@
         forwarded: ForwardedRequest,
         member: MemberEntry,
         choice: Choice,
-        notify_silent: Callable[[], None],
+        notify_silent: NotifySilent,
     ) -> Answer:
         """Send a request to the target of a daemon and return its answer.
 
@@ -80,7 +81,7 @@
         self,
         member: MemberEntry,
         call: Call,
-        notify_silent: Callable[[], None],
+        notify_silent: NotifySilent,
     ) -> Answer:
         if member.name == self._name:
             return await self._admission.serve(call)
@@ -92,7 +93,7 @@
         self,
         member: MemberEntry,
         call: Call,
-        notify_silent: Callable[[], None],
+        notify_silent: NotifySilent,
     ) -> Answer:
         try:
             async with asyncio.timeout_at(call.deadline_s):
@@ -111,7 +112,7 @@
         self,
         member: MemberEntry,
         call: Call,
-        notify_silent: Callable[[], None],
+        notify_silent: NotifySilent,
     ) -> Answer:
         """Send a call that must not repeat, and query its outcome if needed."""
         query = SecondAttempt(
@@ -119,8 +120,8 @@
             _is_conclusive,
         )
 
-        def ask_outcome() -> None:  # noqa: WPS430
-            notify_silent()
+        def ask_outcome(connection: PeerConnection) -> None:  # noqa: WPS430
+            notify_silent(connection)
             query.start()
 
         try:
@@ -139,7 +140,7 @@
         self,
         member: MemberEntry,
         call: Call,
-        notify_silent: Callable[[], None],
+        notify_silent: NotifySilent,
         query: SecondAttempt,
     ) -> Answer:
         """Send a call, and drop its outcome query if the call is refused."""
