--- a/packages/mesh/tests/test_route_kinds.py
+++ b/packages/mesh/tests/test_route_kinds.py
@@ -7,6 +7,7 @@
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
+ROUTE_COUNT = 2000
 
 
 def with_unknown_kind(version=1) -> bytes:
@@ -75,3 +76,21 @@
         status, _, body = await near.send_request('/pull/1')
         assert (status, body) == (OK, b'whole body')
         assert far.target.requests
+
+
+class TestManyRoutes:
+    """Guards against routes that are lost as a configuration grows."""
+
+    async def test_last_of_many_is_served(self, harness):
+        node = await harness.add_node()
+        more = tuple(
+            route(f'more-{number}', RequestKind.IDEMPOTENT)
+            for number in range(ROUTE_COUNT)
+        )
+        harness.store.put(
+            SharedKind.CONFIGURATION, 'main', configuration(2, more)
+        )
+        state = node.sidecar.state
+        await wait_until(lambda: state.configuration_version == 2)
+        assert (await node.send_request(f'/more-{ROUTE_COUNT - 1}/1'))[0] == OK
+        assert (await node.send_request())[0] == OK
