Pass nothing on behind an answer that has ended its connection

Cause: an answer may turn out to end its connection only when it starts, as one without a length in HTTP/1.0. The tasks of the requests that ran beside it were cancelled then, and their ends parsed the input that was still held back and started what it holds, bookings among them, on a connection that was closing. Its callers send such requests again, as they count as not read, so a booking could run twice if the connection took long to close.

Change: ending a connection drops the input that is held back and starts nothing any more.

Evidence: test_answer_that_turns_out_to_end_the_connection fails before, as requests behind the end are started.

--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -342,19 +342,25 @@
             return
         while self._pipeline and self._pipeline[0].is_done:
             request = self._pipeline.popleft().request
-            if not request.body.is_complete:
-                # The rest of an unread body would be parsed as a request.
-                self._cancel_answers()
-                self._lingering_close()
-                return
-            if not request.is_keep_alive:
-                self._cancel_answers()
-                self._transport.close()
+            if not (request.body.is_complete and request.is_keep_alive):
+                self._end(is_input_left=not request.body.is_complete)
                 return
             if self._pipeline:
                 self._pipeline[0].take_turn()
         self._continue_reading()
 
+    def _end(self, *, is_input_left: bool) -> None:
+        """Close behind an answer; what follows it counts as not read."""
+        assert self._transport is not None  # noqa: S101
+        self._cancel_answers()
+        self._unparsed = b''
+        self.is_closing = True
+        if is_input_left:
+            # The rest of an unread body would be parsed as a request.
+            self._lingering_close()
+        else:
+            self._transport.close()
+
     def _cancel_answers(self) -> None:
         for answer in self._pipeline:
             if answer.task is not None:
--- a/packages/daemon/tests/test_pipelining.py
+++ b/packages/daemon/tests/test_pipelining.py
@@ -12,6 +12,7 @@
 pytestmark = pytest.mark.anyio
 WAIT_LIMIT_S = 20
 READ_AHEAD_COUNT = 4
+OLD_KEEP_ALIVE = b'HTTP/1.0\r\nconnection: keep-alive\r\n'
 MALFORMED = b'nonsense\r\n\r\n'
 LONG = b'a' * (4 * BUFFER_LIMIT_BYTES)
 
@@ -42,6 +43,7 @@
         self.connections: set[http_server.HttpServerConnection] = set()
         self.long_numbers: set[int] = set()
         self.broken_numbers: set[int] = set()
+        self.endless_numbers: set[int] = set()
 
     async def start(self) -> int:
         """Listen and return the port."""
@@ -84,6 +86,11 @@
             responder.start(200, [b'content-length', b'9'])
             await responder.send(b'part')
             raise truncated_answer('broken')
+        if number in self.endless_numbers:
+            responder.start(200, [])
+            await responder.send(b'to the end')
+            responder.finish()
+            return
         if number not in self.long_numbers:
             responder.send_whole(200, [], b'<%d>' % number)
             return
@@ -230,6 +237,32 @@
         await bench.read_rest()
         assert bench.server.started == [1]
 
+    async def test_answer_that_turns_out_to_end_the_connection(
+        self, bench, monkeypatch
+    ):
+        """Without a length it ends with the connection in HTTP/1.0."""
+        passed_on = []
+        start = http_server.HttpServerConnection._start
+
+        def note_start(connection, answer) -> None:
+            passed_on.append(int(answer.request.target[1:]))
+            start(connection, answer)
+
+        monkeypatch.setattr(
+            http_server.HttpServerConnection, '_start', note_start
+        )
+        bench.server.endless_numbers.add(1)
+        raw = get(1).replace(b'HTTP/1.1\r\n', OLD_KEEP_ALIVE)
+        ahead = range(2, 2 + READ_AHEAD_COUNT)
+        behind = range(100, 160)
+        bench.writer.write(raw + b''.join(get(number) for number in ahead))
+        bench.writer.write(b''.join(post(number) for number in behind))
+        await bench.wait(lambda: len(bench.server.started) == READ_AHEAD_COUNT)
+        bench.server.release(1)
+        await bench.read_rest()
+        await bench.settle()
+        assert passed_on == [1, 2, 3, 4]
+
 
 class TestBounds:
     """Guards against callers that send without an end."""
