Send a read over a new connection once, not until its deadline

Cause: the target of a silent peer became a choice again every 0.1 s, also after it had broken off what was sent over the new connection.

Evidence: test_read_is_sent_again_only_once has 34 arrivals at the target before, and 4 now: two sends, each of which may reach the target a second time if a kept connection closes under it.

--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -1,6 +1,7 @@
 """Forwards requests of callers on this instance to a target."""
 
 import asyncio
+import math
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -335,6 +336,8 @@
             is_old_gone = silent.is_silent or silent.is_closed
             is_waited = self._loop.time() >= resend_at_s
             if is_waited and is_old_gone and not record.is_unreachable:
+                # Once only: it is left out again if it breaks off.
+                resend_at_s = math.inf
                 forwarded.reached_targets.discard(record.name)
             try:
                 answer = await self._try_targets(forwarded)
--- a/packages/mesh/tests/test_silent_peers.py
+++ b/packages/mesh/tests/test_silent_peers.py
@@ -172,6 +172,19 @@
                     status, _, _ = await read_message(reader)
         assert status == OK
 
+    async def test_read_is_sent_again_only_once(self, harness):
+        near, far = await add_far_target(harness)
+        far.target.requests.clear()
+        far.target.script = far.target.drop
+        with paused(opened_connections(near)):
+            async with sent(near, *READ, x_remaining='2500') as reader:
+                async with asyncio.timeout(WAIT_LIMIT_S):
+                    status, _, _ = await read_message(reader)
+        assert status != OK
+        # Over the silent connection and over the new one, and each of them a
+        # second time if it was sent over a kept connection of the target.
+        assert len(far.target.requests) <= 4
+
     async def test_booking_that_has_not_arrived_runs_elsewhere(self, harness):
         near, far = await add_far_target(harness)
         other = await harness.add_node('south')
