--- a/packages/daemon/src/cornelbeam_daemon/pipelining.py
+++ b/packages/daemon/src/cornelbeam_daemon/pipelining.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Final, Protocol, final
+from typing import Final, final
 
 from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES
-from cornelbeam_daemon.http_message import HttpRequest
+from cornelbeam_daemon.http_message import AnswerWriter, HttpRequest
 
 # Requests of one connection that are read before the first is answered.
 DEFAULT_PIPELINED_COUNT: Final = 8
@@ -13,19 +13,6 @@
 SAFE_METHODS: Final = frozenset((b'GET', b'HEAD'))
 
 
-class CallerConnection(Protocol):
-    """Connection that answers are written to in turn."""
-
-    def write(self, content: bytes) -> None:
-        """Write bytes; do nothing on a closed connection."""
-
-    async def drain(self) -> None:
-        """Wait until the write buffer has room."""
-
-    def abort(self) -> None:
-        """Close at once, discarding unsent bytes."""
-
-
 @final
 class PipelineRules:
     """How many requests are read ahead, and which of them run ahead.
@@ -76,7 +63,7 @@
 
     def __init__(
         self,
-        connection: CallerConnection,
+        connection: AnswerWriter,
         request: HttpRequest,
     ) -> None:
         """Keep what is written until ``take_turn`` is called."""
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -3,8 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, final
 
@@ -40,11 +39,10 @@
 from cornelbeam_mesh.forwarded_request import ForwardedRequest, RequestReader
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.metrics import MeshMetrics
+from cornelbeam_mesh.stop_limits import StopLimits
 from cornelbeam_mesh.target_client import TargetClient
 
 _log = get_log('caller')
-# Time in which gates hand back what waits there at the end of a planned stop.
-HAND_BACK_S: Final = 0.1
 # A connection that is silent for this long after its peer was found silent is
 # gone if the peer answers over another one.
 RESEND_AFTER_S: Final = 0.3
@@ -56,7 +54,6 @@
 
     __slots__ = (
         '_admission',
-        '_answer_limits',
         '_client',
         '_domain',
         '_loop',
@@ -68,6 +65,7 @@
         '_state',
         '_stop',
         'in_flight_count',
+        'stop_limits',
     )
 
     def __init__(
@@ -91,7 +89,7 @@
         answered by the time of ``stop``.
         """
         self._stop = stop
-        self._answer_limits: set[asyncio.Timeout] = set()
+        self.stop_limits = StopLimits(stop)
         self._domain = domain
         self._state = state
         self._reader = reader
@@ -115,7 +113,7 @@
             if self._stop.is_begun:
                 service_ms = self._shortest_service_ms(forwarded)
                 self._stop.check(service_ms, started_s)
-            async with self._limited_by_stop():
+            async with self.stop_limits.limited():
                 await forwarded.buffer_body()
                 self._quarantine.check(forwarded.fingerprint)
                 answer = await self._try_targets(forwarded)
@@ -132,31 +130,6 @@
         finally:
             self._finish(forwarded, outcome, started_s)
 
-    def begin_stop(self) -> None:
-        """Answer the requests in work by the time of the stop."""
-        for limit in self._answer_limits:
-            limit.reschedule(self._stop.at_s + HAND_BACK_S)
-
-    @asynccontextmanager
-    async def _limited_by_stop(self) -> AsyncIterator[None]:
-        """Raise ``deadline_passed`` if there is no answer before a stop.
-
-        Requests that arrived before it have a later deadline of their own.
-        """
-        limit = asyncio.timeout(None)
-        try:
-            async with limit:
-                self._answer_limits.add(limit)
-                yield
-        except TimeoutError as error:
-            raise CornelbeamError(
-                ErrorCode.DEADLINE_PASSED,
-                'planned stop',
-                run_state=RunState.UNKNOWN,
-            ) from error
-        finally:
-            self._answer_limits.discard(limit)
-
     def _finish(
         self,
         forwarded: ForwardedRequest | None,
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -423,7 +423,7 @@
         loop = asyncio.get_running_loop()
         at_s = loop.time() + duration_s
         self._stop_deadline.begin(at_s)
-        self.forwarder.begin_stop()
+        self.forwarder.stop_limits.begin()
         loop.call_at(at_s, self.admission.reevaluate_waiting)
 
 
