--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -582,13 +582,16 @@
     """Run a case; its return value says whether the rule was broken."""
 
     async def run():
+        # A script that is stopped still ends the processes that it started.
+        running = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
         fleet = Fleet(folder)
         fleet.record('trouble', 'on' if TROUBLE else 'off')
         try:
             async with asyncio.timeout(110):
                 await fleet.start_store()
                 is_broken = await case(fleet)
-        except (NotRunError, TimeoutError, OSError) as error:
+        except (NotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             fleet.record('could not run:', repr(error))
             return NOT_RUN
         finally:
