Refuse an upload whose start is gone instead of sending the rest elsewhere

Seen by callers: an upload in chunks of over 1 MiB that a target refused while it arrived went on to the next target with a hole in its body. That target stored it, and the caller got 200. With a Content-Length the second target got a request that broke off, and the caller 502, although nothing had run and it could have come back.

Cause: RequestBody keeps parts up to a limit and drops what is read later, but a second reader went from the last kept part straight to the next one that arrived. Nothing in the type knew that parts were missing, so each place that sends a body again had to check the limit itself. ForwardedRequest.may_try_next did not for errors with run state NOT_RUN.

Ruled out: the hold-back of bodies between daemons (the fault shows with a local target too), and the sender of the first attempt reading on after the refusal: it is cancelled before the next target is chosen. It did read one part more after its connection had been lost; it stops there now, as that part may be needed.

--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -295,6 +295,9 @@
                     left_bytes -= len(part)
                 self._write(_chunk(part) if is_chunked else part)
                 await self._drain()
+                if self.is_closed:
+                    # Another connection may need the parts that follow.
+                    return
                 part = await reader.read()
         except CornelbeamError as error:
             # Abort, so that the backend server can't take the partial body for
--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -159,16 +159,19 @@
 
 @final
 class RequestBody:
-    """Request body that can be sent more than once while it is short.
+    """Request body that can be read more than once while it is short.
 
-    Parts are kept up to ``replay_limit_bytes``. A longer body can be sent to
-    one target only.
+    Parts are kept up to ``replay_limit_bytes``; later ones are dropped once
+    they have been read. Readers start at the first part, one after another. A
+    reader that arrives at a dropped part raises an error, as a body with a hole
+    may look complete to a target.
     """
 
     __slots__ = (
         '_buffer',
         '_kept',
         '_kept_bytes',
+        '_read_count',
         '_replay_limit_bytes',
         'is_replayable',
     )
@@ -183,6 +186,9 @@
         self._replay_limit_bytes = replay_limit_bytes
         self._kept: list[bytes] = []
         self._kept_bytes = 0
+        # Parts that have been read, kept or not.
+        self._read_count = 0
+        # Whether all that has arrived so far is short enough to be kept.
         self.is_replayable = True
 
     @property
@@ -190,6 +196,14 @@
         """Size of the kept parts."""
         return self._kept_bytes
 
+    @property
+    def is_intact(self) -> bool:
+        """Return whether no part has been dropped.
+
+        Another reader can then read the body from its start.
+        """
+        return self._read_count == len(self._kept)
+
     @property
     def is_whole(self) -> bool:
         """Return whether the whole body has been read and kept."""
@@ -227,8 +241,19 @@
         return BodyReader(self)
 
     def kept_part(self, index: int) -> bytes | None:
-        """Return a part that an earlier reader read, or None."""
-        return self._kept[index] if index < len(self._kept) else None
+        """Return a part that an earlier reader read, or None.
+
+        Raise ``protocol_violation`` if the part has been dropped.
+        """
+        if index < len(self._kept):
+            return self._kept[index]
+        if index < self._read_count:
+            raise CornelbeamError(
+                ErrorCode.PROTOCOL_VIOLATION,
+                'request body',
+                detail='a part of the body has not been kept',
+            )
+        return None
 
     def kept_start(self, size_bytes: int) -> bytes:
         """Return up to ``size_bytes`` of the start that has been kept."""
@@ -243,11 +268,13 @@
         return self._keep(await self._buffer.read())
 
     def _keep(self, content: bytes) -> bytes:
-        if content and self.is_replayable:
+        if not content:
+            return content
+        self._read_count += 1
+        if self.is_replayable:
             self._kept.append(content)
             self._kept_bytes += len(content)
-            if self._kept_bytes > self._replay_limit_bytes:
-                self.is_replayable = False
+            self.is_replayable = self._kept_bytes <= self._replay_limit_bytes
         return content
 
 
@@ -263,7 +290,10 @@
         self._index = 0
 
     def take_first(self) -> tuple[bytes, bool]:
-        """Return what is available now and whether it is the whole body."""
+        """Return what is available now and whether it is the whole body.
+
+        Raise ``protocol_violation`` if a part has been dropped.
+        """
         parts = []
         kept = self._body.kept_part(self._index)
         while kept is not None:
@@ -277,7 +307,11 @@
         return b''.join(parts), self._body.is_whole
 
     async def read(self) -> bytes:
-        """Return the next part, empty at the end of the body."""
+        """Return the next part, empty at the end of the body.
+
+        Raise ``protocol_violation`` if the part has been dropped, and as
+        ``BodyBuffer.read`` does.
+        """
         kept = self._body.kept_part(self._index)
         self._index += 1
         if kept is not None:
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -100,7 +100,10 @@
         """Return whether another target may get the request after an error."""
         if error.code is ErrorCode.REQUEST_QUARANTINED:
             return False
-        return error.run_state is RunState.NOT_RUN or self.is_retryable
+        if error.run_state is RunState.NOT_RUN:
+            # A target may refuse a long body after a part of it was dropped.
+            return self.body.is_intact
+        return self.is_retryable
 
     def final_error(
         self, last_error: CornelbeamError | None
--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -7,6 +7,7 @@
 TARGET_HOST = '127.0.0.2'
 SIGNATURE = b'x-signature: s'
 _ACCEPT_ITERATION_COUNT = 3
+_READ_BYTES = 65_536
 Received = tuple[str, dict[bytes, bytes], bytes]
 
 
@@ -22,6 +23,9 @@
         self.port = 0
         self.script = self.answer
         self.health_script = self.answer_health
+        # Requests are refused once this many bytes of their body have arrived.
+        self.shed_at_bytes: int | None = None
+        self.has_shed = asyncio.Event()
         self.is_hanging = asyncio.Event()
         self._server = None
         self._writers: list[asyncio.StreamWriter] = []
@@ -144,7 +148,19 @@
                 await self._serve_one(reader, writer)
         writer.close()
 
+    async def _shed_early(self, reader, writer) -> None:
+        """Refuse a request before its body has ended, and read on."""
+        _, fields = await _read_head(reader)
+        await reader.readexactly(self.shed_at_bytes)
+        await self.shed(writer, fields.get(b'x-attempt', b''))
+        self.has_shed.set()
+        while await reader.read(_READ_BYTES):
+            await asyncio.sleep(0)
+
     async def _serve_one(self, reader, writer) -> None:
+        if self.shed_at_bytes is not None:
+            await self._shed_early(reader, writer)
+            return
         line, fields, body = await read_message(reader)
         if ' /health ' in line:
             await self.health_script(writer, b'')
@@ -156,16 +172,21 @@
 
 async def read_message(reader):
     """Return the first line, the header fields and the body of a message."""
+    first, fields = await _read_head(reader)
+    if fields.get(b'transfer-encoding') == b'chunked':
+        return first, fields, await _read_chunks(reader)
+    body = await reader.readexactly(int(fields.get(b'content-length', b'0')))
+    return first, fields, body
+
+
+async def _read_head(reader):
     head = await reader.readuntil(b'\r\n\r\n')
     first, *lines = head.decode().strip().split('\r\n')
     fields = {}
     for line in lines:
         name, _, value = line.partition(': ')
         fields[name.lower().encode()] = value.encode()
-    if fields.get(b'transfer-encoding') == b'chunked':
-        return first, fields, await _read_chunks(reader)
-    body = await reader.readexactly(int(fields.get(b'content-length', b'0')))
-    return first, fields, body
+    return first, fields
 
 
 async def _read_chunks(reader) -> bytes:
