Join small parts of bodies, whose objects took twenty times their bytes

Report of other operators: a faulty target sends bytes without end; the machine that called it keeps them and runs out of memory.

What could happen here: all limits on what a target sends count bytes of content (256 KiB for an unread answer), but a body that comes in chunks of two bytes was kept as one object for each of them. An unread answer of 256 KiB held 5.7 MB, one in chunks of one byte 2.2 MB. A machine of 300 MB is full at about 50 such answers, and the other requests on it end with the process. Parts that a daemon collects one by one (the start of an answer, an answer for the ledger, the kept start of a request) had the same cost.

Cause: BodyBuffer appended each part as it came, and its three collectors kept lists of parts.

Endless heads, framing, foreign answers, health answers and bodies had bounds and tests already, in both daemons. Parts are joined up to 256 bytes in this commit, which copies less.

Why this fixes it: small parts are joined as they arrive, so a buffer holds what it counts, up to a sixth more. Collectors fill one bytearray; a request body keeps its start as bytes and its readers have an offset, which makes the check for a dropped part one comparison.

--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -13,6 +13,11 @@
 # The deadline of a request covers only the head of its answer, as a long body
 # may take longer. A body that stops arriving would hold its slot forever.
 STALL_TIMEOUT_S: Final = 60.0
+# A kept body is sent again in parts of up to this size.
+READ_BYTES: Final = 64 * 1024
+# Smaller parts are joined as they arrive: an object for each part of a few
+# bytes would take many times the memory of its content.
+JOINED_PART_BYTES: Final = 256
 # Only the head of a health answer is used, so a longer body is not worth its
 # reading.
 MAX_HEALTH_BODY_BYTES: Final = BUFFER_LIMIT_BYTES
@@ -69,7 +74,7 @@
                 run_state=RunState.UNKNOWN,
             )
         if content:
-            self._parts.append(content)
+            self._append(content)
             self.size_bytes += len(content)
             self._wake()
 
@@ -135,6 +140,14 @@
                 run_state=RunState.UNKNOWN,
             ) from error
 
+    async def collect(self, content: bytearray, limit_bytes: int) -> None:
+        """Append parts to ``content`` until it exceeds the limit, or the end.
+
+        Raise as ``read`` does.
+        """
+        while not self.is_ended and len(content) <= limit_bytes:
+            content += await self.read()
+
     async def skip_health_body(self) -> None:
         """Read and drop up to ``MAX_HEALTH_BODY_BYTES`` and the next part.
 
@@ -144,6 +157,13 @@
         while left_bytes > 0 and not self.is_ended:
             left_bytes -= len(await self.read())
 
+    def _append(self, content: bytes) -> None:
+        last_bytes = len(self._parts[-1]) if self._parts else JOINED_PART_BYTES
+        if last_bytes + len(content) <= JOINED_PART_BYTES:
+            self._parts[-1] += content
+        else:
+            self._parts.append(content)
+
     def _ask(self) -> None:
         on_wanted = self.on_wanted
         self.on_wanted = None
@@ -161,17 +181,16 @@
 class RequestBody:
     """Request body that can be read more than once while it is short.
 
-    Parts are kept up to ``replay_limit_bytes``; later ones are dropped once
-    they have been read. Readers start at the first part, one after another. A
-    reader that arrives at a dropped part raises an error, as a body with a hole
+    Its start is kept until it exceeds ``replay_limit_bytes``; what is read
+    later is dropped. Readers start at the first byte, one after another. A
+    reader that comes to a dropped part raises an error, as a body with a hole
     may look complete to a target.
     """
 
     __slots__ = (
         '_buffer',
         '_kept',
-        '_kept_bytes',
-        '_read_count',
+        '_read_bytes',
         '_replay_limit_bytes',
         'is_replayable',
     )
@@ -184,17 +203,16 @@
         """Read from the buffer that the caller's connection fills."""
         self._buffer = buffer
         self._replay_limit_bytes = replay_limit_bytes
-        self._kept: list[bytes] = []
-        self._kept_bytes = 0
-        # Parts that have been read, kept or not.
-        self._read_count = 0
+        self._kept = bytearray()
+        # Size of what has been read, kept or not.
+        self._read_bytes = 0
         # Whether all that has arrived so far is short enough to be kept.
         self.is_replayable = True
 
     @property
     def kept_bytes(self) -> int:
-        """Size of the kept parts."""
-        return self._kept_bytes
+        """Size of the start that is kept."""
+        return len(self._kept)
 
     @property
     def is_intact(self) -> bool:
@@ -202,7 +220,7 @@
 
         Another reader can then read the body from its start.
         """
-        return self._read_count == len(self._kept)
+        return self._read_bytes == len(self._kept)
 
     @property
     def is_whole(self) -> bool:
@@ -237,27 +255,26 @@
             ) from error
 
     def reader(self) -> 'BodyReader':
-        """Return a reader that starts at the first part."""
+        """Return a reader that starts at the first byte."""
         return BodyReader(self)
 
-    def kept_part(self, index: int) -> bytes | None:
-        """Return a part that an earlier reader read, or None.
+    def kept_from(self, start: int, size_bytes: int | None = None) -> bytes:
+        """Return what is kept from an offset on, up to ``size_bytes`` of it.
 
-        Raise ``protocol_violation`` if the part has been dropped.
+        Raise ``protocol_violation`` if what follows has been dropped.
         """
-        if index < len(self._kept):
-            return self._kept[index]
-        if index < self._read_count:
+        if len(self._kept) <= start < self._read_bytes:
             raise CornelbeamError(
                 ErrorCode.PROTOCOL_VIOLATION,
                 'request body',
                 detail='a part of the body has not been kept',
             )
-        return None
+        end = None if size_bytes is None else start + size_bytes
+        return bytes(memoryview(self._kept)[start:end])
 
     def kept_start(self, size_bytes: int) -> bytes:
         """Return up to ``size_bytes`` of the start that has been kept."""
-        return b''.join(self._kept)[:size_bytes]
+        return bytes(memoryview(self._kept)[:size_bytes])
 
     def take_ready(self) -> bytes:
         """Return what has arrived, and keep it for later readers."""
@@ -268,13 +285,10 @@
         return self._keep(await self._buffer.read())
 
     def _keep(self, content: bytes) -> bytes:
-        if not content:
-            return content
-        self._read_count += 1
+        self._read_bytes += len(content)
         if self.is_replayable:
-            self._kept.append(content)
-            self._kept_bytes += len(content)
-            self.is_replayable = self._kept_bytes <= self._replay_limit_bytes
+            self._kept += content
+            self.is_replayable = len(self._kept) <= self._replay_limit_bytes
         return content
 
 
@@ -282,29 +296,25 @@
 class BodyReader:
     """Reads a request body once, from its start."""
 
-    __slots__ = ('_body', '_index')
+    __slots__ = ('_body', '_offset')
 
     def __init__(self, body: RequestBody) -> None:
-        """Start at the first part."""
+        """Start at the first byte."""
         self._body = body
-        self._index = 0
+        self._offset = 0
 
     def take_first(self) -> tuple[bytes, bool]:
         """Return what is available now and whether it is the whole body.
 
         Raise ``protocol_violation`` if a part has been dropped.
         """
-        parts = []
-        kept = self._body.kept_part(self._index)
-        while kept is not None:
-            parts.append(kept)
-            self._index += 1
-            kept = self._body.kept_part(self._index)
+        kept = self._body.kept_from(self._offset)
+        self._offset += len(kept)
+        # Raises if parts that follow have been dropped.
+        self._body.kept_from(self._offset)
         fresh = self._body.take_ready()
-        if fresh:
-            parts.append(fresh)
-            self._index += 1
-        return b''.join(parts), self._body.is_whole
+        self._offset += len(fresh)
+        return kept + fresh, self._body.is_whole
 
     async def read(self) -> bytes:
         """Return the next part, empty at the end of the body.
@@ -312,8 +322,8 @@
         Raise ``protocol_violation`` if the part has been dropped, and as
         ``BodyBuffer.read`` does.
         """
-        kept = self._body.kept_part(self._index)
-        self._index += 1
-        if kept is not None:
-            return kept
-        return await self._body.read_next()
+        part = self._body.kept_from(self._offset, READ_BYTES)
+        if not part:
+            part = await self._body.read_next()
+        self._offset += len(part)
+        return part
--- a/packages/daemon/src/cornelbeam_daemon/served_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/served_call.py
@@ -192,16 +192,16 @@
         content = answer.body.take_ready()
         if not is_recorded(self._call):
             return content
-        parts = [content]
+        collected = bytearray(content)
         try:
             async with asyncio.timeout(_COLLECT_TIMEOUT_S):
-                await _collect_rest(answer, parts)
+                await answer.body.collect(collected, _KEPT_ANSWER_BYTES)
         except TimeoutError:
             _log.debug(
                 'answer not complete in time to be kept',
                 request=self._call.request_id,
             )
-        return b''.join(parts)
+        return bytes(collected)
 
     def _keep_answer(self, start: messages.AnswerStart) -> None:
         if len(start.body) > _KEPT_ANSWER_BYTES or not is_recorded(self._call):
@@ -296,13 +296,6 @@
         """Do nothing: the rest may still arrive."""
 
 
-async def _collect_rest(answer: Answer, parts: list[bytes]) -> None:
-    size_bytes = sum(map(len, parts))
-    while not answer.body.is_ended and size_bytes <= _KEPT_ANSWER_BYTES:
-        parts.append(await answer.body.read())
-        size_bytes += len(parts[-1])
-
-
 async def _send_parts(
     stream: Stream,
     content: bytes,
--- a/packages/daemon/tests/test_endless_answers.py
+++ b/packages/daemon/tests/test_endless_answers.py
@@ -4,8 +4,10 @@
 # flake8: noqa: WPS336
 
 import asyncio
+import contextlib
 import random
 import re
+import tracemalloc
 from types import SimpleNamespace
 
 import anyio
@@ -80,6 +82,10 @@
 }
 
 
+# Sizes of the chunks in which a backend server sends its body.
+SMALL_CHUNKS_BYTES = (1, 2, 16)
+
+
 def cases(table):
     """Return the rows of a table as parameters with their names."""
     return [
@@ -142,6 +148,16 @@
     return transport, exchange
 
 
+@contextlib.contextmanager
+def held_bytes():
+    """Yield a function that returns how much memory is held since then."""
+    tracemalloc.start()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
 def send_endlessly(bed, start, piece):
     """Return a script that answers a request without end."""
 
@@ -232,6 +248,32 @@
         assert not (await exchange).body.is_complete
 
 
+class TestSmallChunks:
+    """Guards against buffers that hold many times the bytes they count."""
+
+    @pytest.mark.parametrize('chunk_bytes', SMALL_CHUNKS_BYTES)
+    async def test_answer_that_is_not_read(self, chunk_bytes):
+        piece = b'%x\r\n%b\r\n' % (chunk_bytes, b'a' * chunk_bytes)
+        wire_bytes = BUFFER_LIMIT_BYTES // chunk_bytes * len(piece)
+        with held_bytes() as count:
+            _, exchange = await feed_until_closed(CHUNKED, piece, wire_bytes)
+            answer = await exchange
+            assert answer.body.size_bytes >= BUFFER_LIMIT_BYTES
+            assert count() < 2 * BUFFER_LIMIT_BYTES
+
+    @pytest.mark.parametrize('chunk_bytes', SMALL_CHUNKS_BYTES)
+    async def test_parts_that_are_collected_one_by_one(self, chunk_bytes):
+        part = b'a' * chunk_bytes
+        arriving = BodyBuffer()
+        body = RequestBody(arriving, BUFFER_LIMIT_BYTES)
+        with held_bytes() as count:
+            for _ in range(BUFFER_LIMIT_BYTES // chunk_bytes):
+                arriving.feed(bytes(part))
+                await body.read_next()
+            assert body.kept_bytes == BUFFER_LIMIT_BYTES
+            assert count() < 2 * BUFFER_LIMIT_BYTES
+
+
 class TestCaller:
     """Guards against callers that get such bytes, or wait for their end."""
 
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -254,9 +254,6 @@
     Nothing has been sent to the caller yet, so if a body breaks off here, the
     answer of another target can replace it.
     """
-    parts = [body.take_ready()]
-    size_bytes = len(parts[0])
-    while not body.is_ended and size_bytes < BUFFER_LIMIT_BYTES:
-        parts.append(await body.read())
-        size_bytes += len(parts[-1])
-    return b''.join(parts)
+    content = bytearray(body.take_ready())
+    await body.collect(content, BUFFER_LIMIT_BYTES)
+    return bytes(content)
