Send a refused long body to another target while its start is kept

Seen by callers of cornelbeam-daemon: a booking of over 64 KiB that its first target refused was answered 503, though another target had room, also when nothing of the body beyond the kept start had been read.

Cause: the retry asked whether the body is short enough to be kept whole, not whether the kept start still leads on to what has not been read.

Evidence: test_long_body_that_is_kept_goes_to_the_other_target[POST] failed before with 503. A PUT passed, as it is sent on while it arrives.

Why this is safe: a reader that comes to a dropped part raises an error, and the sender of the refused attempt is cancelled before the next one starts. With a dropped part the answer is still 503 and true, which a test shows.

--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -338,7 +338,7 @@
         connection.is_stale
         and call.is_repeatable
         and is_idempotent_method(call.method.decode())
-        and call.body.is_replayable
+        and call.body.is_intact
     )
 
 
--- a/packages/daemon/src/cornelbeam_daemon/caller_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/caller_side.py
@@ -386,7 +386,7 @@
             self._loop.time(),
             self._budget,
         )
-        if decision is RetryDecision.RETRY and not pending.body.is_replayable:
+        if decision is RetryDecision.RETRY and not pending.body.is_intact:
             return RetryDecision.GIVE_UP
         if decision is RetryDecision.RETRY:
             self._metrics.count_retry(False, True)
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -65,6 +65,8 @@
         self.answer = OK
         self.script: Script = self.answer_all
         self.requests: list[tuple[bytes, bytes]] = []
+        # Requests that are read whole, after which the connection is closed.
+        self.drop_count = 0
         self.connection_count = 0
         self.open_count = 0
         self._writers: set[asyncio.StreamWriter] = set()
@@ -110,6 +112,9 @@
         """Answer complete requests until the connection ends."""
         while True:
             self.requests.append(await read_message(reader))
+            if self.drop_count:
+                self.drop_count -= 1
+                return
             writer.write(self.answer)
 
     async def answer_once(
--- a/packages/daemon/tests/test_caller_side.py
+++ b/packages/daemon/tests/test_caller_side.py
@@ -9,7 +9,7 @@
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.targets import LoadReport, Target
 from cornelbeam_daemon import headers as fields
-from cornelbeam_daemon.bodies import BodyBuffer
+from cornelbeam_daemon.bodies import REPLAY_LIMIT_BYTES, BodyBuffer
 from cornelbeam_daemon.caller_side import CallerSide
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest
@@ -72,6 +72,34 @@
         return Answer(503 if is_failing else 200, [], body, None, bool)
 
 
+class ReadingClient:
+    """Peer client that refuses the first call after ``read_count`` parts.
+
+    Later calls read the whole body and are answered.
+    """
+
+    def __init__(self, read_count):
+        self.read_count = read_count
+        self.names = []
+        self.bodies = []
+
+    async def call(self, target, call):
+        self.names.append(target.name)
+        reader = call.body.reader()
+        if len(self.names) == 1:
+            for _ in range(self.read_count):
+                await reader.read()
+            raise CornelbeamError(ErrorCode.TARGET_LEAVING, 'admission')
+        content, part = b'', await reader.read()
+        while part:
+            content += part
+            part = await reader.read()
+        self.bodies.append(content)
+        body = BodyBuffer()
+        body.finish()
+        return Answer(200, [], body, None, bool)
+
+
 class RecordingResponder:
     """Responder that records the head of the answer."""
 
@@ -94,10 +122,11 @@
     return CornelbeamError(ErrorCode.OVERLOADED, 'admission')
 
 
-def send(method, client, count=1, objects=()):
+def send(method, client, count=1, objects=(), body_parts=()):
     """Send requests through a caller side with two remote targets.
 
-    Return the status and the reported run state of each.
+    Return the status and the reported run state of each. Each part of a body
+    arrives once the one before it has been read.
     """
 
     async def body():
@@ -123,15 +152,23 @@
                 'edge-1', lambda calls: (), None, lambda work: None, None
             ),
         )
-        return [await send_one(side, method) for _ in range(count)]
+        return [await send_one(side, method, body_parts) for _ in range(count)]
 
     return anyio.run(body)
 
 
-async def send_one(side, method):
-    """Send a request without a body."""
-    request = HttpRequest(BodyBuffer())
-    request.body.finish()
+async def send_one(side, method, body_parts=()):
+    """Send a request with the given parts of a body."""
+    left = list(body_parts)
+
+    def feed_next(size_bytes=0):
+        if left:
+            request.body.feed(left.pop(0))
+        elif not request.body.is_complete:
+            request.body.finish()
+
+    request = HttpRequest(BodyBuffer(feed_next))
+    feed_next()
     request.method = method
     request.target = b'/x'
     request.headers = [b'host', b'bookings']
@@ -222,3 +259,25 @@
         assert {status for status, _ in answers} == {200}
         # The report is valid for 2 s, which the test may exceed under load.
         assert client.calls['bookings-1'] < 10
+
+
+class TestRefusedBody:
+    """Guards against a second attempt with a hole in the body, and none."""
+
+    PARTS = (bytes(REPLAY_LIMIT_BYTES), b'one too many', b'rest', b'end')
+
+    @pytest.mark.parametrize('method', [b'PUT', b'POST'])
+    def test_long_body_that_is_kept_goes_to_the_other_target(self, method):
+        client = ReadingClient(read_count=1)
+        answers = send(method, client, 1, (), self.PARTS)
+        assert answers == [(200, None)]
+        assert len(set(client.names)) == 2
+        assert client.bodies == [b''.join(self.PARTS)]
+
+    @pytest.mark.parametrize('method', [b'PUT', b'POST'])
+    def test_body_with_a_dropped_part_is_refused_as_not_run(self, method):
+        client = ReadingClient(read_count=len(self.PARTS))
+        answers = send(method, client, 1, (), self.PARTS)
+        assert answers == [(503, b'no')]
+        assert len(client.names) == 1
+        assert not client.bodies
--- a/packages/daemon/tests/test_request_bodies.py
+++ b/packages/daemon/tests/test_request_bodies.py
@@ -4,13 +4,20 @@
 
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
-from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
+from cornelbeam_daemon.bodies import (
+    REPLAY_LIMIT_BYTES,
+    BodyBuffer,
+    RequestBody,
+)
 
 pytestmark = pytest.mark.anyio
 LIMIT_BYTES = 100
 MAX_PART_BYTES = 60
 SEEDS = range(200)
 TAKE_FIRST_PERCENT = 30
+GET = b'GET /a HTTP/1.1\r\nhost: windows.mesh\r\nconnection: close\r\n\r\n'
+PUT = b'PUT /a HTTP/1.1\r\nhost: windows.mesh\r\nconnection: close\r\n'
+CHUNK_BYTES = 10_000
 # The part that exceeds the limit is still kept.
 LONG_PART = b'a' * (LIMIT_BYTES + 1)
 
@@ -106,3 +113,38 @@
         if rng.randrange(100) < TAKE_FIRST_PERCENT:
             return reader.take_first()[0]
         return await reader.read()
+
+
+def put(body: bytes, framing: str) -> list[bytes]:
+    """Return the pieces of a request with a body in chunks or with a length."""
+    chunks = [
+        body[start : start + CHUNK_BYTES]
+        for start in range(0, len(body), CHUNK_BYTES)
+    ]
+    if framing == 'length':
+        return [PUT, b'content-length: %d\r\n\r\n' % len(body), *chunks]
+    framed = [b'%x\r\n%b\r\n' % (len(chunk), chunk) for chunk in chunks]
+    return [PUT, b'transfer-encoding: chunked\r\n\r\n', *framed, b'0\r\n\r\n']
+
+
+class TestLostAnswer:
+    """Guards against a second run with a hole after a lost answer."""
+
+    @pytest.mark.parametrize('framing', ['chunks', 'length'])
+    @pytest.mark.parametrize('size_bytes', [1000, 4 * REPLAY_LIMIT_BYTES])
+    async def test_backend_server_gets_whole_bodies(
+        self, bed, framing, size_bytes
+    ):
+        # A connection that has been used is taken for one that was closed.
+        await bed.ask(GET)
+        bed.backend.requests.clear()
+        body = random.Random(size_bytes).randbytes(size_bytes)
+        bed.backend.drop_count = 1
+        answer = await bed.ask(*put(body, framing))
+        is_kept = size_bytes <= REPLAY_LIMIT_BYTES
+        assert answer.startswith(
+            b'HTTP/1.1 200' if is_kept else b'HTTP/1.1 502'
+        )
+        bodies = [content for _, content in bed.backend.requests]
+        assert set(bodies) == {body}
+        assert len(bodies) == 1 + is_kept
