Send the end of an answer that arrives while its last part waits

Seen by callers: an answer without a length of 300 to 500 KB, from a target beside another daemon, arrived with all its bytes but without its end. The connection stayed open until the timeout of the route and was then closed without a complete answer.

ServedCall._send_answer asked whether the body has ended twice: for the mark of the last part, before that part waited for credit, and for the end of its loop, after the wait. A body that ended in between, without more bytes, left the loop, and no part with the mark was sent.

Why this fixes it: the loop ends only after a part with the mark has been sent. If the body ends during a wait, the next read returns nothing and an empty last part follows.

--- a/packages/daemon/src/cornelbeam_daemon/served_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/served_call.py
@@ -176,11 +176,16 @@
         if start.is_complete:
             return
         stream.deduct_credit(len(start.body))
+        is_last = False
         if not start.body:
-            await _send_parts(stream, content, is_last=answer.body.is_ended)
-        while not answer.body.is_ended:
+            is_last = answer.body.is_ended
+            await _send_parts(stream, content, is_last=is_last)
+        while not is_last:
             content = await answer.body.read()
-            await _send_parts(stream, content, is_last=answer.body.is_ended)
+            # The body may end while a part waits for credit: only what was
+            # true before says whether the end has been sent.
+            is_last = answer.body.is_ended
+            await _send_parts(stream, content, is_last=is_last)
 
     async def _collect_body(self, answer: Answer) -> bytes:
         """Return the part of the answer's body that has arrived.
