Let no attempt of a read that must end at its deadline be answered

Cause, in the test: the read had 600 ms, and a daemon that is silent for 300 ms gets it again over a new connection 300 ms later. The silence counts from the last byte on the connection, which came before the read, so the second attempt starts within the 600 ms and is answered if the test is slow to send.

The answer was right, and the test depended on the order of two timers. Its target hangs now, so that neither attempt can be answered: the read still has to end with 504, whenever the silence is noticed.

--- a/packages/mesh/tests/test_silent_peers.py
+++ b/packages/mesh/tests/test_silent_peers.py
@@ -157,7 +157,9 @@
             await wait_until(lambda: not chosen.sidecar.admission.work_count)
 
     async def test_read_ends_at_its_deadline(self, harness):
-        near, _ = await add_far_target(harness)
+        near, far = await add_far_target(harness)
+        # No attempt over a new connection is answered in time either.
+        far.target.script = far.target.hang
         with paused(opened_connections(near)):
             async with sent(near, *READ, x_remaining='600') as reader:
                 async with asyncio.timeout(WAIT_LIMIT_S):
