Wait for a refusal before a body is read beyond its kept start

Cause: the kept start fits into the buffers of a socket, so the sender read on, and dropped what it read, before the refusal of a target that had only read the head. BodyFraming did so even before the head was sent.

Evidence: test_long_upload_refused_at_its_head_goes_to_the_other_target failed before for local targets, with 503.

Why this works: a full target refuses as soon as it has read the head. The sender waits 20 ms, once for each connection, before the first part that no other target could get; the first available part of a body no longer includes such a part. If the refusal comes in that time, the body is intact and goes to the next target. What it costs: 20 ms for each body of over 1 MiB, and of over 64 KiB at a target beside another daemon.

--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -22,6 +22,9 @@
 # Answers of other requests are skipped up to the size of one buffered answer: a
 # server that sends more of them may never send the expected one.
 SKIPPED_LIMIT_BYTES: Final = HEAD_LIMIT_BYTES + BUFFER_LIMIT_BYTES
+# A full backend server refuses a request once it has read the head. The part of
+# a body that is not kept for another one waits this long for the refusal.
+REFUSAL_WAIT_S: Final = 0.02
 # Bytes of a header line in addition to name and value.
 _LINE_OVERHEAD_BYTES: Final = 4
 
@@ -55,6 +58,8 @@
         # True if the current read brought the head or a part of the body.
         self._has_progress = False
         self._sender: asyncio.Task[None] | None = None
+        # True once the sender has waited for a refusal of its request.
+        self._has_waited = False
         # True while no answer is expected: any input is then an error.
         self._is_answered = True
         self._is_aborted = False
@@ -229,6 +234,7 @@
         self._is_own_answer = is_own_answer
         self._is_answered = False
         self._framing_bytes = 0
+        self._has_waited = False
         self.is_reusable = False
         self.has_no_answer_bytes = True
         assert self._transport is not None  # noqa: S101
@@ -289,6 +295,7 @@
         left_bytes: int | None,
     ) -> None:
         try:
+            await self._wait_for_refusal(reader)
             part = await reader.read()
             while part and not self.is_closed:
                 if left_bytes is not None:
@@ -298,6 +305,7 @@
                 if self.is_closed:
                     # Another connection may need the parts that follow.
                     return
+                await self._wait_for_refusal(reader)
                 part = await reader.read()
         except CornelbeamError as error:
             # Abort, so that the backend server can't take the partial body for
@@ -311,6 +319,11 @@
         elif is_chunked:
             self._write(b'0\r\n\r\n')
 
+    async def _wait_for_refusal(self, reader: BodyReader) -> None:
+        if reader.is_next_dropped and not self._has_waited:
+            self._has_waited = True
+            await asyncio.sleep(REFUSAL_WAIT_S)
+
     def _abort_request_body(
         self,
         detail: str,
--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -303,15 +303,24 @@
         self._body = body
         self._offset = 0
 
+    @property
+    def is_next_dropped(self) -> bool:
+        """Return whether no other reader can read the next part again."""
+        is_past_kept = self._offset >= self._body.kept_bytes
+        return is_past_kept and not self._body.is_replayable
+
     def take_first(self) -> tuple[bytes, bool]:
         """Return what is available now and whether it is the whole body.
 
-        Raise ``protocol_violation`` if a part has been dropped.
+        What would not be kept is left for ``read``. Raise
+        ``protocol_violation`` if a part has been dropped.
         """
         kept = self._body.kept_from(self._offset)
         self._offset += len(kept)
-        # Raises if parts that follow have been dropped.
-        self._body.kept_from(self._offset)
+        if self.is_next_dropped:
+            # Raises if it has been read already.
+            self._body.kept_from(self._offset)
+            return kept, False
         fresh = self._body.take_ready()
         self._offset += len(fresh)
         return kept + fresh, self._body.is_whole
--- a/packages/mesh/tests/fake_target.py
+++ b/packages/mesh/tests/fake_target.py
@@ -27,7 +27,7 @@
         self.health_script = self.answer_health
         # Requests are refused once this many bytes of their body have arrived.
         self.shed_at_bytes: int | None = None
-        self.has_shed = asyncio.Event()
+        self.on_shed = None
         self.is_hanging = asyncio.Event()
         self._server = None
         self._writers: list[asyncio.StreamWriter] = []
@@ -155,7 +155,7 @@
         _, fields = await _read_head(reader)
         await reader.readexactly(self.shed_at_bytes)
         await self.shed(writer, fields.get(b'x-attempt', b''))
-        self.has_shed.set()
+        self.on_shed()
         while await reader.read(_READ_BYTES):
             await asyncio.sleep(0)
 
--- a/packages/mesh/tests/test_refused_uploads.py
+++ b/packages/mesh/tests/test_refused_uploads.py
@@ -5,10 +5,13 @@
 import pytest
 from cornelbeam_core.routes import RequestKind
 from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_daemon import backend_connection
+from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES
 from cornelbeam_mesh.forwarded_request import MAX_REPLAYABLE_BODY_BYTES
 from long_bodies import (
     CHUNK_BYTES,
     FRAMINGS,
+    LONG_BODY,
     SHORT_BODY,
     LongRequest,
 )
@@ -16,8 +19,8 @@
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
-# Beyond what is kept for another target.
-SHED_AT_BYTES = MAX_REPLAYABLE_BODY_BYTES + 4 * CHUNK_BYTES
+# Beyond what is kept for another target, with the read that exceeds the limit.
+SHED_AT_BYTES = MAX_REPLAYABLE_BODY_BYTES + 2 * BUFFER_LIMIT_BYTES
 UPLOAD = route('upload', RequestKind.UPLOAD, timeout_ms=15_000)
 
 
@@ -56,7 +59,7 @@
         for target in shedding:
             target.shed_at_bytes = SHED_AT_BYTES
             # Only the first target refuses.
-            target.has_shed = has_shed
+            target.on_shed = has_shed.set
         answered = asyncio.ensure_future(
             LongRequest('/upload/1', framing).send(
                 caller, 2 * SHED_AT_BYTES, has_shed
@@ -70,13 +73,33 @@
         assert status.startswith('HTTP/1.1 503')
         assert float(fields[b'retry-after']) > 0
 
+    async def test_long_upload_refused_at_its_head_goes_to_the_other_target(
+        self, nodes, framing, monkeypatch
+    ):
+        # Refusals may take longer on a busy machine.
+        monkeypatch.setattr(
+            backend_connection, 'REFUSAL_WAIT_S', 0.5, raising=False
+        )
+        shedding = {node.target for node in nodes[1:]}
+
+        def end_shedding() -> None:
+            for target in shedding:
+                target.shed_at_bytes = None
+
+        for target in shedding:
+            target.shed_at_bytes = 0
+            target.on_shed = end_shedding
+        status, _, _ = await LongRequest('/upload/1', framing).send(nodes[0])
+        assert status == OK
+        assert run_bodies(nodes) == [LONG_BODY]
+
     async def test_kept_upload_goes_to_the_other_target(self, nodes, framing):
         caller = nodes[0]
         shedding = {node.target for node in nodes[1:]}
         has_shed = asyncio.Event()
         for target in shedding:
             target.shed_at_bytes = CHUNK_BYTES
-            target.has_shed = has_shed
+            target.on_shed = has_shed.set
         answered = asyncio.ensure_future(
             LongRequest('/upload/1', framing, SHORT_BODY).send(caller)
         )
