Don't wait for a refusal at the end of a body

A body that exceeds the kept start with its last part is kept whole, and nothing follows that could be dropped. Its sender still waited 20 ms, which held back the end of a chunked body.

Evidence: test_only_a_part_that_follows_is_announced_as_dropped failed before. The reader now asks whether more can follow.

--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -222,6 +222,11 @@
         """
         return self._read_bytes == len(self._kept)
 
+    @property
+    def is_rest_dropped(self) -> bool:
+        """Return whether more may follow, of which nothing will be kept."""
+        return not self.is_replayable and not self._buffer.is_ended
+
     @property
     def is_whole(self) -> bool:
         """Return whether the whole body has been read and kept."""
@@ -305,9 +310,12 @@
 
     @property
     def is_next_dropped(self) -> bool:
-        """Return whether no other reader can read the next part again."""
+        """Return whether no other reader can read the next part again.
+
+        False at the end of the body, which has no next part.
+        """
         is_past_kept = self._offset >= self._body.kept_bytes
-        return is_past_kept and not self._body.is_replayable
+        return is_past_kept and self._body.is_rest_dropped
 
     def take_first(self) -> tuple[bytes, bool]:
         """Return what is available now and whether it is the whole body.
@@ -317,9 +325,9 @@
         """
         kept = self._body.kept_from(self._offset)
         self._offset += len(kept)
+        # Raises if the next part has been dropped.
+        self._body.kept_from(self._offset)
         if self.is_next_dropped:
-            # Raises if it has been read already.
-            self._body.kept_from(self._offset)
             return kept, False
         fresh = self._body.take_ready()
         self._offset += len(fresh)
--- a/packages/daemon/tests/test_request_bodies.py
+++ b/packages/daemon/tests/test_request_bodies.py
@@ -59,6 +59,16 @@
         buffer.finish()
         assert await read_to_end(body.reader()) == b'%bc' % LONG_PART
 
+    async def test_only_a_part_that_follows_is_announced_as_dropped(self):
+        buffer, body = arriving(LONG_PART)
+        first = body.reader()
+        assert not first.is_next_dropped
+        await first.read()
+        assert first.is_next_dropped
+        assert not body.reader().is_next_dropped
+        buffer.finish()
+        assert not first.is_next_dropped
+
     @pytest.mark.parametrize('is_finished', [True, False])
     async def test_dropped_part_is_an_error(self, is_finished):
         buffer, body = arriving(LONG_PART)
