Refuse an upload once in one place of its tests

Three tests set up the refusal of the first target each in its own way. They share it now, and the assertions are unchanged; two check besides that a target did refuse. Without REFUSAL_WAIT_S there is nothing to lengthen, so its patch no longer accepts that.

--- a/packages/mesh/tests/test_refused_uploads.py
+++ b/packages/mesh/tests/test_refused_uploads.py
@@ -41,6 +41,26 @@
     return [near, near, far[0]]
 
 
+def refuse_once(nodes, at_bytes) -> asyncio.Event:
+    """Let the target of the next request refuse it, and only that one.
+
+    It does so when ``at_bytes`` of the body have arrived. The event is set
+    then.
+    """
+    has_shed = asyncio.Event()
+    targets = {node.target for node in nodes[1:]}
+
+    def end_shedding() -> None:
+        for target in targets:
+            target.shed_at_bytes = None
+        has_shed.set()
+
+    for target in targets:
+        target.shed_at_bytes = at_bytes
+        target.on_shed = end_shedding
+    return has_shed
+
+
 def run_bodies(nodes):
     """Return the bodies that targets got whole."""
     return [body for node in set(nodes) for _, _, body in node.target.requests]
@@ -53,22 +73,10 @@
     async def test_upload_with_a_dropped_part_goes_nowhere_else(
         self, nodes, framing
     ):
-        caller = nodes[0]
-        shedding = {node.target for node in nodes[1:]}
-        has_shed = asyncio.Event()
-        for target in shedding:
-            target.shed_at_bytes = SHED_AT_BYTES
-            # Only the first target refuses.
-            target.on_shed = has_shed.set
-        answered = asyncio.ensure_future(
-            LongRequest('/upload/1', framing).send(
-                caller, 2 * SHED_AT_BYTES, has_shed
-            )
+        has_shed = refuse_once(nodes, SHED_AT_BYTES)
+        status, fields, _ = await LongRequest('/upload/1', framing).send(
+            nodes[0], 2 * SHED_AT_BYTES, has_shed
         )
-        await has_shed.wait()
-        for target in shedding:
-            target.shed_at_bytes = None
-        status, fields, _ = await answered
         assert not run_bodies(nodes)
         assert status.startswith('HTTP/1.1 503')
         assert float(fields[b'retry-after']) > 0
@@ -77,35 +85,17 @@
         self, nodes, framing, monkeypatch
     ):
         # Refusals may take longer on a busy machine.
-        monkeypatch.setattr(
-            backend_connection, 'REFUSAL_WAIT_S', 0.5, raising=False
-        )
-        shedding = {node.target for node in nodes[1:]}
-
-        def end_shedding() -> None:
-            for target in shedding:
-                target.shed_at_bytes = None
-
-        for target in shedding:
-            target.shed_at_bytes = 0
-            target.on_shed = end_shedding
+        monkeypatch.setattr(backend_connection, 'REFUSAL_WAIT_S', 0.5)
+        has_shed = refuse_once(nodes, 0)
         status, _, _ = await LongRequest('/upload/1', framing).send(nodes[0])
+        assert has_shed.is_set()
         assert status == OK
         assert run_bodies(nodes) == [LONG_BODY]
 
     async def test_kept_upload_goes_to_the_other_target(self, nodes, framing):
-        caller = nodes[0]
-        shedding = {node.target for node in nodes[1:]}
-        has_shed = asyncio.Event()
-        for target in shedding:
-            target.shed_at_bytes = CHUNK_BYTES
-            target.on_shed = has_shed.set
-        answered = asyncio.ensure_future(
-            LongRequest('/upload/1', framing, SHORT_BODY).send(caller)
-        )
-        await has_shed.wait()
-        for target in shedding:
-            target.shed_at_bytes = None
-        status, _, _ = await answered
+        has_shed = refuse_once(nodes, CHUNK_BYTES)
+        request = LongRequest('/upload/1', framing, SHORT_BODY)
+        status, _, _ = await request.send(nodes[0])
+        assert has_shed.is_set()
         assert status == OK
         assert run_bodies(nodes) == [SHORT_BODY]
