--- a/packages/core/src/cornelbeam_core/errors.py
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -28,6 +28,9 @@
     BODY_TOO_LARGE = 'body_too_large'
     UNKNOWN_SERVICE = 'unknown_service'
     UNSUPPORTED_ROUTE = 'unsupported_route'
+    UNKNOWN_API_KEY = 'unknown_api_key'
+    CONFIGURATION_STALE = 'configuration_stale'
+    QUOTA_EXCEEDED = 'quota_exceeded'
     CONTRADICTORY_SELECTORS = 'contradictory_selectors'
     NO_ELIGIBLE_TARGET = 'no_eligible_target'
     OVERLOADED = 'overloaded'
@@ -54,9 +57,11 @@
 
 _HTTP_STATUSES: Final = {
     ErrorCode.MALFORMED_REQUEST: 400,
+    ErrorCode.UNKNOWN_API_KEY: 401,
     ErrorCode.UNKNOWN_SERVICE: 404,
     ErrorCode.CONTRADICTORY_SELECTORS: 409,
     ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.QUOTA_EXCEEDED: 429,
     ErrorCode.HEAD_TOO_LARGE: 431,
     ErrorCode.OUTCOME_UNKNOWN: 502,
     ErrorCode.BACKEND_FAILED: 502,
@@ -66,6 +71,8 @@
     ErrorCode.TOO_MANY_HOPS: 508,
 }
 _DEFAULT_HTTP_STATUS: Final = 503
+# Statuses that promise that the request has not run and never will.
+_PROMISING_HTTP_STATUSES: Final = frozenset((429, _DEFAULT_HTTP_STATUS))
 _UNCLEAR_HTTP_STATUS: Final = 502
 
 
@@ -107,11 +114,11 @@
     def http_status(self) -> int:
         """HTTP status that reports this error.
 
-        503 promises that the request has not run, so an error without that
-        certainty is reported as 502.
+        429 and 503 promise that the request has not run, so an error without
+        that certainty is reported as 502.
         """
         status = _HTTP_STATUSES.get(self.code, _DEFAULT_HTTP_STATUS)
-        is_promise = status == _DEFAULT_HTTP_STATUS
+        is_promise = status in _PROMISING_HTTP_STATUSES
         if is_promise and self.run_state is not RunState.NOT_RUN:
             return _UNCLEAR_HTTP_STATUS
         return status
--- a/packages/core/src/cornelbeam_core/refusals.py
+++ b/packages/core/src/cornelbeam_core/refusals.py
@@ -12,12 +12,15 @@
 MIN_RETRY_DELAY_S: Final = 0.1
 # A longer delay exceeds the time that callers have left.
 MAX_RETRY_DELAY_S: Final = 2.0
+# Errors of the caller. Their status says that the request has not run, and why.
 _CALLER_FAULTS: Final = frozenset(
     (
         ErrorCode.MALFORMED_REQUEST,
         ErrorCode.HEAD_TOO_LARGE,
         ErrorCode.BODY_TOO_LARGE,
         ErrorCode.UNKNOWN_SERVICE,
+        ErrorCode.UNKNOWN_API_KEY,
+        ErrorCode.QUOTA_EXCEEDED,
     ),
 )
 _NOT_RUN_STATUS: Final = 503
--- a/packages/core/src/cornelbeam_core/routes.py
+++ b/packages/core/src/cornelbeam_core/routes.py
@@ -6,6 +6,8 @@
 from itertools import chain
 from typing import Final, final
 
+from cornelbeam_core.tenants import TenantRule, TenantTable
+
 # Timeout of routes that set none: the longest time that HTTP callers commonly
 # wait.
 DEFAULT_ROUTE_TIMEOUT_MS: Final = 30_000
@@ -59,7 +61,7 @@
     ``timeout_ms`` is the longest time a caller waits, ``objective_ms`` the
     latency objective of an answer, and ``max_target_count`` the number of
     targets that one request may run on. Requests of routes with a lower
-    ``priority`` are served first.
+    ``priority`` are served first. Requests of public routes need no API key.
     """
 
     name: str
@@ -71,6 +73,7 @@
     objective_ms: int
     max_target_count: int
     priority: int
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -101,11 +104,12 @@
 @final
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
-    """One version of the configured routes and services."""
+    """One version of the configured routes, services and tenants."""
 
     version: int
     routes: tuple[RouteRule, ...]
     services: tuple[ServiceRule, ...]
+    tenants: tuple[TenantRule, ...] = ()
 
 
 @final
@@ -119,7 +123,13 @@
     'r'
     """
 
-    __slots__ = ('_current_weights', '_routes', 'services', 'version')
+    __slots__ = (
+        '_current_weights',
+        '_routes',
+        'services',
+        'tenants',
+        'version',
+    )
 
     def __init__(self, configuration: RoutingConfiguration) -> None:
         """Index the routes of a configuration by host."""
@@ -127,6 +137,10 @@
         self.services: Mapping[str, ServiceRule] = {
             service.name: service for service in configuration.services
         }
+        # ``None`` if requests need no API key.
+        self.tenants: TenantTable | None = None
+        if configuration.tenants:
+            self.tenants = TenantTable(configuration.tenants)
         # Longest prefixes first, so that the first match is the route.
         self._routes: dict[str, list[RouteRule]] = {}
         for rule in sorted(
--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -22,7 +22,8 @@
     target of the service has room. ``route`` identifies the kind of work,
     and ``objective_ms`` is its latency objective. ``fingerprint`` is the same
     for all repetitions of a request, empty if unknown, and ``is_suspect`` says
-    that a target may have crashed while it ran the request.
+    that a target may have crashed while it ran the request. ``tenant`` is the
+    name of the tenant whose request it is, empty without one.
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         'route',
         'service',
         'target_incarnation',
+        'tenant',
     )
 
     def __init__(  # noqa: PLR0913
@@ -73,6 +75,7 @@
         is_last_resort: bool = False,
         fingerprint: bytes = b'',
         is_suspect: bool = False,
+        tenant: str = '',
     ) -> None:
         """Create a call; see the class for the parameters."""
         self.priority = priority
@@ -84,6 +87,7 @@
         self.is_last_resort = is_last_resort
         self.fingerprint = fingerprint
         self.is_suspect = is_suspect
+        self.tenant = tenant
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service = service
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -231,5 +231,6 @@
             is_last_resort=call.is_last_resort or None,
             fingerprint=call.fingerprint or None,
             is_suspect=call.is_suspect or None,
+            tenant=call.tenant or None,
         ),
     )
--- a/packages/daemon/src/cornelbeam_daemon/served_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/served_call.py
@@ -90,6 +90,7 @@
             is_last_resort=bool(start.is_last_resort),
             fingerprint=start.fingerprint or b'',
             is_suspect=bool(start.is_suspect),
+            tenant=start.tenant or '',
         )
         self.is_cancelled = False
         # Whether a part of the answer has been sent.
--- a/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
+++ b/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
@@ -23,7 +23,8 @@
     ``instance``, its load in ``load`` and the milliseconds until it is warm in
     ``cold_remaining_ms``. In ``rate_limit`` it states how many requests a
     second it accepts from all daemons together, and ``leaving`` marks the
-    answers of a target that is about to exit.
+    answers of a target that is about to exit. A caller shows its API key in
+    ``authorization``, and the target gets the name of the tenant in ``tenant``.
     """
 
     attempt_id: bytes
@@ -36,6 +37,8 @@
     cold_remaining_ms: bytes
     rate_limit: bytes
     leaving: bytes
+    tenant: bytes
+    authorization: bytes = b'authorization'
 
 
 @final
--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -43,6 +43,7 @@
         cold_remaining_ms=b'x-cold',
         rate_limit=b'x-limit',
         leaving=b'x-leaving',
+        tenant=b'x-tenant',
     )
 
     def read_load(self, stated):
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -384,6 +384,7 @@
      - is_last_resort
      - fingerprint
      - is_suspect
+     - tenant
 
     """
 
@@ -411,10 +412,11 @@
         'is_last_resort',
         'fingerprint',
         'is_suspect',
+        'tenant',
     )
 
 
-    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None, priority=None, is_nested=None, is_repeat=None, patience_ms=None, objective_ms=None, route=None, is_body_held=None, is_last_resort=None, fingerprint=None, is_suspect=None,):
+    def __init__(self, attempt_id=None, target_incarnation=None, service_name=None, method=None, path=None, headers=None, remaining_ms=None, is_repeatable=None, caller=None, hop_count=None, body=None, is_complete=None, request_id=None, priority=None, is_nested=None, is_repeat=None, patience_ms=None, objective_ms=None, route=None, is_body_held=None, is_last_resort=None, fingerprint=None, is_suspect=None, tenant=None,):
         self.attempt_id = attempt_id
         self.target_incarnation = target_incarnation
         self.service_name = service_name
@@ -438,6 +440,7 @@
         self.is_last_resort = is_last_resort
         self.fingerprint = fingerprint
         self.is_suspect = is_suspect
+        self.tenant = tenant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -568,6 +571,11 @@
                     self.is_suspect = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRING:
+                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -673,6 +681,10 @@
             oprot.writeFieldBegin('is_suspect', TType.BOOL, 23)
             oprot.writeBool(self.is_suspect)
             oprot.writeFieldEnd()
+        if self.tenant is not None:
+            oprot.writeFieldBegin('tenant', TType.STRING, 24)
+            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2984,6 +2996,304 @@
         return not (self == other)
 
 
+class ConfigurationAgeQuery(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationAgeQuery')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConfigurationAge(object):
+    """
+    Attributes:
+     - position
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'position',
+        'age_ms',
+    )
+
+
+    def __init__(self, position=None, age_ms=None,):
+        self.position = position
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.position = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationAge')
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I64, 1)
+            oprot.writeI64(self.position)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.position is None:
+            raise TProtocolException(message='Required field position is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaRequest(object):
+    """
+    Attributes:
+     - tenant
+     - count
+
+    """
+
+    __slots__ = (
+        'tenant',
+        'count',
+    )
+
+
+    def __init__(self, tenant=None, count=None,):
+        self.tenant = tenant
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaRequest')
+        if self.tenant is not None:
+            oprot.writeFieldBegin('tenant', TType.STRING, 1)
+            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 2)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.tenant is None:
+            raise TProtocolException(message='Required field tenant is unset!')
+        if self.count is None:
+            raise TProtocolException(message='Required field count is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - count
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'count',
+        'wait_ms',
+    )
+
+
+    def __init__(self, count=None, wait_ms=None,):
+        self.count = count
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 1)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.count is None:
+            raise TProtocolException(message='Required field count is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3009,6 +3319,10 @@
      - revision
      - crash_report
      - quarantine_pull
+     - configuration_age_query
+     - configuration_age
+     - quota_request
+     - quota_grant
 
     """
 
@@ -3035,10 +3349,14 @@
         'revision',
         'crash_report',
         'quarantine_pull',
+        'configuration_age_query',
+        'configuration_age',
+        'quota_request',
+        'quota_grant',
     )
 
 
-    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None, revision=None, crash_report=None, quarantine_pull=None,):
+    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None, revision=None, crash_report=None, quarantine_pull=None, configuration_age_query=None, configuration_age=None, quota_request=None, quota_grant=None,):
         self.stream_id = stream_id
         self.hello = hello
         self.call_start = call_start
@@ -3061,6 +3379,10 @@
         self.revision = revision
         self.crash_report = crash_report
         self.quarantine_pull = quarantine_pull
+        self.configuration_age_query = configuration_age_query
+        self.configuration_age = configuration_age
+        self.quota_request = quota_request
+        self.quota_grant = quota_grant
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3201,6 +3523,30 @@
                     self.quarantine_pull.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.configuration_age_query = ConfigurationAgeQuery()
+                    self.configuration_age_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.configuration_age = ConfigurationAge()
+                    self.configuration_age.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.quota_request = QuotaRequest()
+                    self.quota_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.quota_grant = QuotaGrant()
+                    self.quota_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3299,6 +3645,22 @@
             oprot.writeFieldBegin('quarantine_pull', TType.STRUCT, 22)
             self.quarantine_pull.write(oprot)
             oprot.writeFieldEnd()
+        if self.configuration_age_query is not None:
+            oprot.writeFieldBegin('configuration_age_query', TType.STRUCT, 23)
+            self.configuration_age_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.configuration_age is not None:
+            oprot.writeFieldBegin('configuration_age', TType.STRUCT, 24)
+            self.configuration_age.write(oprot)
+            oprot.writeFieldEnd()
+        if self.quota_request is not None:
+            oprot.writeFieldBegin('quota_request', TType.STRUCT, 25)
+            self.quota_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.quota_grant is not None:
+            oprot.writeFieldBegin('quota_grant', TType.STRUCT, 26)
+            self.quota_grant.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3375,6 +3737,7 @@
     (21, TType.BOOL, 'is_last_resort', None, None, ),  # 21
     (22, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 22
     (23, TType.BOOL, 'is_suspect', None, None, ),  # 23
+    (24, TType.STRING, 'tenant', 'UTF8', None, ),  # 24
 )
 all_structs.append(BodyPart)
 BodyPart.thrift_spec = (
@@ -3532,6 +3895,27 @@
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
 )
+all_structs.append(ConfigurationAgeQuery)
+ConfigurationAgeQuery.thrift_spec = (
+)
+all_structs.append(ConfigurationAge)
+ConfigurationAge.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'position', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(QuotaRequest)
+QuotaRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'tenant', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'count', None, None, ),  # 2
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'count', None, None, ),  # 1
+    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3557,6 +3941,10 @@
     (20, TType.I64, 'revision', None, None, ),  # 20
     (21, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 21
     (22, TType.STRUCT, 'quarantine_pull', [QuarantinePull, None], None, ),  # 22
+    (23, TType.STRUCT, 'configuration_age_query', [ConfigurationAgeQuery, None], None, ),  # 23
+    (24, TType.STRUCT, 'configuration_age', [ConfigurationAge, None], None, ),  # 24
+    (25, TType.STRUCT, 'quota_request', [QuotaRequest, None], None, ),  # 25
+    (26, TType.STRUCT, 'quota_grant', [QuotaGrant, None], None, ),  # 26
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -54,6 +54,8 @@
   22: optional binary fingerprint
   // A target broke off while it ran this request.
   23: optional bool is_suspect
+  // Name of the tenant whose request it is.
+  24: optional string tenant
 }
 
 struct BodyPart {
@@ -197,6 +199,29 @@
   1: required string service_name
 }
 
+// Asks how old the receiver's proof is that its configuration is the newest.
+struct ConfigurationAgeQuery {
+}
+
+struct ConfigurationAge {
+  // Position in the store of the configuration that the proof is for.
+  1: required i64 position
+  // Absent without a proof.
+  2: optional i32 age_ms
+}
+
+// Asks the daemon that holds a share of a tenant's quota for tokens.
+struct QuotaRequest {
+  1: required string tenant
+  2: required i32 count
+}
+
+struct QuotaGrant {
+  1: required i32 count
+  // Time until the next token, if fewer were granted than asked for.
+  2: optional i32 wait_ms
+}
+
 struct Frame {
   1: required i32 stream_id
   2: optional Hello hello
@@ -222,4 +247,8 @@
   20: optional i64 revision
   21: optional CrashReport crash_report
   22: optional QuarantinePull quarantine_pull
+  23: optional ConfigurationAgeQuery configuration_age_query
+  24: optional ConfigurationAge configuration_age
+  25: optional QuotaRequest quota_request
+  26: optional QuotaGrant quota_grant
 }
