Identify callers by the API keys of their tenants

What callers saw: a request with any key, or none, ran, and the target received the key. Cause: the daemon passed the fields on unread.

The daemon that a request arrives at now looks its key up, refuses an unknown one with 401 before any target is asked, removes the key and states the tenant itself. Calls of backend servers show no key; they are told from callers by their address and by the deadlines of the requests that run, see docs/design/tenants.md. A tenant's priority replaces that of its route.

Ruled out: comparing keys one by one (time and logs would depend on them), and 401 for a call that may belong to a request of an earlier run of the daemon: it is proper, so it gets 503.

Evidence: packages/mesh/tests/test_api_keys.py, where a target gets the key and another tenant's name without the change.

--- a/packages/core/src/cornelbeam_core/call_origins.py
+++ b/packages/core/src/cornelbeam_core/call_origins.py
@@ -68,11 +68,15 @@
 
         A route that the target and others call counts as one of the others.
         """
-        latest_s = max((self._left_behind_until_s, *self._deadlines_s.values()))
-        is_later = deadline_s > latest_s + DEADLINE_SLACK_S
+        is_later = not self.may_be_nested(deadline_s)
         share = self._update_share(route, is_later=is_later)
         return not is_later and share < OUTSIDE_SHARE
 
+    def may_be_nested(self, deadline_s: float) -> bool:
+        """Return whether a running request has no earlier deadline."""
+        latest_s = max((self._left_behind_until_s, *self._deadlines_s.values()))
+        return deadline_s <= latest_s + DEADLINE_SLACK_S
+
     def _update_share(self, route: str, *, is_later: bool) -> float:
         if len(self._shares) > MAX_ROUTE_COUNT:
             self._shares.clear()
--- a/packages/core/src/cornelbeam_core/routes.py
+++ b/packages/core/src/cornelbeam_core/routes.py
@@ -126,6 +126,7 @@
     __slots__ = (
         '_current_weights',
         '_routes',
+        'longest_timeout_ms',
         'services',
         'tenants',
         'version',
@@ -137,6 +138,9 @@
         self.services: Mapping[str, ServiceRule] = {
             service.name: service for service in configuration.services
         }
+        self.longest_timeout_ms = max(
+            (rule.timeout_ms for rule in configuration.routes), default=0
+        )
         # ``None`` if requests need no API key.
         self.tenants: TenantTable | None = None
         if configuration.tenants:
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -13,12 +13,14 @@
 )
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.routes import RouteRule, RouteTable
+from cornelbeam_core.tenants import TenantRule
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import RequestBody
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest, malformed, read_number
 from cornelbeam_daemon.request_fingerprint import compute_fingerprint
 
+from cornelbeam_mesh.caller_identity import CallerIdentifier
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.platform_adapter import PlatformAdapter
 
@@ -52,6 +54,7 @@
         'run_targets',
         'service',
         'started_s',
+        'tenant',
     )
 
     def __init__(
@@ -71,6 +74,7 @@
         self.headers: list[bytes] = []
         self.request_id = ''
         self.is_nested = False
+        self.tenant: TenantRule | None = None
         # Identifies repetitions of the request; set once its body is here.
         self.fingerprint = b''
         # True if a target broke off while it ran the request.
@@ -87,6 +91,18 @@
         # Error answer of a target, used if no other target answers better.
         self.fallback: Answer | None = None
 
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request; zero is served first."""
+        if self.tenant is None or self.tenant.priority is None:
+            return self.route.priority
+        return self.tenant.priority
+
+    @property
+    def tenant_name(self) -> str:
+        """Return the name of the tenant, empty without one."""
+        return '' if self.tenant is None else self.tenant.name
+
     @property
     def is_retryable(self) -> bool:
         """Return whether another target may get the request after a failure."""
@@ -160,6 +176,7 @@
         '_caller_service',
         '_caller_wait',
         '_host',
+        '_identifier',
         '_origins',
         '_state',
         '_stop',
@@ -173,12 +190,15 @@
         host: str,
         origins: CallOrigins,
         stop: StopDeadline,
+        identifier: CallerIdentifier,
     ) -> None:
         """Read requests of callers on an instance of ``caller_service``.
 
         ``host`` is the IP address of the backend server, and ``origins`` knows
         the requests that it runs. No deadline is later than that of ``stop``.
+        ``identifier`` knows the tenants of callers.
         """
+        self._identifier = identifier
         self._stop = stop
         self._adapter = adapter
         self._state = state
@@ -239,8 +259,12 @@
             started_s + min(left_ms, route.timeout_ms) / MS_PER_S
         )
         check_deadline(forwarded.deadline_s, started_s, 'routing')
-        forwarded.headers = self._replace_control_fields(headers)
-        forwarded.is_nested = self._is_nested(request, forwarded)
+        own_deadline_s = self._own_deadline_s(forwarded)
+        forwarded.tenant = self._identifier.identify(
+            request, route, table, own_deadline_s
+        )
+        forwarded.headers = self._replace_control_fields(forwarded, table)
+        forwarded.is_nested = self._is_nested(forwarded, table, own_deadline_s)
         forwarded.order = AttemptOrder(is_nested=forwarded.is_nested)
         if not forwarded.is_nested:
             # A nested call inherits the remaining time of its parent, which
@@ -250,25 +274,44 @@
             )
         return forwarded
 
+    def _own_deadline_s(self, forwarded: ForwardedRequest) -> float:
+        """Return the deadline that a request states itself.
+
+        The limit of the route says nothing about that of a parent request.
+        """
+        left_ms = read_number(
+            forwarded.request.headers,
+            self._adapter.headers.remaining_ms,
+            0,
+            _MAX_DIGITS,
+        )
+        return min(
+            forwarded.deadline_s, forwarded.started_s + left_ms / MS_PER_S
+        )
+
     def _is_nested(
-        self, request: HttpRequest, forwarded: ForwardedRequest
+        self,
+        forwarded: ForwardedRequest,
+        table: RouteTable,
+        own_deadline_s: float,
     ) -> bool:
         """Return whether the backend server made this request.
 
-        It calls from its own address, which other callers may have too.
+        It calls from its own address, which other callers may have too. It
+        shows no API key.
         """
-        if request.peer_host != self._host:
+        if forwarded.request.peer_host != self._host:
             return False
-        # The limit of the route says nothing about that of a parent request.
-        left_ms = read_number(
-            request.headers, self._adapter.headers.remaining_ms, 0, _MAX_DIGITS
-        )
-        return self._origins.is_nested(
-            forwarded.route.name,
-            min(forwarded.deadline_s, forwarded.started_s + left_ms / MS_PER_S),
-        )
+        if forwarded.tenant is not None:
+            return False
+        if table.tenants is not None and not forwarded.route.is_public:
+            # The identifier has admitted it as a call of the backend server.
+            return True
+        return self._origins.is_nested(forwarded.route.name, own_deadline_s)
 
-    def _replace_control_fields(self, headers: list[bytes]) -> list[bytes]:
+    def _replace_control_fields(
+        self, forwarded: ForwardedRequest, table: RouteTable
+    ) -> list[bytes]:
         """Replace the fields that only daemons may set."""
         names = self._adapter.headers
         control_fields = {
@@ -276,11 +319,15 @@
             names.caller_service,
             names.expected_instance,
         }
-        stripped = fields.strip(headers)
+        if table.tenants is not None:
+            control_fields |= {names.authorization, names.tenant}
+        stripped = fields.strip(forwarded.request.headers)
         kept: list[bytes] = []
         for index in range(0, len(stripped), 2):
             if stripped[index] not in control_fields:
                 kept += stripped[index : index + 2]
+        if forwarded.tenant is not None:
+            kept += (names.tenant, forwarded.tenant_name.encode())
         return [*kept, names.caller_service, self._caller_service]
 
 
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -28,6 +28,7 @@
 from cornelbeam_wire import Identity, PeerPool, RevisionExchange
 
 from cornelbeam_mesh.admission import AdmissionController
+from cornelbeam_mesh.caller_identity import CallerIdentifier
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import RequestReader
 from cornelbeam_mesh.forwarding import Forwarder
@@ -215,6 +216,12 @@
             host,
             self.admission.origins,
             self._stop_deadline,
+            CallerIdentifier(
+                adapter.headers,
+                host,
+                self.admission.origins,
+                _is_always_current,
+            ),
         )
         self.forwarder = Forwarder(
             domain,
@@ -452,5 +459,9 @@
         loop.call_at(at_s, self.admission.reevaluate_waiting)
 
 
+def _is_always_current() -> None:
+    """Accept the configuration in force."""
+
+
 async def _run_coroutine(work: Coroutine[Any, Any, None]) -> None:
     await work
--- a/tests/adapter/test_tenants_configuration.py
+++ b/tests/adapter/test_tenants_configuration.py
@@ -94,6 +94,7 @@
             [{'name': 'a', 'api_keys': [KEY, KEY]}],
             [{'name': 'a', 'api_keys': ['']}],
             [{'name': '', 'api_keys': [KEY]}],
+            [{'name': 'a\r\nx-b: c', 'api_keys': [KEY]}],
             [{'name': 'a', 'api_keys': [KEY]}, {'name': 'a', 'api_keys': []}],
             [{'name': 'a', 'api_keys': [KEY], 'rate_per_s': -1}],
         ],
