Model daemons that prove their configurations to each other

Random schedules of reads, queries, late and lost answers, suspensions and clocks with different offsets check that no daemon with a proof serves a configuration that was superseded more than the allowed time ago.

--- a/packages/core/tests/test_currency_proof.py
+++ b/packages/core/tests/test_currency_proof.py
@@ -1,6 +1,7 @@
 """Proof that a configuration is the newest, under faults and clock skew."""
 
 import math
+import random
 
 import pytest
 from cornelbeam_core.currency_proof import (
@@ -141,3 +142,106 @@
     def test_first_proof_is_read_in_the_same_turns(self):
         assert SCHEDULE.search_age_s(0) >= SCHEDULE.read_age_s(Role(0, 0))
         assert SCHEDULE.search_age_s(1) < SCHEDULE.read_age_s(Role(1, None))
+
+
+class FleetModel:
+    """Daemons with clocks of their own, and a store that changes."""
+
+    def __init__(self, rng) -> None:
+        """Start with one version that all hold, without proofs."""
+        self.rng = rng
+        self.now_s: float = 0
+        self.published_s = {1: self.now_s}
+        self.skews_s = [rng.uniform(-1e6, 1e6) for _ in range(4)]
+        self.held = [1 for _ in range(4)]
+        self.proofs = [CurrencyProof() for _ in range(4)]
+        self.in_flight: list = []
+        self.proven_count = 0
+
+    def clock_s(self, daemon) -> float:
+        """Return the time of a daemon's clock."""
+        return self.now_s + self.skews_s[daemon]
+
+    def publish(self) -> None:
+        """Confirm a new version."""
+        self.published_s[len(self.published_s) + 1] = self.now_s
+
+    def send(self, daemon) -> None:
+        """Start a read or a query, whose receiver answers now or later."""
+        sent_s = self.clock_s(daemon)
+        others = [each for each in range(4) if each != daemon]
+        # The store serves only the first daemon.
+        source = self.rng.choice(others) if daemon else None
+        self.in_flight.append([daemon, source, sent_s, None])
+
+    def execute(self, exchange) -> None:
+        """Let the store or the peer answer; the answer is under way then."""
+        daemon, source, _, _ = exchange
+        if source is None:
+            exchange[3] = len(self.published_s)
+            return
+        proof = self.proofs[source]
+        age_s = proof.age_s(self.clock_s(source))
+        if age_s < SCHEDULE.expiry_s:
+            exchange[3] = proof.position, age_to_ms(age_s) / 1000
+
+    def receive(self, exchange) -> None:
+        """Use an answer, or lose it."""
+        daemon, source, sent_s, answer = exchange
+        self.in_flight.remove(exchange)
+        if answer is None:
+            return
+        proof = self.proofs[daemon]
+        if source is None:
+            self.held[daemon] = max(self.held[daemon], answer)
+            proof.note_read(
+                self.held[daemon], listing_of(answer), sent_s, SCHEDULE.expiry_s
+            )
+        else:
+            proof.note_answer(self.held[daemon], *answer, sent_s)
+
+    def step(self) -> None:
+        """Let something happen after some time, a suspension included."""
+        kind = self.rng.randrange(100)
+        self.now_s += 3 if kind == 1 else self.rng.choice([0, 0.01, 0.1, 0.2])
+        daemon = self.rng.randrange(4)
+        if kind == 0:
+            self.publish()
+        elif kind == 2:
+            # A watch reports any of the newer versions.
+            self.held[daemon] = self.rng.randint(
+                self.held[daemon], len(self.published_s)
+            )
+        elif len(self.in_flight) < 4:
+            self.send(daemon)
+        elif kind < 50:
+            self.execute(self.rng.choice(self.in_flight))
+        else:
+            self.receive(self.rng.choice(self.in_flight))
+
+    def check(self) -> None:
+        """Assert that no daemon serves a version that is out of date."""
+        for daemon, proof in enumerate(self.proofs):
+            age_s = proof.age_s(self.clock_s(daemon))
+            if age_s >= SCHEDULE.expiry_s:
+                continue
+            self.proven_count += 1
+            following_s = self.published_s.get(self.held[daemon] + 1)
+            if following_s is not None:
+                assert following_s >= self.now_s - REVOCATION_S
+
+
+class TestBound:
+    """Guards against a daemon that serves a revoked key for too long.
+
+    Clocks differ, answers are late or lost, and peers pass on old proofs.
+    """
+
+    @pytest.mark.parametrize('seed', range(20))
+    def test_served_version_was_the_newest_within_the_bound(self, seed):
+        model = FleetModel(random.Random(seed))
+        for _ in range(4000):
+            model.step()
+            model.check()
+        assert model.proven_count > 100
+        assert len(model.published_s) > 10
