Take the bound of revocation from the platform's settings

The daemon had no setting for the time in which a revoked key must be refused everywhere. At least a second is required, as shorter bounds can't be kept with one renewal a second.

--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -64,7 +64,9 @@
     ``retry_ratio`` retries per request plus ``retry_slack_count``. A cold
     target receives at most ``cold_factor`` times the rate that it states plus
     ``cold_slack_count`` requests per second. A stopping daemon exits within
-    ``grace_s`` seconds.
+    ``grace_s`` seconds. No request runs that was sent more than
+    ``revocation_ms`` after its API key was revoked; without the setting, a
+    daemon that is cut off serves keys that it doesn't know to be revoked.
     """
 
     retry_ratio: float = 0.2
@@ -73,6 +75,7 @@
     cold_factor: float = 1.5
     cold_slack_count: float = 5
     grace_s: float = 6
+    revocation_ms: Annotated[int, msgspec.Meta(ge=1000)] | None = None
 
 
 class MeshLimits(Section, frozen=True):
