Report linearizable reads of the configuration with their times

A proof that the configuration is the newest counts from the moment at which the read was requested, and StoreSync makes such reads at its start and after each watch that ends. They are now reported with that time, taken from a clock that goes on while the machine is suspended, and can be asked for.

--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -40,6 +40,7 @@
     __slots__ = (
         '_configuration',
         '_objects',
+        'configuration_position',
         'evacuated_domains',
         'is_configured',
         'members',
@@ -59,6 +60,8 @@
         self.on_change: Callable[[set[SharedKind]], None] = _ignore
         # Newest position of the objects written by operators.
         self.store_revision = 0
+        # Position of the configuration held, zero before the first one.
+        self.configuration_position = 0
 
     @property
     def configuration_version(self) -> int:
@@ -162,6 +165,7 @@
         self, shared_object: SharedObject, source: str
     ) -> None:
         """Replace the route table by that of a new configuration."""
+        self.configuration_position = shared_object.version
         if shared_object.is_deleted:
             _log.warning('configuration deleted, keeping the last one')
             return
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Final, final
 
 import anyio
@@ -23,6 +24,7 @@
 )
 from cornelbeam_daemon.logs import get_log
 
+from cornelbeam_mesh.boot_clock import read_boot_time_s
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.platform_adapter import HistoryGoneError, Store
 
@@ -69,8 +71,10 @@
         '_missing_revision',
         '_watches',
         '_write_requested',
+        'clock',
         'is_listed',
         'is_reachable',
+        'on_configuration_read',
     )
 
     def __init__(
@@ -107,6 +111,10 @@
         self.is_reachable = asyncio.Event()
         # Set after the first listing of all kinds.
         self.is_listed = asyncio.Event()
+        # Called with each linearizable listing of the configuration, once it
+        # is merged, and the time of ``clock`` when it was requested.
+        self.on_configuration_read: Callable[[Listing, float], None] = _ignore
+        self.clock = read_boot_time_s
 
     def write(self, own_entry: SharedObject) -> None:
         """Schedule a write of this daemon's newest entry."""
@@ -119,6 +127,19 @@
             _log.warning('watches restarted, a peer has newer', peer=peer)
             self._restart_watches()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether operators had time to write what a restore has lost."""
+        return self._loop.time() >= self._settled_at_s
+
+    async def read_configuration(self) -> None:
+        """Read the newest configuration; raise ``CornelbeamError``."""
+        try:
+            await self._list(SharedKind.CONFIGURATION)
+        except CornelbeamError as error:
+            self._note_failure(error)
+            raise
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         await self._list_all_kinds()
@@ -155,8 +176,14 @@
             return 0
 
     async def _list(self, kind: SharedKind) -> int:
+        sent_s, was_settled = self.clock(), self.is_settled
         listing = await self._store.list_objects(kind, is_stale_allowed=False)
         self._merge_listing(listing)
+        # A restored store may lack the newest configuration for a moment.
+        is_complete = was_settled and self.is_settled
+        is_latest_era = era_of(listing.revision) >= self._era
+        if kind is SharedKind.CONFIGURATION and is_complete and is_latest_era:
+            self.on_configuration_read(listing, sent_s)
         return listing.revision
 
     def _merge_listing(self, listing: Listing) -> None:
@@ -169,8 +196,7 @@
                 # They wait for revisions of the era before.
                 self._restart_watches()
             self._era = era
-        is_settled = now_s >= self._settled_at_s
-        self._state.merge_listing(listing, 'store', is_settled=is_settled)
+        self._state.merge_listing(listing, 'store', is_settled=self.is_settled)
 
     async def _poll_members(self) -> None:
         for delay_s in STARTUP_POLL_DELAYS_S:
@@ -367,3 +393,7 @@
 def _is_unreadable(error: CornelbeamError) -> bool:
     """Return whether the store has answered, but not readably."""
     return error.code is ErrorCode.PROTOCOL_VIOLATION
+
+
+def _ignore(listing: Listing, sent_s: float) -> None:
+    """Do nothing."""
