Replace a reader that is silent or that the store refuses

In trials with 18 daemons of three domains, one reader was cut off from the store and from queries. The daemons of its domain asked it in vain with each renewal, and other failure domains too.

--- a/packages/core/src/cornelbeam_core/currency_sources.py
+++ b/packages/core/src/cornelbeam_core/currency_sources.py
@@ -7,7 +7,7 @@
 partition.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from typing import Final, final
 
@@ -22,6 +22,8 @@
 FAN_OUT: Final = 64
 # Readers of other failure domains that one daemon asks.
 _FAR_COUNT: Final = 3
+# Sources that a daemon without proof asks at once.
+_TURN_COUNT: Final = 2
 # Distinguishes these ranks from those of other choices among the same names.
 _KEY: Final = 'configuration currency'
 
@@ -29,11 +31,27 @@
 @final
 @dataclass(frozen=True, slots=True)
 class SourcePlan:
-    """Role of a daemon, and the names of the daemons to ask in order."""
+    """Role of a daemon, and the names of the daemons to ask in order.
+
+    ``preceding`` are those that read the store before this one.
+    """
 
     role: Role
     near: tuple[str, ...]
     far: tuple[str, ...]
+    preceding: tuple[str, ...] = ()
+
+    def role_without(self, failed: Collection[str]) -> Role:
+        """Return the role while some daemons don't answer.
+
+        >>> SourcePlan(Role(1, 1), ('a',), (), ('a',)).role_without(['a'])
+        Role(level=0, standby_rank=0)
+        """
+        rank = self.role.standby_rank
+        if rank is None:
+            return self.role
+        rank -= sum(name in failed for name in self.preceding)
+        return Role(self.role.level if rank else 0, rank)
 
 
 def plan_sources(own_name: str, domains: Mapping[str, str]) -> SourcePlan:
@@ -54,20 +72,19 @@
         (*_parents(ranked, own_rank), *ranked[:STANDBY_COUNT]),
     )
     near.pop(own_name, None)
+    is_standby = own_rank < STANDBY_COUNT
     return SourcePlan(
-        Role(
-            _find_level(own_rank)[0],
-            own_rank if own_rank < STANDBY_COUNT else None,
-        ),
+        Role(_find_level(own_rank)[0], own_rank if is_standby else None),
         tuple(near),
         rank_rendezvous(own_name, (others[0] for others in ranks.values()))[
             :_FAR_COUNT
         ],
+        ranked[:own_rank] if is_standby else (),
     )
 
 
 def order_sources(
-    plan: SourcePlan, failed: Iterable[str], *, is_far_allowed: bool
+    plan: SourcePlan, failed: Collection[str], *, is_far_allowed: bool
 ) -> tuple[str, ...]:
     """Return whom to ask, those that have failed lately last in their part.
 
@@ -75,12 +92,28 @@
     >>> order_sources(plan, ['a'], is_far_allowed=True)
     ('b', 'a', 'c')
     """
-    is_failed = frozenset(failed).__contains__
-    near = sorted(plan.near, key=is_failed)
-    far = sorted(plan.far, key=is_failed) if is_far_allowed else ()
+    near = sorted(plan.near, key=failed.__contains__)
+    far = sorted(plan.far, key=failed.__contains__) if is_far_allowed else ()
     return (*near, *far)
 
 
+def take_turn(names: tuple[str, ...], attempt_count: int) -> tuple[str, ...]:
+    """Return a few of the names, others with each attempt.
+
+    A daemon without proof has many sources to ask, and in an outage of the
+    store all daemons ask each other.
+
+    >>> take_turn(('a', 'b', 'c', 'd'), 1)
+    ('c', 'd')
+    >>> take_turn(('a', 'b', 'c', 'd'), 2)
+    ('a', 'b')
+    """
+    if not names:
+        return ()
+    first = attempt_count * _TURN_COUNT % len(names)
+    return (names[first:] + names[:first])[:_TURN_COUNT]
+
+
 def _rank_domains(domains: Mapping[str, str]) -> dict[str, tuple[str, ...]]:
     names: dict[str, list[str]] = {}
     for name, domain in domains.items():
--- a/packages/core/tests/test_currency_sources.py
+++ b/packages/core/tests/test_currency_sources.py
@@ -6,6 +6,7 @@
 from cornelbeam_core.currency_sources import (
     FAN_OUT,
     STANDBY_COUNT,
+    order_sources,
     plan_sources,
 )
 
@@ -67,3 +68,20 @@
     def test_daemon_alone_has_no_sources(self):
         plan = plan_sources('d-0', fleet(1, 1))
         assert (plan.near, plan.far, plan.role.standby_rank) == ((), (), 0)
+
+
+class TestFailedSources:
+    """Guards against a reader that nobody replaces."""
+
+    def test_next_daemon_takes_the_place_of_a_silent_reader(self):
+        domains = fleet(8, 1)
+        plans = [plan_sources(name, domains) for name in domains]
+        by_rank = {plan.role.standby_rank: plan for plan in plans}
+        reader = by_rank[1].preceding[0]
+        assert by_rank[1].role_without([reader]).standby_rank == 0
+        assert by_rank[1].role_without([reader]).level == 0
+        assert by_rank[2].role_without([reader]).standby_rank == 1
+        assert by_rank[None].role_without([reader]).standby_rank is None
+        assert order_sources(by_rank[2], [reader], is_far_allowed=True)[-1] == (
+            reader
+        )
