--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -107,6 +107,22 @@
             unreadable_count,
         )
 
+    def add_currency(self, age_s: Callable[[], float]) -> Counter:
+        """Export the age of the proof that the configuration is current.
+
+        Return the counter of requests that are refused without one.
+        """
+        self._add_gauge(
+            'cornelbeam_configuration_proof_age_seconds',
+            'Age of the proof that the configuration held is the newest.',
+            age_s,
+        )
+        return Counter(
+            'cornelbeam_configuration_stale_refusals',
+            'Requests refused as this proof was too old.',
+            registry=self._registry,
+        )
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -195,10 +195,11 @@
         """
         async with anyio.create_task_group() as group:
             for peer in self._choose_pull_peers():
-                group.start_soon(self._pull_without_members, peer)
+                group.start_soon(self.pull_without_members, peer)
         self.is_own_entry_known.set()
 
-    async def _pull_without_members(self, peer: MemberEntry) -> None:
+    async def pull_without_members(self, peer: MemberEntry) -> None:
+        """Fetch and merge what operators write, and this daemon's entry."""
         push = await self._pull(
             peer.name, peer.address, is_without_members=True
         )
