Run the renewal in the daemon and answer queries of peers

The tests guard against a start that refuses keys, renewals in deployments without the setting or without tenants, a suspended process that serves with an old proof, and store calls in an outage.

--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -10,6 +10,7 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_mesh.admission import AdmissionController
+from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
 from cornelbeam_mesh.peer_sync import PeerSync
 
 
@@ -18,6 +19,7 @@
     """Endpoint for the connections that other daemons open."""
 
     __slots__ = (
+        '_currency',
         '_identity',
         '_messenger',
         '_on_control_message',
@@ -35,12 +37,14 @@
         on_control_message: Callable[[str, str], None],
         revisions: RevisionExchange,
         quarantine: QuarantineSync,
+        currency: ConfigurationCurrency,
     ) -> None:
         """Serve calls through ``admission``.
 
         ``on_control_message`` is called with the name and address of a peer
         that sends a control message.
         """
+        self._currency = currency
         self._identity = identity
         self._peer_sync = peer_sync
         self._quarantine = quarantine
@@ -63,6 +67,8 @@
                 frame.config_push,
                 stream.connection.peer_name,
             )
+        elif frame.configuration_age_query is not None:
+            self._currency.answer(stream)
         elif frame.ping is not None:
             self._acknowledge(stream)
         else:
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -28,6 +28,7 @@
 from cornelbeam_wire import Identity, PeerPool, RevisionExchange
 
 from cornelbeam_mesh.admission import AdmissionController
+from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import RequestReader
 from cornelbeam_mesh.forwarding import Forwarder
@@ -199,6 +200,15 @@
             self._messenger,
             self._rng,
         )
+        self.currency = ConfigurationCurrency(
+            domain,
+            bounds.revocation_ms,
+            self.state,
+            self.store_sync,
+            self.peer_sync,
+            self._messenger,
+            self.metrics,
+        )
         self._peer_endpoint = PeerEndpoint(
             self._identity,
             self.admission,
@@ -207,6 +217,7 @@
             self._on_control_message,
             revisions,
             self.quarantine,
+            self.currency,
         )
         self._reader = RequestReader(
             adapter,
@@ -284,6 +295,7 @@
             group.start_soon(self.peer_sync.run)
             group.start_soon(self.peer_sync.ping_lost_peers)
             group.start_soon(self.peer_sync.catch_up)
+            group.start_soon(self.currency.run)
             group.start_soon(self._probe.run)
             group.start_soon(self._silence_monitor.run)
             group.start_soon(expire_attempts, self.admission.ledger)
@@ -380,6 +392,7 @@
             _log.warning('departure confirmed before a peer has it')
 
     def _on_state_change(self, kinds: set[SharedKind]) -> None:
+        self.currency.note_change()
         target = self._local_target()
         if target is not None:
             self._gate.resize(target.slot_count)
--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -27,6 +27,8 @@
 CALLER_HOST = '127.0.0.1'
 WAIT_LIMIT_S = 20
 SERVICE = 'windows'
+# Settings of the daemons; tests may add some.
+BOUNDS = {'grace_s': 5}
 
 
 class FakeAdapter:
@@ -224,7 +226,7 @@
                     'heartbeat_interval_ms': 1500,
                 },
                 'store': {'address': 'unused'},
-                'bounds': {'grace_s': 5},
+                'bounds': BOUNDS,
             },
             MeshSettings,
         )
--- /dev/null
+++ b/packages/mesh/tests/test_revocation.py
@@ -0,0 +1,259 @@
+"""Daemons refuse keys without proof that their configuration is current."""
+
+from functools import partial
+
+import msgspec
+import pytest
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.routes import (
+    RequestKind,
+    RoutingConfiguration,
+    ServiceRule,
+)
+from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_core.tenants import TenantRule, digest_key
+from cornelbeam_mesh.boot_clock import read_boot_time_s
+from cornelbeam_wire.gen import messages
+from mesh_harness import (
+    BOUNDS,
+    SERVICE,
+    Node,
+    configuration,
+    route,
+    wait_until,
+)
+
+pytestmark = pytest.mark.anyio
+REVOCATION_S = 5
+
+
+def tenant_configuration(version=1) -> bytes:
+    """Encode a configuration with a tenant."""
+    return msgspec.json.encode(
+        RoutingConfiguration(
+            version,
+            (route('read', RequestKind.IDEMPOTENT),),
+            (ServiceRule(SERVICE, '/health', 100, 5),),
+            (TenantRule('school', (digest_key(b'k'),)),),
+        ),
+    )
+
+
+class PartialStore:
+    """Store that may refuse one daemon, and counts its linearizable reads."""
+
+    unreadable_count = 0
+
+    def __init__(self, store) -> None:
+        """Pass calls on to ``store``."""
+        self._store = store
+        self.is_cut = False
+        self.read_count = 0
+        self.attempt_count = 0
+
+    async def list_objects(self, kind, *, is_stale_allowed):
+        """List unless cut off."""
+        is_read = kind is SharedKind.CONFIGURATION and not is_stale_allowed
+        self.attempt_count += is_read
+        self._check()
+        self.read_count += is_read
+        return await self._store.list_objects(
+            kind, is_stale_allowed=is_stale_allowed
+        )
+
+    async def watch(self, kind, since_revision, wait_ms):
+        """Watch unless cut off."""
+        self._check()
+        return await self._store.watch(kind, since_revision, wait_ms)
+
+    async def put_member(self, member) -> None:
+        """Write unless cut off."""
+        self._check()
+        await self._store.put_member(member)
+
+    def _check(self) -> None:
+        if self.is_cut:
+            raise CornelbeamError(ErrorCode.STORE_UNAVAILABLE, 'call')
+
+
+class Clock:
+    """Clock of a daemon that tests set forward."""
+
+    def __init__(self) -> None:
+        """Start at the time since the boot."""
+        self.offset_s: float = 0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return read_boot_time_s() + self.offset_s
+
+
+class Fleet:
+    """Nodes with a clock and a path to the store each."""
+
+    def __init__(self, harness) -> None:
+        """Publish a configuration with a tenant."""
+        self.harness = harness
+        self.nodes: list[Node] = []
+        self.clocks: dict[str, Clock] = {}
+        self.stores: dict[str, PartialStore] = {}
+        self.publish(1)
+
+    def publish(self, version) -> None:
+        """Write a configuration as an operator does."""
+        self.harness.store.put(
+            SharedKind.CONFIGURATION, 'main', tenant_configuration(version)
+        )
+
+    async def add(self, domain='north') -> Node:
+        """Start a node."""
+        node = await self.harness.add_node(domain)
+        currency = node.sidecar.currency
+        clock, store = Clock(), PartialStore(self.harness.store)
+        currency.clock = clock
+        node.sidecar.store_sync.clock = clock
+        node.sidecar.store_sync._store = store
+        self.clocks[node.name] = clock
+        self.stores[node.name] = store
+        self.nodes.append(node)
+        return node
+
+    async def add_domain(self, count, domain='north') -> list[Node]:
+        """Start nodes of a domain; return them by rank, the reader first."""
+        added = [await self.add(domain) for _ in range(count)]
+        for node in self.nodes:
+            await wait_until(partial(self._knows_all, node))
+        return sorted(added, key=_rank)
+
+    def _knows_all(self, node) -> bool:
+        others = node.sidecar.state.members.others()
+        return len(others) == len(self.nodes) - 1
+
+    def cut(self, *nodes, is_cut=True) -> None:
+        """Cut nodes off from the store or connect them again."""
+        for node in nodes:
+            self.stores[node.name].is_cut = is_cut
+
+    def forward(self, seconds) -> None:
+        """Let time pass on all clocks; daemons notice when it is due."""
+        for node in self.nodes:
+            self.clocks[node.name].offset_s += seconds
+            node.sidecar.currency._wake.set()
+
+
+def _rank(node) -> int:
+    return node.sidecar.currency._make_plan().role.standby_rank
+
+
+def has_lost_store(node) -> bool:
+    """Return whether a node knows that it can't reach the store."""
+    return not node.sidecar.store_sync.is_reachable.is_set()
+
+
+async def until_younger(node, age_s) -> None:
+    """Wait until the proof of a node is younger than an age."""
+    await wait_until(lambda: node.sidecar.currency.age_s() < age_s)
+
+
+def serves(node) -> bool:
+    """Return whether a node serves requests with keys."""
+    try:
+        node.sidecar.currency.check()
+    except CornelbeamError as error:
+        assert error.code is ErrorCode.CONFIGURATION_STALE
+        return False
+    return True
+
+
+@pytest.fixture
+def fleet(harness, monkeypatch):
+    """Return a fleet whose settings bound revocation."""
+    monkeypatch.setitem(BOUNDS, 'revocation_ms', REVOCATION_S * 1000)
+    return Fleet(harness)
+
+
+class ScriptedMessenger:
+    """Answers all queries by a script."""
+
+    def __init__(self, make_answer) -> None:
+        """Answer what ``make_answer`` returns."""
+        self._make_answer = make_answer
+
+    async def ask(self, address, **message):
+        """Return the next answer."""
+        return messages.Frame(
+            stream_id=1, configuration_age=self._make_answer()
+        )
+
+
+def script_answers(node, make_answer) -> None:
+    """Let all peers answer a node's queries by a script."""
+    node.sidecar.currency._messenger = ScriptedMessenger(make_answer)
+
+
+class TestStart:
+    """Guards against a start that refuses keys, or asks the store again."""
+
+    async def test_first_listing_is_proof(self, fleet):
+        node = await fleet.harness.add_node()
+        assert serves(node)
+        assert fleet.harness.store.fresh_list_count == len(SharedKind)
+
+    async def test_nothing_happens_without_the_setting(
+        self, harness, monkeypatch
+    ):
+        fleet = Fleet(harness)
+        node = await fleet.add()
+        fleet.forward(3600)
+        assert serves(node)
+        assert not fleet.stores[node.name].read_count
+        assert b'proof_age' not in node.sidecar.metrics.render()
+
+    async def test_nothing_is_renewed_without_tenants(self, fleet):
+        fleet.harness.store.put(
+            SharedKind.CONFIGURATION, 'main', configuration(2)
+        )
+        node = await fleet.add()
+        fleet.forward(3600)
+        await wait_until(lambda: not node.sidecar.currency._wake.is_set())
+        assert not fleet.stores[node.name].read_count
+        fleet.publish(3)
+        await wait_until(partial(serves, node))
+        assert fleet.stores[node.name].read_count == 1
+
+
+class TestExpiry:
+    """Guards against a daemon that serves keys after the bound."""
+
+    async def test_suspended_process_refuses_until_it_has_proof(self, fleet):
+        node = await fleet.add()
+        fleet.clocks[node.name].offset_s += REVOCATION_S
+        with pytest.raises(CornelbeamError) as caught:
+            node.sidecar.currency.check()
+        assert caught.value.code is ErrorCode.CONFIGURATION_STALE
+        assert caught.value.run_state is RunState.NOT_RUN
+        assert caught.value.http_status == 503
+        assert caught.value.retry_after_ms > 0
+        await until_younger(node, 1)
+        assert serves(node)
+        exported = node.sidecar.metrics.render()
+        assert b'stale_refusals_total 1.0' in exported
+
+    async def test_outage_of_the_store_ends_service_and_calls(self, fleet):
+        """Until 0.6 of the bound, keys are served."""
+        nodes = await fleet.add_domain(3)
+        fleet.cut(*nodes)
+        fleet.forward(0.6 * REVOCATION_S)
+        assert all(serves(node) for node in nodes)
+        fleet.forward(0.4 * REVOCATION_S)
+        assert not any(serves(node) for node in nodes)
+        for node in nodes:
+            await wait_until(partial(has_lost_store, node))
+            currency = node.sidecar.currency
+            currency._next_read_s = float('-inf')
+            attempt_count = fleet.stores[node.name].attempt_count
+            await currency._read(currency._schedule)
+            assert fleet.stores[node.name].attempt_count == attempt_count
+        fleet.cut(*nodes, is_cut=False)
+        for node in nodes:
+            await wait_until(partial(serves, node))
