Test sources that fail and a store that was restored

The tests guard against readers that the store refuses, a domain without the store, a one-way link, a late answer, a peer with an old proof, and keys that an older copy of the store holds again.

--- a/packages/mesh/tests/test_revocation.py
+++ b/packages/mesh/tests/test_revocation.py
@@ -10,8 +10,9 @@
     RoutingConfiguration,
     ServiceRule,
 )
-from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_core.shared_objects import SharedKind, store_position
 from cornelbeam_core.tenants import TenantRule, digest_key
+from cornelbeam_mesh import store_sync
 from cornelbeam_mesh.boot_clock import read_boot_time_s
 from cornelbeam_wire.gen import messages
 from mesh_harness import (
@@ -19,6 +20,7 @@
     SERVICE,
     Node,
     configuration,
+    paused,
     route,
     wait_until,
 )
@@ -257,3 +259,144 @@
         fleet.cut(*nodes, is_cut=False)
         for node in nodes:
             await wait_until(partial(serves, node))
+
+
+class TestSources:
+    """Guards against store calls of each daemon, and against lost sources."""
+
+    async def test_others_learn_from_the_reader(self, fleet):
+        reader, *others = await fleet.add_domain(4)
+        fleet.forward(1.25)
+        for node in (reader, *others):
+            await until_younger(node, 1)
+        assert fleet.stores[reader.name].read_count
+        assert not any(fleet.stores[node.name].read_count for node in others)
+
+    async def test_store_that_serves_one_daemon_serves_all(self, fleet):
+        """The reader of each domain is refused."""
+        near = await fleet.add_domain(3)
+        far = await fleet.add_domain(2, 'south')
+        fleet.cut(*far, *near[:2])
+        fleet.forward(3)
+        for node in (*near, *far):
+            await until_younger(node, 3)
+        assert fleet.stores[near[2].name].read_count
+
+    async def test_domain_without_the_store_asks_another(self, fleet):
+        near = await fleet.add_domain(2)
+        far = await fleet.add_domain(2, 'south')
+        fleet.cut(*near)
+        fleet.forward(REVOCATION_S)
+        for node in (*near, *far):
+            await wait_until(partial(serves, node))
+
+    async def test_one_way_link_to_the_reader(self, fleet):
+        """The reader gets no queries, so the next daemon reads."""
+        reader, standby, other = await fleet.add_domain(3)
+        fleet.cut(other)
+        await wait_until(
+            lambda: other.sidecar._pool.ready_connection(
+                reader.addresses['peers']
+            )
+        )
+        with paused(reader.sidecar._peer_endpoint.acceptor.connections):
+            fleet.forward(REVOCATION_S)
+            assert not serves(other)
+            await wait_until(partial(serves, other))
+        assert fleet.stores[standby.name].read_count
+
+
+class TestAnswers:
+    """Guards against answers that are taken for more than they prove."""
+
+    async def test_late_answer_is_as_old_as_its_query(self, fleet):
+        _, node = await fleet.add_domain(2)
+        position = node.sidecar.state.configuration_position
+        clock = fleet.clocks[node.name]
+
+        def answer_late():
+            clock.offset_s += 3
+            return messages.ConfigurationAge(position=position, age_ms=1000)
+
+        script_answers(node, answer_late)
+        fleet.cut(node)
+        clock.offset_s += 1.25
+        node.sidecar.currency._wake.set()
+        await wait_until(lambda: clock.offset_s > 4)
+        assert node.sidecar.currency.age_s() >= 4
+
+    async def test_proof_for_a_newer_position_or_none_is_not_used(self, fleet):
+        _, node = await fleet.add_domain(2)
+        position = node.sidecar.state.configuration_position
+        answers = [
+            messages.ConfigurationAge(position=position + 1, age_ms=0),
+            messages.ConfigurationAge(position=position),
+            messages.ConfigurationAge(position=position, age_ms=-1),
+            None,
+        ]
+        unused = list(answers)
+        script_answers(node, lambda: unused.pop() if unused else answers[0])
+        fleet.cut(node)
+        fleet.forward(REVOCATION_S)
+        await wait_until(lambda: not unused)
+        assert not serves(node)
+
+    async def test_daemon_without_proof_states_none(self, fleet):
+        """An expired proof is not passed on."""
+        reader, node = await fleet.add_domain(2)
+        fleet.cut(reader, node)
+        fleet.forward(REVOCATION_S)
+        frame = await node.sidecar._messenger.ask(
+            reader.addresses['peers'],
+            configuration_age_query=messages.ConfigurationAgeQuery(),
+        )
+        assert frame.configuration_age.age_ms is None
+        assert not serves(node)
+
+
+class TestRestoredStore:
+    """Guards against keys that an older copy of the store holds again."""
+
+    async def test_first_listing_is_proof_once_peers_were_asked(self, fleet):
+        fleet.harness.store.revision = store_position(2, 7)
+        fleet.publish(8)
+        node = await fleet.harness.add_node()
+        await wait_until(partial(serves, node))
+        assert fleet.harness.store.fresh_list_count == len(SharedKind)
+
+    def restore(self, harness, version) -> None:
+        """Replace the store by a copy with a version of the configuration."""
+        harness.store.revision = store_position(2, 3)
+        harness.store.put(
+            SharedKind.CONFIGURATION, 'main', tenant_configuration(version)
+        )
+
+    async def test_reads_prove_nothing_until_the_store_is_settled(
+        self, fleet, monkeypatch
+    ):
+        monkeypatch.setattr(store_sync, 'RESTORE_SETTLE_S', 3600)
+        fleet.harness.store.revision = store_position(1, 7)
+        fleet.publish(8)
+        node = await fleet.add()
+        fleet.harness.store.are_watches_silent = True
+        self.restore(fleet.harness, 5)
+        fleet.forward(3)
+        sync = node.sidecar.store_sync
+        await sync.read_configuration()
+        assert not sync.is_settled
+        assert node.sidecar.currency.age_s() > 3
+        sync._settled_at_s = float('-inf')
+        await sync.read_configuration()
+        assert node.sidecar.currency.age_s() < 3
+        assert node.sidecar.state.configuration_version == 8
+
+    async def test_daemon_that_starts_waits_for_what_peers_hold(self, fleet):
+        fleet.harness.store.revision = store_position(1, 7)
+        fleet.publish(8)
+        await fleet.add()
+        self.restore(fleet.harness, 5)
+        node = Node(9, 'north', fleet.harness.store)
+        fleet.harness.nodes.append(node)
+        await node.start(fleet.harness.group)
+        await wait_until(partial(serves, node))
+        assert node.sidecar.state.configuration_version == 8
