Keep the watches when one read of the configuration fails

A read that proves the configuration is made about once a second, and a store that loses some answers would have ended the watches with each loss, which costs two listings. A failed read requests a poll instead, which finds out whether the store is lost.

--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -133,11 +133,16 @@
         return self._loop.time() >= self._settled_at_s
 
     async def read_configuration(self) -> None:
-        """Read the newest configuration; raise ``CornelbeamError``."""
+        """Read the newest configuration; raise ``CornelbeamError``.
+
+        One lost answer is no reason to restart the watches, so a poll finds
+        out whether the store is lost.
+        """
         try:
             await self._list(SharedKind.CONFIGURATION)
         except CornelbeamError as error:
-            self._note_failure(error)
+            if not _is_unreadable(error):
+                self._request_poll()
             raise
 
     async def run(self) -> None:
