Test the pull of a configuration from before a restore

A peer that holds a newer configuration of an earlier era has an older position, so the announcements of positions don't show it.

Evidence: the test fails without the pull.

--- a/packages/mesh/tests/test_revocation.py
+++ b/packages/mesh/tests/test_revocation.py
@@ -10,7 +10,11 @@
     RoutingConfiguration,
     ServiceRule,
 )
-from cornelbeam_core.shared_objects import SharedKind, store_position
+from cornelbeam_core.shared_objects import (
+    SharedKind,
+    SharedObject,
+    store_position,
+)
 from cornelbeam_core.tenants import TenantRule, digest_key
 from cornelbeam_mesh import store_sync
 from cornelbeam_mesh.boot_clock import read_boot_time_s
@@ -400,3 +404,23 @@
         await node.start(fleet.harness.group)
         await wait_until(partial(serves, node))
         assert node.sidecar.state.configuration_version == 8
+
+    async def test_configuration_of_another_era_is_pulled(self, fleet):
+        """Positions don't show that the peer holds a newer one."""
+        fleet.harness.store.revision = store_position(2, 7)
+        fleet.publish(5)
+        reader, node = await fleet.add_domain(2)
+        lost = SharedObject(
+            SharedKind.CONFIGURATION,
+            'main',
+            store_position(1, 9),
+            is_deleted=False,
+            content=tenant_configuration(8),
+            authored_version=8,
+        )
+        reader.sidecar.state.merge([lost], 'test')
+        await reader.sidecar.store_sync.read_configuration()
+        fleet.forward(1.25)
+        state = node.sidecar.state
+        await wait_until(lambda: state.configuration_version == 8)
+        await until_younger(node, 1)
