Start the calls of tenants in the order of what waiting costs callers

When a target was short of capacity, one tenant's burst delayed all others, and a call waited in order of arrival whatever its work. Calls with a tenant now start in this order: nested, able to meet the objective, of a tenant that is served too rarely, by priority (lowered by use above the fair share), then by work and time left. A kind that is served less often than a less urgent one is held back neither for its objective nor for its tenant.

Without tenants nothing changes; AdmissionController passes none yet.

--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -12,6 +12,7 @@
 
 from cornelbeam_core.budget import TokenBucket
 from cornelbeam_core.host_speed import HostSpeed
+from cornelbeam_core.load_shedding import LoadShedding, Rank
 from cornelbeam_core.rate_limit import RateBound, RateLimit, RateUse
 from cornelbeam_core.tickets import ColdBound, Refusal, Ticket
 
@@ -69,6 +70,7 @@
         '_wait_factor',
         'running_count',
         'service_time_s',
+        'shedding',
         'slot_count',
         'speed',
     )
@@ -85,6 +87,7 @@
         self._service_times_s: dict[str, float] = {}
         # In order of arrival.
         self._waiting: dict[Hashable, Ticket] = {}
+        self.shedding = LoadShedding(self)
         # Arrival time and expected wait of each waiting call.
         self._wait_estimates: dict[Hashable, tuple[float, float]] = {}
         self._wait_factor: float = 1
@@ -190,6 +193,7 @@
 
         Return ``None`` if it is queued; ``start_next`` starts queued calls.
         """
+        self.shedding.note_asked(ticket, now_s)
         refusal = self.refusal_for(ticket, now_s)
         if refusal is None:
             wait_s = self._ticket_wait_s(ticket, now_s)
@@ -212,7 +216,8 @@
         if start_s + self.service_s(ticket.route) > ticket.deadline_s:
             return Refusal.TOO_LATE
         ready_s = start_s + self._expected_service_s(ticket, now_s)
-        if wait_s and not ticket.is_nested and ready_s > ticket.objective_at_s:
+        may_wait = ticket.is_nested or self.shedding.is_underserved(ticket)
+        if wait_s and not may_wait and ready_s > ticket.objective_at_s:
             # The queue is as long as its callers can wait. One more call would
             # be late, and would delay those behind it.
             return self._full_refusal(ticket, now_s, incoming_count)
@@ -279,6 +284,7 @@
             self.withdraw(ticket.call)
             self.running_count += 1
             self.rate_limit.note_start(now_s)
+            self.shedding.note_started(ticket, now_s)
             return ticket
         return None
 
@@ -295,7 +301,9 @@
         self.rate_limit.note_start(now_s)
         return True
 
-    def _sort_key(self, ticket: Ticket, now_s: float) -> tuple[bool, bool, int]:
+    def _sort_key(self, ticket: Ticket, now_s: float) -> Rank:
+        if self.shedding.is_active:
+            return self.shedding.rank(ticket, now_s)
         usual_s = self.service_s(ticket.route)
         is_late = now_s + usual_s > ticket.objective_at_s
         return not ticket.is_nested, is_late, ticket.priority
@@ -304,10 +312,12 @@
         """Adjust the correction of estimated waits by an actual wait.
 
         Estimates need correction because nested calls go first, and their
-        number is not known in advance.
+        number is not known in advance. With tenants, later calls may go first,
+        so a wait tells nothing about the estimate.
         """
         queued_at_s, expected_s = self._wait_estimates[ticket.call]
-        if ticket.is_nested or expected_s < MIN_LEARNED_WAIT_S:
+        is_in_turn = not (ticket.is_nested or self.shedding.is_active)
+        if not is_in_turn or expected_s < MIN_LEARNED_WAIT_S:
             return
         ratio = self._wait_factor * (now_s - queued_at_s) / expected_s
         self._wait_factor += WAIT_GAIN * (ratio - self._wait_factor)
--- a/packages/core/src/cornelbeam_core/tickets.py
+++ b/packages/core/src/cornelbeam_core/tickets.py
@@ -60,7 +60,8 @@
     ``objective_at_s`` and is useless after ``deadline_s``. Service times are
     kept per ``route``. Nested calls go first: each is made by a running
     request, which holds a slot of its own target until the call is answered.
-    ``is_last_resort`` says that the sender has found no room elsewhere.
+    ``is_last_resort`` says that the sender has found no room elsewhere, and
+    ``tenant`` names whose call it is, empty without one.
     """
 
     call: Hashable
@@ -71,6 +72,7 @@
     deadline_s: float
     route: str
     is_last_resort: bool = False
+    tenant: str = ''
 
     @property
     def rate_use(self) -> RateUse:
