Choose which call of a tenant is refused when a queue is too long

A new call was refused for the whole queue ahead of it, even if it would go first, and a waiting call kept its place until its time was up. A call is now judged by the calls that start before it, with more urgent ones expected to arrive. The gate evicts waiting calls that can't meet their deadline any more, and the last one of a queue that is too long.

Evidence: TestRefusals in packages/core/tests/test_load_shedding.py.

--- a/packages/core/src/cornelbeam_core/load_shedding.py
+++ b/packages/core/src/cornelbeam_core/load_shedding.py
@@ -1,4 +1,4 @@
-"""Order the calls of tenants at a gate.
+"""Order the calls of tenants at a gate, and choose which ones are refused.
 
 When a target has too little capacity, the calls that are delayed or refused
 should be those that cost callers least, and no tenant should pay for another
@@ -9,15 +9,20 @@
 """
 
 import math
+from collections.abc import Collection, Hashable
 from typing import Final, Protocol, TypeAlias, final
 
-from cornelbeam_core.tickets import Ticket
+from cornelbeam_core.rate_limit import RateUse
+from cornelbeam_core.tickets import Refusal, Ticket
 from cornelbeam_core.use_counts import (
+    DECAY_S,
     UseCount,
     UseTable,
     water_level_s,
 )
 
+# Maximum of queued calls per slot; more would wait longer than most callers do.
+QUEUE_PER_SLOT: Final = 4
 # A tenant that is served less often than this share of the mean goes before
 # more urgent calls. Section 7 allows a quarter; twice that leaves room for the
 # small samples of one gate.
@@ -35,6 +40,8 @@
 # are ordered by work.
 SHARE_STEPS: Final = 2
 MIN_SHARE_STEP: Final = -4
+# More urgent calls are assumed to take at most this share of the slots.
+MAX_URGENT_SHARE: Final = 0.8
 # The fair share is computed again after this time, as all tenants are read.
 REFRESH_S: Final = 0.25
 
@@ -43,13 +50,31 @@
 
 
 class ShedGate(Protocol):
-    """Service times that the gate estimates."""
+    """Queue of the gate, and its estimates of waits and service times."""
 
+    limit: int
     service_time_s: float
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of calls that wait for a slot."""
+
     def service_s(self, route: str) -> float:
         """Estimate the service time of a route, zero if unknown."""
 
+    def withdraw(self, call: Hashable) -> None:
+        """Remove a call from the queue."""
+
+    def wait_s(
+        self,
+        now_s: float,
+        incoming_count: int = 0,
+        *,
+        is_nested: bool = False,
+        rate_use: RateUse = RateUse.TOLERATED,
+    ) -> float:
+        """Estimate the wait of a call with the queue and others ahead."""
+
 
 @final
 class LoadShedding:
@@ -66,11 +91,13 @@
         '_refreshed_at_s',
         '_tenants',
         '_total',
+        '_waiting',
     )
 
-    def __init__(self, gate: ShedGate) -> None:
-        """Start without counts; ``gate`` knows the service times."""
+    def __init__(self, gate: ShedGate, waiting: Collection[Ticket]) -> None:
+        """Start without counts; ``waiting`` is a view of the gate's queue."""
         self._gate = gate
+        self._waiting = waiting
         self._tenants: UseTable[str] = UseTable()
         self._kinds: UseTable[Kind] = UseTable()
         self._total = UseCount()
@@ -139,6 +166,73 @@
         urgency: Rank = (ticket.priority + level, ticket.priority, step)
         return group + urgency + (_doubling_of(work_s), ticket.objective_at_s)
 
+    def behind_count(self, ticket: Ticket, now_s: float) -> int:
+        """Return how many of the waiting calls start after a new one.
+
+        It is less, or negative, by the calls that are expected to arrive later
+        and to start before it. A less urgent call would otherwise wait behind
+        more urgent ones until its deadline, and be refused then.
+        """
+        if not self.is_active or ticket.is_nested:
+            return 0
+        rank = self.rank(ticket, now_s)
+        behind = sum(self.rank(each, now_s) > rank for each in self._waiting)
+        ahead_count = len(self._waiting) - behind
+        later_count = ahead_count * self._overtaken_share(ticket)
+        return behind - int(later_count)
+
+    def _overtaken_share(self, ticket: Ticket) -> float:
+        """Return how many calls overtake one while another is served."""
+        urgent_s = sum(
+            count.used_s
+            for other, count in self._kinds.items()
+            if other[1] < ticket.priority
+        )
+        capacity_s = DECAY_S * max(1, self._gate.limit)
+        urgent_share = min(MAX_URGENT_SHARE, urgent_s / capacity_s)
+        return urgent_share / (1 - urgent_share)
+
+    def evict(self, now_s: float) -> list[tuple[Ticket, Refusal]]:
+        """Remove the waiting calls that must be refused, with the reasons.
+
+        These are the calls that can't meet their deadline any more, because of
+        the time or because of the calls before them, and the last ones of a
+        queue that is too long. Refusing a call only helps those behind it.
+        """
+        if not (self.is_active and self._waiting):
+            return []
+        evicted = []
+        ahead_count = 0
+        max_count = QUEUE_PER_SLOT * max(1, self._gate.limit)
+        queue = sorted(self._waiting, key=lambda each: self.rank(each, now_s))
+        waiting_count = len(queue)
+        for ticket in queue:
+            wait_s = self._wait_s(ticket, ahead_count - waiting_count, now_s)
+            end_s = now_s + wait_s + self._gate.service_s(ticket.route)
+            if end_s > ticket.deadline_s:
+                evicted.append((ticket, Refusal.TOO_LATE))
+            elif ahead_count >= max_count and not ticket.is_nested:
+                evicted.append((ticket, Refusal.FULL))
+            else:
+                ahead_count += 1
+        for ticket, _ in evicted:
+            self._gate.withdraw(ticket.call)
+        return evicted
+
+    def _wait_s(
+        self, ticket: Ticket, incoming_count: int, now_s: float
+    ) -> float:
+        """Estimate the wait of a call that has been waiting for a while.
+
+        It has used up a part of its expected wait, so one call less is assumed
+        ahead, and the first one is never refused for an estimate.
+        """
+        if ticket.is_nested or incoming_count + self._gate.waiting_count <= 0:
+            return 0
+        return self._gate.wait_s(
+            now_s, incoming_count - 1, rate_use=ticket.rate_use
+        )
+
     def _work_s(self, ticket: Ticket) -> float:
         return self._gate.service_s(ticket.route) or self._gate.service_time_s
 
--- a/packages/core/src/cornelbeam_core/target_gate.py
+++ b/packages/core/src/cornelbeam_core/target_gate.py
@@ -12,7 +12,7 @@
 
 from cornelbeam_core.budget import TokenBucket
 from cornelbeam_core.host_speed import HostSpeed
-from cornelbeam_core.load_shedding import LoadShedding, Rank
+from cornelbeam_core.load_shedding import QUEUE_PER_SLOT, LoadShedding, Rank
 from cornelbeam_core.rate_limit import RateBound, RateLimit, RateUse
 from cornelbeam_core.tickets import ColdBound, Refusal, Ticket
 
@@ -40,8 +40,6 @@
 # Shorter expected waits don't change that factor: they depend more on the order
 # of events than on the load.
 MIN_LEARNED_WAIT_S: Final = 0.01
-# Maximum of queued calls per slot; more would wait longer than most callers do.
-QUEUE_PER_SLOT: Final = 4
 # It is known this long after it has happened, at the latest, that a target has
 # turned cold: operators limit the calls in each second of the cold time.
 COLD_LAG_S: Final = 1.0
@@ -87,7 +85,7 @@
         self._service_times_s: dict[str, float] = {}
         # In order of arrival.
         self._waiting: dict[Hashable, Ticket] = {}
-        self.shedding = LoadShedding(self)
+        self.shedding = LoadShedding(self, self._waiting.values())
         # Arrival time and expected wait of each waiting call.
         self._wait_estimates: dict[Hashable, tuple[float, float]] = {}
         self._wait_factor: float = 1
@@ -208,6 +206,7 @@
 
         ``incoming_count`` calls are ahead of it, but not in the queue yet.
         """
+        incoming_count -= self.shedding.behind_count(ticket, now_s)
         wait_s = self._ticket_wait_s(ticket, now_s, incoming_count)
         extra_s = wait_s + self.slowdown_cost_s(ticket.route)
         if now_s + extra_s > ticket.give_up_at_s:
--- a/packages/core/tests/test_load_shedding.py
+++ b/packages/core/tests/test_load_shedding.py
@@ -1,4 +1,4 @@
-"""Tests of the order of tenants' calls at the gate."""
+"""Tests of the order of tenants' calls at the gate, and of who is refused."""
 
 from cornelbeam_core.target_gate import TargetGate
 from cornelbeam_core.tickets import ColdBound, Refusal, Ticket
@@ -138,3 +138,56 @@
         gate.enqueue(usual, 1)
         gate.enqueue(urgent, 1)
         assert start_all(gate, 1) == ['urgent', 'usual']
+
+
+class TestRefusals:
+    """Guards against refusing calls whose refusal costs more than another."""
+
+    def test_urgent_call_does_not_wait_behind_the_queue(self):
+        gate = open_gate()
+        for number in range(10):
+            assert gate.enqueue(ticket(number, priority=2), 0) is None
+        hasty = ticket('hasty', priority=0, objective_at_s=0.3)
+        assert gate.enqueue(hasty, 0) is None
+        last = ticket('last', priority=3, objective_at_s=0.3)
+        assert gate.enqueue(last, 0) is Refusal.FULL
+
+    def test_waiting_call_that_is_overtaken_too_often_is_evicted(self):
+        gate = open_gate()
+        fields = {'deadline_s': 0.5, 'objective_at_s': 0.5}
+        assert gate.enqueue(ticket('first', priority=2, **fields), 0) is None
+        assert not gate.shedding.evict(0)
+        for number in range(14):
+            gate.enqueue(ticket(number, priority=0), 0)
+        evicted = gate.shedding.evict(0)
+        assert [(each.call, why) for each, why in evicted] == [
+            ('first', Refusal.TOO_LATE)
+        ]
+        assert gate.waiting_count == 14
+
+    def test_call_past_its_latest_start_is_evicted(self):
+        gate = open_gate()
+        gate.enqueue(ticket('first', deadline_s=1), 0)
+        assert not gate.shedding.evict(0.7)
+        assert gate.shedding.evict(0.9)[0][1] is Refusal.TOO_LATE
+
+    def test_full_queue_evicts_its_last_call(self):
+        gate = open_gate()
+        for number in range(4 * LIMIT):
+            assert gate.enqueue(ticket(number, priority=2), 0) is None
+        assert gate.enqueue(ticket('more', priority=2), 0) is Refusal.FULL
+        assert gate.enqueue(ticket('urgent', priority=0), 0) is None
+        evicted = gate.shedding.evict(0)
+        assert [(each.priority, why) for each, why in evicted] == [
+            (2, Refusal.FULL)
+        ]
+
+    def test_call_that_others_will_overtake_is_refused_at_once(self):
+        gate = open_gate()
+        urgent = ticket('urgent', priority=0)
+        fields = {'priority': 2, 'objective_at_s': 0.45}
+        gate.enqueue(ticket(1, **fields), 0)
+        gate.enqueue(ticket(2, **fields), 0)
+        assert gate.refusal_for(ticket(3, **fields), 0) is None
+        ask(gate, 0, urgent, 1000, is_served=True)
+        assert gate.refusal_for(ticket(3, **fields), 0) is Refusal.FULL
