--- a/packages/core/tests/test_load_shedding.py
+++ b/packages/core/tests/test_load_shedding.py
@@ -1,5 +1,8 @@
 """Tests of the order of tenants' calls at the gate, and of who is refused."""
 
+import random
+
+import pytest
 from cornelbeam_core.target_gate import TargetGate
 from cornelbeam_core.tickets import ColdBound, Refusal, Ticket
 
@@ -191,3 +194,96 @@
         assert gate.refusal_for(ticket(3, **fields), 0) is None
         ask(gate, 0, urgent, 1000, is_served=True)
         assert gate.refusal_for(ticket(3, **fields), 0) is Refusal.FULL
+
+
+class TestWithoutTenants:
+    """Guards against other decisions where the configuration has no tenants."""
+
+    @pytest.mark.parametrize('seed', range(5))
+    def test_calls_start_in_order_of_arrival(self, seed):
+        """Nested calls and those in time go first, then by priority."""
+        rng = random.Random(seed)
+        gate = open_gate(running_count=0)
+        waiting: list[Ticket] = []
+        decision_count = 0
+        refused_count = 0
+        for step in range(2000):
+            now_s = step / 100
+            made = random_ticket(rng, now_s)
+            expected = expected_refusal(gate, made, len(waiting), now_s)
+            assert gate.enqueue(made, now_s) is expected
+            if expected is None:
+                waiting.append(made)
+            else:
+                refused_count += 1
+            assert not gate.shedding.evict(now_s)
+            if gate.running_count and rng.randrange(5) < 3:
+                gate.finish('windows', rng.uniform(0.07, 0.22))
+            first = expected_start(gate, waiting, now_s)
+            assert gate.start_next(now_s) is first
+            if first is not None:
+                waiting.remove(first)
+                decision_count += 1
+        assert decision_count > 500
+        assert refused_count > 100
+        assert not gate.shedding.is_active
+
+    def test_order_of_arrival_holds_again_without_calls_of_tenants(self):
+        gate = open_gate()
+        gate.enqueue(ticket('tenant'), 0)
+        assert gate.shedding.is_active
+        gate.withdraw('tenant')
+        for number in range(60):
+            gate.enqueue(ticket(number, ''), number)
+            gate.withdraw(number)
+        assert not gate.shedding.is_active
+        fields = {'give_up_at_s': 69, 'objective_at_s': 65, 'deadline_s': 69}
+        gate.enqueue(ticket('long', '', **fields), 60)
+        gate.enqueue(ticket('short', '', route='short', **fields), 60)
+        gate.running_count = 0
+        assert gate.start_next(60).call == 'long'
+
+
+def random_ticket(rng, now_s):
+    """Create a ticket without a tenant."""
+    objective_at_s = now_s + rng.uniform(0.1, 1.1)
+    deadline_s = objective_at_s + rng.uniform(0.1, 0.5)
+    return ticket(
+        object(),
+        '',
+        is_nested=rng.randrange(10) == 0,
+        priority=rng.choice((0, 1, 1, 2)),
+        objective_at_s=objective_at_s,
+        deadline_s=deadline_s,
+        give_up_at_s=rng.choice((deadline_s, now_s + 0.02)),
+    )
+
+
+def expected_refusal(gate, made, waiting_count, now_s):
+    """Apply the rules of arrival: all waiting calls are ahead."""
+    work_s = gate.service_s(made.route)
+    wait_s = gate.wait_s(now_s, is_nested=made.is_nested)
+    if now_s + wait_s > made.give_up_at_s:
+        return Refusal.FULL
+    if now_s + wait_s + work_s > made.deadline_s:
+        return Refusal.TOO_LATE
+    is_late = now_s + wait_s + work_s > made.objective_at_s
+    if wait_s and is_late and not made.is_nested:
+        return Refusal.FULL
+    return Refusal.FULL if waiting_count >= 4 * gate.limit else None
+
+
+def expected_start(gate, waiting, now_s):
+    """Apply the order of arrival to the calls that wait."""
+    if not waiting or gate.running_count >= gate.slot_count:
+        return None
+    first = min(
+        waiting,
+        key=lambda each: (
+            not each.is_nested,
+            now_s + gate.service_s(each.route) > each.objective_at_s,
+            each.priority,
+        ),
+    )
+    limit = gate.slot_count if first.is_nested else gate.limit
+    return first if gate.running_count < limit else None
