Refuse evicted calls of tenants like those that are not admitted

A waiting call that the gate removes must not run and must be answered. The admission control passes the tenant of a call into its ticket, counts a call whose body is refused as asked, and gives evicted calls the refusal error with the load report and the run state NOT_RUN. The counters cornelbeam_gate_refusals and cornelbeam_gate_evictions export what the gate refused and why, and a log line names each evicted call.

--- a/packages/core/src/cornelbeam_core/load_shedding.py
+++ b/packages/core/src/cornelbeam_core/load_shedding.py
@@ -9,6 +9,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Collection, Hashable
 from typing import Final, Protocol, TypeAlias, final
 
@@ -92,6 +93,8 @@
         '_tenants',
         '_total',
         '_waiting',
+        'eviction_counts',
+        'refusal_counts',
     )
 
     def __init__(self, gate: ShedGate, waiting: Collection[Ticket]) -> None:
@@ -103,6 +106,9 @@
         self._total = UseCount()
         self._fair_s = math.inf
         self._refreshed_at_s = -math.inf
+        # Calls by reason, since the daemon started.
+        self.refusal_counts: Counter[str] = Counter()
+        self.eviction_counts: Counter[str] = Counter()
 
     @property
     def is_active(self) -> bool:
@@ -215,8 +221,9 @@
                 evicted.append((ticket, Refusal.FULL))
             else:
                 ahead_count += 1
-        for ticket, _ in evicted:
-            self._gate.withdraw(ticket.call)
+        for each, reason in evicted:
+            self._gate.withdraw(each.call)
+            self.eviction_counts[reason.value] += 1
         return evicted
 
     def _wait_s(
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -285,6 +285,7 @@
             ticket, self._loop.time(), self._incoming_count
         )
         if refusal is not None:
+            self._gate.shedding.note_asked(ticket, self._loop.time())
             raise self._refusal_error(refusal)
 
     async def _make_ticket(self, call: Call) -> Ticket:
@@ -302,6 +303,7 @@
             deadline_s=call.deadline_s,
             route=call.route,
             is_last_resort=call.is_last_resort,
+            tenant=call.tenant,
         )
 
     async def _admit(self, call: Call) -> None:
@@ -313,6 +315,7 @@
             raise self._refusal_error(refusal)
         admitted: asyncio.Future[None] = self._loop.create_future()
         self._waiting[call] = admitted
+        self._refuse_evicted()
         self._admit_waiting()
         if admitted.done() and not admitted.cancelled():
             admitted.result()
@@ -358,6 +361,22 @@
             if not admitted.done():
                 admitted.set_exception(self._refusal_error(refusal))
 
+    def _refuse_evicted(self) -> None:
+        """Refuse the calls that the gate removes from its queue."""
+        for ticket, refusal in self._gate.shedding.evict(self._loop.time()):
+            call = ticket.call
+            assert isinstance(call, Call)  # noqa: S101
+            admitted = self._waiting.pop(call)
+            _log.info(
+                'call evicted from the queue',
+                request=call.request_id,
+                route=call.route,
+                tenant=call.tenant,
+                why=refusal.value,
+            )
+            if not admitted.done():
+                admitted.set_exception(self._refusal_error(refusal))
+
     def _admit_waiting(self) -> None:
         if self._current_refusal() is not None:
             return
@@ -385,6 +404,7 @@
         self, refusal: Refusal, detail: str = ''
     ) -> CornelbeamError:
         wait_s = self._gate.wait_s(self._loop.time())
+        self._gate.shedding.refusal_counts[refusal.value] += 1
         return CornelbeamError(
             _REFUSAL_CODES[refusal],
             'admission',
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -1,6 +1,6 @@
 """Counters and latency histograms of the daemon."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Final, final
 
 from cornelbeam_core.target_gate import TargetGate
@@ -11,11 +11,42 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 # From less than the duration of a short call up to the longest timeout.
 _BUCKETS_S: Final = (0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1, 1.5, 2.5, 5, 10)
 
 
+@final
+class RefusalCollector(Collector):
+    """Exports the calls that the gate has refused, by reason."""
+
+    def __init__(self, gate: TargetGate) -> None:
+        """Read the counts of ``gate`` at each scrape."""
+        self._gate = gate
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the counters."""
+        refused = CounterMetricFamily(
+            'cornelbeam_gate_refusals',
+            'Calls that the gate of the target refused, by reason.',
+            labels=('reason',),
+        )
+        evicted = CounterMetricFamily(
+            'cornelbeam_gate_evictions',
+            'Calls of tenants that were refused while they waited, by reason.',
+            labels=('reason',),
+        )
+        shedding = self._gate.shedding
+        for reason, count in shedding.refusal_counts.items():
+            refused.add_metric([reason], count)
+        for reason, count in shedding.eviction_counts.items():
+            evicted.add_metric([reason], count)
+        yield refused
+        yield evicted
+
+
 @final
 class MeshMetrics:
     """Metrics that the metrics listener exports."""
@@ -70,7 +101,8 @@
         quarantined_count: Callable[[], float],
         unreadable_count: Callable[[], float],
     ) -> None:
-        """Add gauges that are read at each scrape."""
+        """Add gauges and counters that are read at each scrape."""
+        self._registry.register(RefusalCollector(gate))
         self._add_gauge(
             'cornelbeam_running',
             'Requests that the target works on.',
