Find starving tenants sooner, and bound what a burst takes from others

The correction is one call, the call that waits itself is not counted as refused, and a tenant above its fair share has a lower floor.

What is derived from the counts is kept between refreshes, as ranking took most of a gate's time.

A test required that one refusal changes nothing. A single recent refusal has to count, so it is replaced by one for the first call and one for a refusal.

--- a/packages/core/src/cornelbeam_core/load_shedding.py
+++ b/packages/core/src/cornelbeam_core/load_shedding.py
@@ -11,6 +11,7 @@
 import math
 from collections import Counter
 from collections.abc import Collection, Hashable
+from dataclasses import dataclass
 from typing import Final, Protocol, TypeAlias, final
 
 from cornelbeam_core.rate_limit import RateUse
@@ -25,15 +26,19 @@
 # Maximum of queued calls per slot; more would wait longer than most callers do.
 QUEUE_PER_SLOT: Final = 4
 # A tenant that is served less often than this share of the mean goes before
-# more urgent calls. Section 7 allows a quarter; twice that leaves room for the
-# small samples of one gate.
-SERVED_SHARE_FLOOR: Final = 0.5
+# more urgent calls. Section 7 allows a quarter; more than twice that makes a
+# single recent refusal count, as a gate sees few calls of a small tenant.
+SERVED_SHARE_FLOOR: Final = 0.6
+# The same for a tenant that uses more than its fair share: a higher one would
+# let a burst take from others what the fair share protects.
+BURST_SHARE_FLOOR: Final = 0.3
 # A kind of request is protected while it is served at most this much more often
 # than a less urgent one, as counts follow decisions with a delay.
 KIND_MARGIN: Final = 0.1
 # Counts are corrected as if this many more calls had been average: the first
-# refusals of a tenant say little about how it is served.
-MEAN_CALL_COUNT: Final = 2
+# calls of a tenant say little about how it is served. With two, a tenant with a
+# call in five seconds was never found to be served too rarely.
+MEAN_CALL_COUNT: Final = 1
 # Each doubling of a tenant's use above its fair share costs its calls one level
 # of priority, up to this many.
 MAX_SHARE_LEVEL: Final = 3
@@ -43,7 +48,8 @@
 MIN_SHARE_STEP: Final = -4
 # More urgent calls are assumed to take at most this share of the slots.
 MAX_URGENT_SHARE: Final = 0.8
-# The fair share is computed again after this time, as all tenants are read.
+# Shares are computed again after this time, as that reads all counts; that of
+# a tenant also whenever one of its calls starts.
 REFRESH_S: Final = 0.25
 
 Rank: TypeAlias = tuple[float, ...]
@@ -77,6 +83,20 @@
         """Estimate the wait of a call with the queue and others ahead."""
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """How a tenant's use compares with its fair share.
+
+    Its calls lose ``level`` levels of priority. ``step`` orders tenants within
+    a level, and ``is_starving`` says that the tenant is served too rarely.
+    """
+
+    level: int
+    step: int
+    is_starving: bool
+
+
 @final
 class LoadShedding:
     """Use of one target by tenants and kinds of request.
@@ -89,7 +109,9 @@
         '_fair_s',
         '_gate',
         '_kinds',
+        '_leads',
         '_refreshed_at_s',
+        '_standings',
         '_tenants',
         '_total',
         '_waiting',
@@ -105,6 +127,9 @@
         self._kinds: UseTable[Kind] = UseTable()
         self._total = UseCount()
         self._fair_s = math.inf
+        # By tenant and by kind, from the current counts.
+        self._standings: dict[str, Standing] = {}
+        self._leads: dict[Kind, float] = {}
         self._refreshed_at_s = -math.inf
         # Calls by reason, since the daemon started.
         self.refusal_counts: Counter[str] = Counter()
@@ -131,6 +156,7 @@
         work_s = self._work_s(ticket)
         for count in self._counts(ticket):
             count.add_started(now_s, work_s)
+        self._standings.pop(ticket.tenant, None)
 
     def is_underserved(self, ticket: Ticket, margin: float = 0) -> bool:
         """Return whether a less urgent kind is served more often.
@@ -138,15 +164,11 @@
         It counts if the difference is above ``-margin``.
         """
         kind = _kind(ticket)
-        less_urgent = [
-            self._served_share(count)
-            for other, count in self._kinds.items()
-            if other[1] > ticket.priority
-        ]
-        if not less_urgent:
-            return False
-        served_share = self._served_share(self._kinds.get(kind))
-        return served_share < max(less_urgent) + margin
+        lead = self._leads.get(kind)
+        if lead is None:
+            lead = self._lead(kind)
+            self._leads[kind] = lead
+        return lead < margin
 
     def rank(self, ticket: Ticket, now_s: float) -> Rank:
         """Return the sort key of a call; the lowest one starts first.
@@ -161,15 +183,18 @@
             return (0, ticket.priority, ticket.deadline_s)
         work_s = self._gate.service_s(ticket.route)
         is_late = now_s + work_s > ticket.objective_at_s
-        doublings = self._share_doublings(ticket.tenant)
-        level = min(MAX_SHARE_LEVEL, max(0, int(doublings)))
+        standing = self._standing(ticket.tenant)
+        level = standing.level
         if level and self.is_underserved(ticket, KIND_MARGIN):
             level = 0
         if is_late and self.is_underserved(ticket):
             is_late = False
-        step = max(MIN_SHARE_STEP, math.floor(doublings * SHARE_STEPS))
-        group: Rank = (1, is_late, not self._is_starving(ticket.tenant))
-        urgency: Rank = (ticket.priority + level, ticket.priority, step)
+        group: Rank = (1, is_late, not standing.is_starving)
+        urgency: Rank = (
+            ticket.priority + level,
+            ticket.priority,
+            standing.step,
+        )
         return group + urgency + (_doubling_of(work_s), ticket.objective_at_s)
 
     def behind_count(self, ticket: Ticket, now_s: float) -> int:
@@ -250,17 +275,45 @@
             self._kinds.get_or_add(_kind(ticket)),
         )
 
-    def _served_share(self, count: UseCount | None) -> float:
+    def _served_share(
+        self, count: UseCount | None, waiting_count: int = 0
+    ) -> float:
         """Return the share of calls that were started, towards the mean."""
         mean_share = self._total.started_share
         if count is None:
             return mean_share
         started_count = count.started_count + MEAN_CALL_COUNT * mean_share
-        return started_count / (count.asked_count + MEAN_CALL_COUNT)
+        ended_count = max(0, count.asked_count - waiting_count)
+        return started_count / (ended_count + MEAN_CALL_COUNT)
 
-    def _is_starving(self, tenant: str) -> bool:
-        served_share = self._served_share(self._tenants.get(tenant))
-        return served_share < SERVED_SHARE_FLOOR * self._total.started_share
+    def _lead(self, kind: Kind) -> float:
+        """Return how much more often a kind is served than less urgent ones."""
+        less_urgent = [
+            self._served_share(count)
+            for other, count in self._kinds.items()
+            if other[1] > kind[1]
+        ]
+        if not less_urgent:
+            return math.inf
+        return self._served_share(self._kinds.get(kind)) - max(less_urgent)
+
+    def _standing(self, tenant: str) -> Standing:
+        standing = self._standings.get(tenant)
+        if standing is None:
+            standing = self._compute_standing(tenant)
+            self._standings[tenant] = standing
+        return standing
+
+    def _compute_standing(self, tenant: str) -> Standing:
+        doublings = self._share_doublings(tenant)
+        floor = BURST_SHARE_FLOOR if doublings >= 1 else SERVED_SHARE_FLOOR
+        # The call that waits now has been asked for, but is not refused.
+        served_share = self._served_share(self._tenants.get(tenant), 1)
+        return Standing(
+            level=min(MAX_SHARE_LEVEL, max(0, int(doublings))),
+            step=max(MIN_SHARE_STEP, math.floor(doublings * SHARE_STEPS)),
+            is_starving=served_share < floor * self._total.started_share,
+        )
 
     def _share_doublings(self, tenant: str) -> float:
         """Return the tenant's use by its fair share, as a logarithm."""
@@ -275,6 +328,8 @@
         if now_s - self._refreshed_at_s < REFRESH_S:
             return
         self._refreshed_at_s = now_s
+        self._standings.clear()
+        self._leads.clear()
         self._total.decay(now_s)
         self._kinds.decay(now_s)
         self._tenants.decay(now_s)
