--- a/packages/daemon/src/cornelbeam_daemon/headers.py
+++ b/packages/daemon/src/cornelbeam_daemon/headers.py
@@ -23,6 +23,8 @@
 # reach another host, or the end of its body would be determined differently.
 _END_TO_END: Final = frozenset((b'host', b'content-length'))
 _LINE_BREAKS: Final = re.compile(rb'[\r\n\0]')
+# RFC 9110, section 11.6.2.
+AUTHORIZATION: Final = b'authorization'
 CONTROL_PREFIX: Final = b'cornelbeam-'
 DEADLINE: Final = b'cornelbeam-deadline-ms'
 HOPS: Final = b'cornelbeam-hops'
--- a/packages/daemon/src/cornelbeam_daemon/request_fingerprint.py
+++ b/packages/daemon/src/cornelbeam_daemon/request_fingerprint.py
@@ -22,7 +22,7 @@
             request.method,
             fields.find(request.headers, b'host') or b'',
             request.target,
-            fields.find(request.headers, b'authorization') or b'',
+            fields.find(request.headers, fields.AUTHORIZATION) or b'',
             body.kept_start(body_limit_bytes),
         )
     )
--- a/packages/mesh/src/cornelbeam_mesh/caller_identity.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_identity.py
@@ -27,19 +27,19 @@
 _SCHEME: Final = b'bearer'
 
 
-def read_api_key(headers: list[bytes], name: bytes) -> bytes | None:
+def read_api_key(headers: list[bytes]) -> bytes | None:
     """Return the key of a request, or ``None`` if its head has no such field.
 
     Empty if the field is repeated or has another scheme, as no tenant holds an
     empty key.
 
-    >>> read_api_key([b'authorization', b'Bearer secret'], b'authorization')
+    >>> read_api_key([b'authorization', b'Bearer secret'])
     b'secret'
     """
     stated = [
         headers[index + 1]
         for index in range(0, len(headers), 2)
-        if headers[index] == name
+        if headers[index] == fields.AUTHORIZATION
     ]
     if not stated:
         return None
@@ -96,7 +96,7 @@
         """
         if table.tenants is None:
             return None
-        key = read_api_key(request.headers, self._names.authorization)
+        key = read_api_key(request.headers)
         if route.is_public:
             return _find(table.tenants, key)
         if key is None:
--- a/packages/mesh/tests/test_api_keys.py
+++ b/packages/mesh/tests/test_api_keys.py
@@ -111,8 +111,8 @@
 
     def test_repeated_field_is_no_key(self):
         headers = [b'authorization', b'Bearer a', b'authorization', b'Bearer b']
-        assert read_api_key(headers, b'authorization') == b''
-        assert read_api_key([], b'authorization') is None
+        assert read_api_key(headers) == b''
+        assert read_api_key([]) is None
 
 
 class TestBackendCalls:
