--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -320,7 +320,7 @@
             names.expected_instance,
         }
         if table.tenants is not None:
-            control_fields |= {names.authorization, names.tenant}
+            control_fields |= {fields.AUTHORIZATION, names.tenant}
         stripped = fields.strip(forwarded.request.headers)
         kept: list[bytes] = []
         for index in range(0, len(stripped), 2):
