Keep the owners of quota shares with the member entries

A daemon that announces its departure owns no share from then on, and the next in line takes over. Each change of an entry updates the table, so that no request scans the members.

--- a/packages/mesh/src/cornelbeam_mesh/members.py
+++ b/packages/mesh/src/cornelbeam_mesh/members.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from cornelbeam_core.placement import TargetRecord
+from cornelbeam_core.quota_owners import OwnerTable
 from cornelbeam_core.shared_objects import SharedKind, SharedObject
 from cornelbeam_core.targets import Target
 
@@ -112,11 +113,13 @@
 class Members:
     """Known daemons, with the records this one keeps of their targets."""
 
-    __slots__ = ('_departures', '_entries', '_records', 'own_name')
+    __slots__ = ('_departures', '_entries', '_records', 'own_name', 'owners')
 
     def __init__(self, own_name: str) -> None:
         """Start without any known daemons."""
         self.own_name = own_name
+        # Owners of the shares of tenant quotas.
+        self.owners = OwnerTable()
         self._entries: dict[str, MemberEntry] = {}
         self._records: dict[str, TargetRecord] = {}
         # By daemon, the run of its target that this daemon has seen leaving.
@@ -153,6 +156,10 @@
         if known is not None and _forgets_departure(known, entry):
             self.note_departure(entry)
         self._entries[entry.name] = entry
+        if entry.is_leaving:
+            self.owners.remove(entry.name)
+        else:
+            self.owners.place(entry.name, entry.domain)
         if known is None or _run_key(known) != _run_key(entry):
             self._records[entry.name] = TargetRecord(
                 entry.name,
@@ -164,6 +171,7 @@
         """Remove a daemon and its record."""
         self._entries.pop(name, None)
         self._records.pop(name, None)
+        self.owners.remove(name)
 
     def note_departure(self, entry: MemberEntry) -> None:
         """Send nothing more to a target that is known to be leaving.
