Read what the platform tolerates above a quota

The settings bounds.quota_window_s, quota_overage and quota_slack_count have the bounds of the specification as defaults.

--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -64,7 +64,9 @@
     ``retry_ratio`` retries per request plus ``retry_slack_count``. A cold
     target receives at most ``cold_factor`` times the rate that it states plus
     ``cold_slack_count`` requests per second. A stopping daemon exits within
-    ``grace_s`` seconds.
+    ``grace_s`` seconds. In a window of ``quota_window_s`` seconds at most the
+    limit of a tenant, exceeded by the ratio ``quota_overage``, plus
+    ``quota_slack_count`` of its requests run.
     """
 
     retry_ratio: float = 0.2
@@ -73,6 +75,9 @@
     cold_factor: float = 1.5
     cold_slack_count: float = 5
     grace_s: float = 6
+    quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5
+    quota_overage: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    quota_slack_count: Annotated[float, msgspec.Meta(ge=0)] = 20
 
 
 class MeshLimits(Section, frozen=True):
