--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -13,6 +13,7 @@
 )
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.routes import RouteRule, RouteTable
+from cornelbeam_core.tenants import TenantRule
 from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import RequestBody
 from cornelbeam_daemon.calls import Answer
@@ -45,6 +46,7 @@
         'is_nested',
         'is_suspect',
         'order',
+        'quota_granted_s',
         'reached_targets',
         'request',
         'request_id',
@@ -52,6 +54,7 @@
         'run_targets',
         'service',
         'started_s',
+        'tenant',
     )
 
     def __init__(
@@ -77,6 +80,9 @@
         self.is_suspect = False
         # Version of the configuration that it is routed by.
         self.configuration_version = 0
+        self.tenant: TenantRule | None = None
+        # Time of the grant of its token of the quota of the tenant.
+        self.quota_granted_s: float | None = None
         # Time that the caller has spent on earlier attempts.
         self.caller_spent_ms = 0
         # Targets that received the request.
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -20,7 +20,7 @@
 class MeshMetrics:
     """Metrics that the metrics listener exports."""
 
-    __slots__ = ('_latency_s', '_messages', '_registry', '_requests')
+    __slots__ = ('_latency_s', '_messages', '_quotas', '_registry', '_requests')
 
     def __init__(self) -> None:
         """Create the metrics in a registry of their own."""
@@ -45,6 +45,20 @@
             registry=self._registry,
         )
 
+        self._quotas = Counter(
+            'cornelbeam_quota_checks',
+            'Requests of tenants with a quota, by the outcome of its check.',
+            ('outcome',),
+            registry=self._registry,
+        )
+
+    def count_quota(self, outcome: str) -> None:
+        """Count the check of a quota.
+
+        ``outcome`` is ``granted``, an error code or ``cancelled``.
+        """
+        self._quotas.labels(outcome).inc()
+
     def count_sent(self, message: str, size_bytes: int) -> None:
         """Add a control message that was sent to the byte count."""
         self._messages.labels(message, 'sent').inc(size_bytes)
