State in answers with 429 when to expect a token

Only answers with 503 had a Retry-After. That of 429 is the time until a token, rounded up and neither shortened to the time that the caller has left nor extended at random: before it, a retry is refused again.

--- a/packages/core/src/cornelbeam_core/refusals.py
+++ b/packages/core/src/cornelbeam_core/refusals.py
@@ -1,5 +1,6 @@
 """HTTP status and retry delay of a request that can't be served."""
 
+import math
 from typing import Final
 
 from cornelbeam_core.deadlines import MS_PER_S
@@ -24,6 +25,8 @@
     ),
 )
 _NOT_RUN_STATUS: Final = 503
+_HUNDREDTHS: Final = 100
+_MS_PER_HUNDREDTH: Final = 10
 
 
 def refusal_status(error: CornelbeamError) -> int:
@@ -39,6 +42,17 @@
     return error.http_status
 
 
+def quota_delay_s(wait_ms: float) -> float:
+    """Return the seconds after which a caller over its quota should retry.
+
+    The wait is rounded up to whole hundredths, as the answer states it.
+
+    >>> quota_delay_s(1201)
+    1.21
+    """
+    return max(1, math.ceil(wait_ms / _MS_PER_HUNDREDTH)) / _HUNDREDTHS
+
+
 def retry_delay_s(wait_ms: float, remaining_s: float, jitter: float) -> float:
     """Return the seconds after which a refused caller should retry.
 
--- a/packages/mesh/src/cornelbeam_mesh/caller_answers.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_answers.py
@@ -7,7 +7,11 @@
 
 from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
-from cornelbeam_core.refusals import refusal_status, retry_delay_s
+from cornelbeam_core.refusals import (
+    quota_delay_s,
+    refusal_status,
+    retry_delay_s,
+)
 from cornelbeam_daemon.answer_forwarding import forward_answer
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import Responder
@@ -73,6 +77,10 @@
             # It is refused until then, whatever time its caller has left.
             delay_s = wait_ms / MS_PER_S
         headers += (b'retry-after', f'{delay_s:.2f}'.encode())
+    elif status == HTTPStatus.TOO_MANY_REQUESTS:
+        # No less than the time until a token: an earlier retry is refused too.
+        delay_s = quota_delay_s(error.retry_after_ms)
+        headers += (b'retry-after', f'{delay_s:.2f}'.encode())
     responder.send_whole(status, headers, f'{error}\n'.encode())
 
 
