Limit the requests of a tenant over all daemons

A tenant with a quota could send any load through any number of daemons. The forwarder now waits for a token before it reads the body, and a request that ran nowhere leaves its token to the next one. Requests without a tenant take one comparison; tenants without a limit take no state and no message. Daemons answer the queries of their peers.

Evidence: packages/mesh/tests/test_tenant_quotas.py runs sidecars in one process: shares of all daemons together, a fresh owner, a killed, slow or missing owner, differing views, a lowered limit, and joined queries.

--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -41,6 +41,7 @@
 from cornelbeam_mesh.metrics import MeshMetrics
 from cornelbeam_mesh.stop_limits import StopLimits
 from cornelbeam_mesh.target_client import TargetClient
+from cornelbeam_mesh.tenant_quotas import TenantQuotas
 
 _log = get_log('caller')
 # A connection that is silent for this long after its peer was found silent is
@@ -60,6 +61,7 @@
         '_metrics',
         '_on_stale_entry',
         '_quarantine',
+        '_quotas',
         '_reader',
         '_rng',
         '_state',
@@ -78,6 +80,7 @@
         metrics: MeshMetrics,
         on_stale_entry: Callable[[MemberEntry], None],
         quarantine: QuarantineSync,
+        quotas: TenantQuotas,
         rng: random.Random,
         stop: StopDeadline,
     ) -> None:
@@ -98,6 +101,7 @@
         self._metrics = metrics
         self._on_stale_entry = on_stale_entry
         self._quarantine = quarantine
+        self._quotas = quotas
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self.in_flight_count = 0
@@ -114,6 +118,8 @@
                 service_ms = self._shortest_service_ms(forwarded)
                 self._stop.check(service_ms, started_s)
             async with self.stop_limits.limited():
+                if forwarded.tenant is not None:
+                    await self._quotas.admit(forwarded)
                 await forwarded.buffer_body()
                 self._quarantine.check(forwarded.fingerprint)
                 answer = await self._try_targets(forwarded)
@@ -121,6 +127,7 @@
             await forward_in_time(forwarded, answer, responder)
         except CornelbeamError as error:
             outcome = error.code.value
+            self._quotas.give_back(forwarded, error)
             send_error(
                 error,
                 responder,
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -83,6 +83,7 @@
         configuration_version: Callable[[], float],
         quarantined_count: Callable[[], float],
         unreadable_count: Callable[[], float],
+        quota_bucket_count: Callable[[], float],
     ) -> None:
         """Add gauges that are read at each scrape."""
         self._add_gauge(
@@ -120,6 +121,11 @@
             'Entries of the store that cannot be read and are not used.',
             unreadable_count,
         )
+        self._add_gauge(
+            'cornelbeam_quota_buckets',
+            'Tenants whose share of a quota is held here and partly used.',
+            quota_bucket_count,
+        )
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -11,6 +11,7 @@
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.peer_sync import PeerSync
+from cornelbeam_mesh.tenant_quotas import TenantQuotas
 
 
 @final
@@ -23,6 +24,7 @@
         '_on_control_message',
         '_peer_sync',
         '_quarantine',
+        '_quotas',
         'acceptor',
     )
 
@@ -35,6 +37,7 @@
         on_control_message: Callable[[str, str], None],
         revisions: RevisionExchange,
         quarantine: QuarantineSync,
+        quotas: TenantQuotas,
     ) -> None:
         """Serve calls through ``admission``.
 
@@ -44,6 +47,7 @@
         self._identity = identity
         self._peer_sync = peer_sync
         self._quarantine = quarantine
+        self._quotas = quotas
         self._messenger = messenger
         self._on_control_message = on_control_message
         self.acceptor = PeerAcceptor(
@@ -65,6 +69,8 @@
             )
         elif frame.ping is not None:
             self._acknowledge(stream)
+        elif frame.quota_request is not None:
+            self._quotas.answer(stream, frame.quota_request)
         else:
             self._quarantine.answer(stream, frame, self._acknowledge)
 
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import TaskGroup
 from cornelbeam_core.deadlines import StopDeadline
+from cornelbeam_core.quota_shares import QuotaBounds
 from cornelbeam_core.repeat_budget import RepeatBudget
 from cornelbeam_core.routes import ServiceRule
 from cornelbeam_core.shared_objects import SharedKind
@@ -51,6 +52,7 @@
 from cornelbeam_mesh.target_exchange import TargetExchange
 from cornelbeam_mesh.target_observer import TargetObserver
 from cornelbeam_mesh.target_probe import TargetProbe
+from cornelbeam_mesh.tenant_quotas import TenantQuotas
 from cornelbeam_mesh.waiting import wait_for_first
 
 _log = get_log('admin')
@@ -140,6 +142,19 @@
             self._rng,
         )
         bounds = settings.bounds
+        self.quotas = TenantQuotas(
+            name,
+            domain,
+            self.state,
+            self._messenger,
+            self._start_task,
+            QuotaBounds(
+                bounds.quota_window_s,
+                bounds.quota_overage,
+                bounds.quota_slack_count,
+            ),
+            self.metrics,
+        )
         self._gate = TargetGate(
             ColdBound(bounds.cold_factor, bounds.cold_slack_count),
         )
@@ -207,6 +222,7 @@
             self._on_control_message,
             revisions,
             self.quarantine,
+            self.quotas,
         )
         self._reader = RequestReader(
             adapter,
@@ -232,6 +248,7 @@
             self.metrics,
             self._on_stale_entry,
             self.quarantine,
+            self.quotas,
             self._rng,
             self._stop_deadline,
         )
@@ -243,6 +260,7 @@
             lambda: self.state.configuration_version,
             lambda: self.quarantine.count,
             lambda: store.unreadable_count,
+            lambda: self.quotas.bucket_count,
         )
 
     def stop(self) -> None:
@@ -340,6 +358,9 @@
             # The first write to the store then includes the target.
             await self.registration.is_target_known.wait()
         self._has_joined = True
+        self.quotas.note_joined(
+            is_restart=entry is not None and not entry.is_leaving
+        )
         self._publish()
 
     def _publish(self) -> None:
@@ -380,6 +401,7 @@
             _log.warning('departure confirmed before a peer has it')
 
     def _on_state_change(self, kinds: set[SharedKind]) -> None:
+        self.quotas.note_members()
         target = self._local_target()
         if target is not None:
             self._gate.resize(target.slot_count)
--- /dev/null
+++ b/packages/mesh/tests/test_tenant_quotas.py
@@ -0,0 +1,287 @@
+"""Quotas of tenants over several sidecars."""
+
+import asyncio
+from functools import partial
+
+import msgspec
+import pytest
+from cornelbeam_core import quota_demand
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_core.shared_objects import SharedKind
+from cornelbeam_core.tenants import TenantRule, digest_key
+from cornelbeam_mesh import tenant_quotas
+from cornelbeam_wire.gen import messages
+from mesh_harness import Lifetime, configuration, wait_until
+
+pytestmark = pytest.mark.anyio
+OK = 'HTTP/1.1 200 OK'
+TENANT = 'school'
+EXCEEDED = 'HTTP/1.1 429 Too Many Requests'
+# A token takes ten minutes, and the tolerated excess keeps the buckets small.
+SLOW = TenantRule(
+    TENANT, (digest_key(b'secret'),), rate_per_s=1 / 600, burst_count=0
+)
+FAST = TenantRule(
+    TENANT, (digest_key(b'secret'),), rate_per_s=200, burst_count=50
+)
+MANY = 60
+LONG_S = 1e9
+
+
+def put_tenant(harness, rule, version=2) -> None:
+    """Write a configuration with one tenant."""
+    plain = msgspec.json.decode(configuration(version))
+    content = msgspec.json.encode({**plain, 'tenants': (rule,)})
+    harness.store.put(SharedKind.CONFIGURATION, 'main', content)
+
+
+class IdentifyingReader:
+    """Reader that takes all requests for those of one tenant."""
+
+    def __init__(self, reader, rule) -> None:
+        """Read requests with ``reader``."""
+        self._reader = reader
+        self._rule = rule
+
+    def read(self, request, started_s):
+        """Read a request."""
+        forwarded = self._reader.read(request, started_s)
+        forwarded.tenant = self._rule
+        return forwarded
+
+
+async def add_nodes(harness, rule, domains=('north', 'north', 'south')):
+    """Start nodes whose callers all belong to the tenant."""
+    put_tenant(harness, rule)
+    nodes = [await harness.add_node(domain) for domain in domains]
+    await identify_callers(nodes, rule)
+    return nodes
+
+
+async def identify_callers(nodes, rule, version=2) -> None:
+    """Take all requests for those of the tenant."""
+    for node in nodes:
+        await wait_until(partial(has_version, node, version))
+        sidecar = node.sidecar
+        sidecar.forwarder._reader = IdentifyingReader(sidecar._reader, rule)
+
+
+def has_version(node, version) -> bool:
+    """Return whether a node has a version of the configuration."""
+    return node.sidecar.state.configuration_version == version
+
+
+def fill(nodes) -> None:
+    """Fill the buckets as if the daemons had run for long."""
+    for node in nodes:
+        node.sidecar.quotas._joined_at_s = -LONG_S
+
+
+def owners(node) -> list[str]:
+    """Return the owners of the tenant as a node asks them."""
+    members = node.sidecar.state.members
+    return members.owners.owners(TENANT, node.domain)
+
+
+async def send(node):
+    """Send a request of the tenant."""
+    return await node.send_request(authorization='Bearer secret')
+
+
+async def send_many(node, count=MANY) -> list[str]:
+    """Send requests at the same time; return the status lines."""
+    answered = await asyncio.gather(*(send(node) for _ in range(count)))
+    return [status for status, _, _ in answered]
+
+
+def sent_queries(node) -> int:
+    """Return the bytes of queries that a node sent."""
+    counter = node.sidecar.metrics._messages
+    return counter.labels('quota_request', 'sent')._value.get()
+
+
+class TestQuota:
+    """Guards against a limit exceeded by the sum of all daemons."""
+
+    async def test_all_daemons_share_it(self, harness):
+        nodes = await add_nodes(harness, SLOW)
+        fill(nodes)
+        per_node = await asyncio.gather(*(send_many(node) for node in nodes))
+        statuses = [each for some in per_node for each in some]
+        assert set(statuses) == {OK, EXCEEDED}
+        tolerated = nodes[0].sidecar.settings.bounds.quota_slack_count
+        assert 0 < statuses.count(OK) <= tolerated + 1
+
+    async def test_one_daemon_can_use_all_shares(self, harness):
+        nodes = await add_nodes(harness, FAST)
+        fill(nodes)
+        assert set(await send_many(nodes[0])) == {OK}
+
+    async def test_a_fresh_owner_grants_nothing(self, harness):
+        nodes = await add_nodes(harness, SLOW)
+        assert set(await send_many(nodes[0], 5)) == {EXCEEDED}
+        assert not any(node.target.requests for node in nodes)
+
+    async def test_refusals_state_the_delay(self, harness):
+        nodes = await add_nodes(harness, SLOW)
+        _, fields, _ = await send(nodes[0])
+        assert float(fields[b'retry-after']) > 600
+
+    async def test_unlimited_tenants_cost_nothing(self, harness):
+        rule = TenantRule(TENANT, (digest_key(b'secret'),))
+        nodes = await add_nodes(harness, rule)
+        assert set(await send_many(nodes[0], 5)) == {OK}
+        assert not any(node.sidecar.quotas._tenants for node in nodes)
+        assert not any(sent_queries(node) for node in nodes)
+
+    async def test_a_lowered_limit_is_kept(self, harness):
+        nodes = await add_nodes(harness, FAST)
+        fill(nodes)
+        assert set(await send_many(nodes[0], 9)) == {OK}
+        put_tenant(harness, SLOW, version=3)
+        await identify_callers(nodes, SLOW, version=3)
+        statuses = await send_many(nodes[0])
+        assert statuses.count(EXCEEDED) > MANY / 2
+
+
+class TestMessages:
+    """Guards against messages that no token needs."""
+
+    async def test_an_owner_asks_nobody(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north',))
+        fill(nodes)
+        assert set(await send_many(nodes[0], 9)) == {OK}
+        assert not sent_queries(nodes[0])
+
+    async def test_refused_requests_send_none(self, harness):
+        nodes = await add_nodes(harness, SLOW)
+        asking = next(node for node in nodes if node.name not in owners(node))
+        with pytest.MonkeyPatch.context() as patch:
+            # Refusals last as long as the test.
+            patch.setattr(quota_demand, 'MAX_REFUSAL_S', LONG_S)
+            await send_many(asking, 5)
+            before = sent_queries(asking)
+            assert before
+            assert set(await send_many(asking)) == {EXCEEDED}
+        assert sent_queries(asking) == before
+
+    async def test_waiting_requests_share_a_query(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        fill(nodes)
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        counts = []
+        query = tenant_quotas.TenantQuotas._send
+
+        async def count(quotas, owner, tenant, asked):
+            counts.append(asked)
+            return await query(quotas, owner, tenant, asked)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(tenant_quotas.TenantQuotas, '_send', count)
+            assert set(await send_many(asking)) == {OK}
+        assert len(counts) < MANY
+        assert sum(counts) >= MANY
+
+
+class TestTokensLeft:
+    """Guards against a limit used up by requests that run nowhere."""
+
+    async def test_a_refused_request_leaves_its_token(self, harness):
+        nodes = await add_nodes(harness, SLOW, ('north',))
+        fill(nodes)
+        node = nodes[0]
+        node.send_heartbeat(is_draining=True)
+        await wait_until(lambda: not node.knows(node))
+        for _ in range(MANY):
+            status, _, _ = await send(node)
+            assert status.startswith('HTTP/1.1 503')
+        assert len(node.sidecar.quotas._tenants[TENANT].demand._left) == 1
+
+
+class TestOwnersFail:
+    """Guards against refusals that an unreachable owner causes."""
+
+    async def test_others_grant_when_an_owner_is_killed(self, harness):
+        put_tenant(harness, FAST)
+        lifetimes = [Lifetime(harness.group) for _ in range(4)]
+        domains = ('north', 'north', 'south', 'south')
+        nodes = [
+            await harness.add_node(domain, group=lifetime)
+            for domain, lifetime in zip(domains, lifetimes, strict=True)
+        ]
+        fill(nodes)
+        names = [node.name for node in nodes]
+        asking = next(
+            node for node in nodes if node.name not in owners(nodes[0])
+        )
+        await lifetimes[names.index(owners(asking)[0])].end()
+        quotas = asking.sidecar.quotas
+        assert await quotas._take(FAST, quotas._loop.time() + 9) > 0
+        assert owners(asking)[0] in quotas._suspicions
+
+    async def test_without_any_owner_the_tenant_is_not_blamed(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        quotas = asking.sidecar.quotas
+
+        async def fail(*arguments):
+            raise CornelbeamError(ErrorCode.PEER_UNREACHABLE, 'test')
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(tenant_quotas.TenantQuotas, '_send', fail)
+            status, _, _ = await send(asking)
+        assert status.startswith('HTTP/1.1 503')
+        assert owners(asking)[0] in quotas._suspicions
+
+    async def test_a_slow_owner_is_trusted_when_it_answers(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        quotas = asking.sidecar.quotas
+        owner = owners(asking)[0]
+        quotas._suspicions.note_silence(owner, quotas._loop.time())
+        await quotas._check(owner, TENANT)
+        assert owner not in quotas._suspicions
+
+    async def test_no_request_waits_beyond_its_deadline(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        quotas = asking.sidecar.quotas
+
+        async def hang(*arguments):
+            await asyncio.Event().wait()
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(tenant_quotas.TenantQuotas, '_send', hang)
+            with pytest.raises(CornelbeamError) as caught:
+                await quotas._take(FAST, quotas._loop.time() + 0.01)
+        assert caught.value.code is ErrorCode.DEADLINE_PASSED
+
+    async def test_a_daemon_that_is_not_the_owner_grants_nothing(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        fill(nodes)
+        other = next(node for node in nodes if node.name != owners(node)[0])
+        grant = other.sidecar.quotas._grant_to_peer(TENANT, 5)
+        assert not grant.count
+        assert grant.wait_s > 0
+
+    async def test_a_daemon_that_has_not_joined_grants_nothing(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north',))
+        quotas = nodes[0].sidecar.quotas
+        quotas._joined_at_s = None
+        assert not quotas._grant_to_peer(TENANT, 5).count
+
+    async def test_a_reply_grants_no_more_than_was_asked_for(self, harness):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        quotas = asking.sidecar.quotas
+
+        async def reply(address, **message):
+            return messages.Frame(
+                stream_id=1,
+                quota_grant=messages.QuotaGrant(count=1000, wait_ms=-5),
+            )
+
+        quotas._messenger = type('Fake', (), {'ask': staticmethod(reply)})()
+        grant = await quotas._send(owners(asking)[0], TENANT, 3)
+        assert grant.count == 3
+        assert grant.wait_s > 0
