Forget suspected owners of quotas that are no longer members

The names of owners that once did not answer were kept for good, so that state grew with every daemon that was ever replaced. They go with the tenants without requests. A test with a silent connection shows that its owner is left out, and trusted again when it answers.

--- a/packages/core/src/cornelbeam_core/quota_demand.py
+++ b/packages/core/src/cornelbeam_core/quota_demand.py
@@ -1,7 +1,7 @@
 """Demand of one daemon for the tokens of a tenant."""
 
 from collections import deque
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from typing import Final, final
 
@@ -64,6 +64,14 @@
         """Trust an owner again that has answered."""
         self._retry_at_s.pop(name, None)
 
+    def retain(self, is_member: Callable[[str], bool]) -> None:
+        """Forget owners that are no longer members."""
+        self._retry_at_s = {
+            name: retry_at_s
+            for name, retry_at_s in self._retry_at_s.items()
+            if is_member(name)
+        }
+
     def first_trusted(self, names: Iterable[str]) -> str | None:
         """Return the first owner that is not suspected."""
         return next((name for name in names if name not in self), None)
--- a/packages/core/tests/test_quota_demand.py
+++ b/packages/core/tests/test_quota_demand.py
@@ -123,6 +123,13 @@
         assert suspicions.due(OWNERS, now_s=1 + SUSPICION_S) == ['near']
         assert not suspicions.due(OWNERS, now_s=1.1 + SUSPICION_S)
 
+    def test_members_that_are_gone_are_forgotten(self):
+        suspicions = OwnerSuspicions()
+        for owner in OWNERS:
+            suspicions.note_silence(owner, now_s=1)
+        suspicions.retain(lambda name: name == 'far')
+        assert [name in suspicions for name in OWNERS] == [False, True]
+
     def test_without_any_answer_no_delay_is_known(self):
         demand, suspicions = QuotaDemand(), OwnerSuspicions()
         for owner in OWNERS:
--- a/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
+++ b/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
@@ -362,7 +362,7 @@
         )
 
     def _sweep(self) -> None:
-        """Forget tenants without requests."""
+        """Forget tenants without requests, and owners that are gone."""
         now_s = self._loop.time()
         if now_s - self._swept_at_s < _SWEEP_INTERVAL_S:
             return
@@ -372,3 +372,5 @@
             for name, tenant in self._tenants.items()
             if tenant.is_asking or not tenant.demand.is_idle(now_s)
         }
+        members = self._state.members
+        self._suspicions.retain(lambda name: members.get(name) is not None)
--- a/packages/mesh/tests/test_tenant_quotas.py
+++ b/packages/mesh/tests/test_tenant_quotas.py
@@ -11,7 +11,7 @@
 from cornelbeam_core.tenants import TenantRule, digest_key
 from cornelbeam_mesh import tenant_quotas
 from cornelbeam_wire.gen import messages
-from mesh_harness import Lifetime, configuration, wait_until
+from mesh_harness import Lifetime, configuration, paused, wait_until
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
@@ -242,6 +242,22 @@
         await quotas._check(owner, TENANT)
         assert owner not in quotas._suspicions
 
+    async def test_an_owner_behind_a_silent_connection_is_left_out(
+        self, harness
+    ):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        fill(nodes)
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        assert (await send(asking))[0] == OK
+        quotas = asking.sidecar.quotas
+        with paused(asking.sidecar._pool.connections()):
+            with pytest.raises(CornelbeamError) as caught:
+                await quotas._take(FAST, quotas._loop.time() + LONG_S)
+            assert caught.value.code is ErrorCode.PEER_UNREACHABLE
+        # The query that followed is answered.
+        await wait_until(lambda: owners(asking)[0] not in quotas._suspicions)
+        assert (await send(asking))[0] == OK
+
     async def test_no_request_waits_beyond_its_deadline(self, harness):
         nodes = await add_nodes(harness, FAST, ('north', 'north'))
         asking = next(node for node in nodes if node.name != owners(node)[0])
