--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -51,7 +51,7 @@
 class MeshMetrics:
     """Metrics that the metrics listener exports."""
 
-    __slots__ = ('_latency_s', '_messages', '_registry', '_requests')
+    __slots__ = ('_latency_s', '_messages', '_quotas', '_registry', '_requests')
 
     def __init__(self) -> None:
         """Create the metrics in a registry of their own."""
@@ -76,6 +76,20 @@
             registry=self._registry,
         )
 
+        self._quotas = Counter(
+            'cornelbeam_quota_checks',
+            'Requests of tenants with a quota, by the outcome of its check.',
+            ('outcome',),
+            registry=self._registry,
+        )
+
+    def count_quota(self, outcome: str) -> None:
+        """Count the check of a quota.
+
+        ``outcome`` is ``granted``, an error code or ``cancelled``.
+        """
+        self._quotas.labels(outcome).inc()
+
     def count_sent(self, message: str, size_bytes: int) -> None:
         """Add a control message that was sent to the byte count."""
         self._messages.labels(message, 'sent').inc(size_bytes)
@@ -100,6 +114,7 @@
         configuration_version: Callable[[], float],
         quarantined_count: Callable[[], float],
         unreadable_count: Callable[[], float],
+        quota_bucket_count: Callable[[], float],
     ) -> None:
         """Add gauges and counters that are read at each scrape."""
         self._registry.register(RefusalCollector(gate))
@@ -138,6 +153,11 @@
             'Entries of the store that cannot be read and are not used.',
             unreadable_count,
         )
+        self._add_gauge(
+            'cornelbeam_quota_buckets',
+            'Tenants whose share of a quota is held here and partly used.',
+            quota_bucket_count,
+        )
 
     def add_currency(self, age_s: Callable[[], float]) -> Counter:
         """Export the age of the proof that the configuration is current.
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -12,6 +12,7 @@
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
 from cornelbeam_mesh.peer_sync import PeerSync
+from cornelbeam_mesh.tenant_quotas import TenantQuotas
 
 
 @final
@@ -25,6 +26,7 @@
         '_on_control_message',
         '_peer_sync',
         '_quarantine',
+        '_quotas',
         'acceptor',
     )
 
@@ -38,6 +40,7 @@
         revisions: RevisionExchange,
         quarantine: QuarantineSync,
         currency: ConfigurationCurrency,
+        quotas: TenantQuotas,
     ) -> None:
         """Serve calls through ``admission``.
 
@@ -48,6 +51,7 @@
         self._identity = identity
         self._peer_sync = peer_sync
         self._quarantine = quarantine
+        self._quotas = quotas
         self._messenger = messenger
         self._on_control_message = on_control_message
         self.acceptor = PeerAcceptor(
@@ -71,6 +75,8 @@
             self._currency.answer(stream)
         elif frame.ping is not None:
             self._acknowledge(stream)
+        elif frame.quota_request is not None:
+            self._quotas.answer(stream, frame.quota_request)
         else:
             self._quarantine.answer(stream, frame, self._acknowledge)
 
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -67,6 +67,9 @@
     ``grace_s`` seconds. No request runs that was sent more than
     ``revocation_ms`` after its API key was revoked; without the setting, a
     daemon that is cut off serves keys that it doesn't know to be revoked.
+    In a window of ``quota_window_s`` seconds at most the limit of a tenant,
+    exceeded by the ratio ``quota_overage``, plus ``quota_slack_count`` of its
+    requests run.
     """
 
     retry_ratio: float = 0.2
@@ -76,6 +79,9 @@
     cold_slack_count: float = 5
     grace_s: float = 6
     revocation_ms: Annotated[int, msgspec.Meta(ge=1000)] | None = None
+    quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5
+    quota_overage: Annotated[float, msgspec.Meta(ge=0)] = 0.1
+    quota_slack_count: Annotated[float, msgspec.Meta(ge=0)] = 20
 
 
 class MeshLimits(Section, frozen=True):
