Evict calls in the plays when the admission control does

The plays let the gate evict calls also when a call ends. The admission control asks it only when a call arrives.

Evidence: the tests of packages/core/tests/test_tenant_overload.py pass.

--- a/packages/core/tests/test_tenant_overload.py
+++ b/packages/core/tests/test_tenant_overload.py
@@ -190,6 +190,7 @@
         if self.gate.enqueue(ticket, now_s) is None:
             wait_until_s = self.gate.wait_deadline_s(ticket, now_s)
             self._waiting[request] = wait_until_s
+            self._refuse_evicted(now_s)
             self._push(wait_until_s, self._give_up, request)
             self._start(now_s)
         else:
@@ -201,11 +202,13 @@
             self.refused_after_s.append(now_s - request.at_s)
             self._start(now_s)
 
-    def _start(self, now_s):
+    def _refuse_evicted(self, now_s):
         for evicted, _ in self.gate.shedding.evict(now_s):
             del self._waiting[evicted.call]
             self.evicted_count += 1
             self.refused_after_s.append(now_s - evicted.call.at_s)
+
+    def _start(self, now_s):
         while True:
             ticket = self.gate.start_next(now_s)
             if ticket is None:
