State the wait of a tenant's call itself when its gate refuses it

A sender gives up a refused request if the wait in the load report exceeds its objective. With tenants, that is the wait of the whole queue, so an urgent call that would go first was given up because less urgent ones were waiting. The refusal of a call with a tenant now states the wait at its rank in retry_after_ms, and AttemptOrder(has_tenant=True) uses it. RequestReader does not pass has_tenant yet, as requests carry no tenant yet; without it, nothing changes.

Evidence: TestTenants in test_attempt_order.py and TestStatedWait in test_evicted_calls.py, each with and without a tenant.

--- a/packages/core/src/cornelbeam_core/attempt_order.py
+++ b/packages/core/src/cornelbeam_core/attempt_order.py
@@ -65,14 +65,22 @@
 
     __slots__ = (
         '_asked_at_s',
+        '_has_tenant',
         '_is_nested',
         '_refusal_count',
         '_refusals',
         '_waited_at_s',
     )
 
-    def __init__(self, *, is_nested: bool = False) -> None:
-        """Start without refusals."""
+    def __init__(
+        self, *, is_nested: bool = False, has_tenant: bool = False
+    ) -> None:
+        """Start without refusals.
+
+        A gate ranks the calls of tenants: with ``has_tenant``, the wait that a
+        refusal states for the call itself counts instead of that of the queue.
+        """
+        self._has_tenant = has_tenant
         self._is_nested = is_nested
         self._refusals: dict[str, CornelbeamError] = {}
         self._asked_at_s: dict[str, float] = {}
@@ -158,10 +166,13 @@
                 continue
             if self._has_just_waited(candidate, left):
                 continue
-            ready_ms = load.wait_ms + load.service_time_us / US_PER_MS
-            is_in_time = not load.wait_ms or ready_ms <= left.objective_ms
+            wait_ms = load.wait_ms
+            if self._has_tenant:
+                wait_ms = min(wait_ms, error.retry_after_ms or wait_ms)
+            ready_ms = wait_ms + load.service_time_us / US_PER_MS
+            is_in_time = not wait_ms or ready_ms <= left.objective_ms
             if self._is_nested or is_in_time:
-                waits.append((load.wait_ms, candidate))
+                waits.append((wait_ms, candidate))
         if not waits:
             return None
         return min(waits, key=lambda each: each[0])[1]
--- a/packages/core/tests/test_attempt_order.py
+++ b/packages/core/tests/test_attempt_order.py
@@ -60,6 +60,25 @@
         assert order.choose(candidates(1), LEFT) is None
 
 
+class TestTenants:
+    """Guards against giving up a call that would go before the queue."""
+
+    @pytest.mark.parametrize(
+        ('has_tenant', 'own_wait_ms', 'expected'),
+        [(True, 100, 't1'), (True, 0, None), (False, 100, None)],
+    )
+    def test_wait_of_the_call_itself_counts(
+        self, has_tenant, own_wait_ms, expected
+    ):
+        order = AttemptOrder(has_tenant=has_tenant)
+        for name in ('t0', 't1'):
+            error = refusal(wait_ms=800)
+            error.retry_after_ms = own_wait_ms if name == 't1' else 700
+            order.note_refusal(name, error, 0)
+        choice = order.choose(candidates(2), LEFT)
+        assert (choice and choice.name) == expected
+
+
 class TestWaiting:
     """Guards against refusing callers when a short wait would suffice."""
 
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -286,7 +286,7 @@
         )
         if refusal is not None:
             self._gate.shedding.note_asked(ticket, self._loop.time())
-            raise self._refusal_error(refusal)
+            raise self._refusal_error(refusal, ticket=ticket)
 
     async def _make_ticket(self, call: Call) -> Ticket:
         """Return a ticket once the current speed of the host is known."""
@@ -312,7 +312,7 @@
             ticket, self._loop.time()
         )
         if refusal is not None:
-            raise self._refusal_error(refusal)
+            raise self._refusal_error(refusal, ticket=ticket)
         admitted: asyncio.Future[None] = self._loop.create_future()
         self._waiting[call] = admitted
         self._refuse_evicted()
@@ -346,7 +346,9 @@
             self._waiting.pop(call, None)
             self._admit_waiting()
             if isinstance(error, TimeoutError):
-                raise self._refusal_error(Refusal.FULL) from error
+                raise self._refusal_error(
+                    Refusal.FULL, ticket=ticket
+                ) from error
             raise
 
     def reevaluate_waiting(self) -> None:
@@ -401,9 +403,17 @@
         self._admit_waiting()
 
     def _refusal_error(
-        self, refusal: Refusal, detail: str = ''
+        self,
+        refusal: Refusal,
+        detail: str = '',
+        ticket: Ticket | None = None,
     ) -> CornelbeamError:
-        wait_s = self._gate.wait_s(self._loop.time())
+        now_s = self._loop.time()
+        behind_count = 0
+        if ticket is not None and ticket.tenant:
+            # The wait of this call, which doesn't go behind the whole queue.
+            behind_count = self._gate.shedding.behind_count(ticket, now_s)
+        wait_s = self._gate.wait_s(now_s, -behind_count)
         self._gate.shedding.refusal_counts[refusal.value] += 1
         return CornelbeamError(
             _REFUSAL_CODES[refusal],
--- a/packages/mesh/tests/test_evicted_calls.py
+++ b/packages/mesh/tests/test_evicted_calls.py
@@ -16,7 +16,9 @@
 AMPLE_MS = 60_000
 
 
-def new_call(node, number, *, priority, tenant='school') -> Call:
+def new_call(
+    node, number, *, priority, tenant='school', max_wait_ms=AMPLE_MS
+) -> Call:
     """Create a call without a body to the target of a node."""
     body = BodyBuffer()
     body.finish()
@@ -34,7 +36,7 @@
         request_id=f'request-{number}',
         body=RequestBody(body),
         priority=priority,
-        max_slot_wait_ms=AMPLE_MS,
+        max_slot_wait_ms=max_wait_ms,
         objective_ms=AMPLE_MS,
         route='read',
         tenant=tenant,
@@ -52,21 +54,53 @@
     return body.decode()
 
 
+def fill_queue(node, count):
+    """Start or queue calls of a tenant at a target that never answers."""
+    node.target.script = node.target.hang
+    return [
+        asyncio.create_task(
+            node.sidecar.admission.serve(new_call(node, number, priority=2))
+        )
+        for number in range(count)
+    ]
+
+
+class TestStatedWait:
+    """Guards against giving up a call that would go before the queue."""
+
+    @pytest.mark.parametrize(
+        ('tenant', 'is_shorter'), [('school', True), ('', False)]
+    )
+    async def test_refusal_states_the_wait_of_the_call(
+        self, harness, tenant, is_shorter
+    ):
+        node = await harness.add_node()
+        admission = node.sidecar.admission
+        count = admission.load_for('read').limit * 2
+        calls = fill_queue(node, count)
+        await wait_until(lambda: admission.work_count == count)
+        hasty = new_call(node, count, priority=0, tenant=tenant, max_wait_ms=1)
+        results = await asyncio.gather(
+            admission.serve(hasty), return_exceptions=True
+        )
+        error = results[0]
+        assert isinstance(error, CornelbeamError)
+        assert error.code is ErrorCode.OVERLOADED
+        assert (error.retry_after_ms < error.load.wait_ms) is is_shorter
+        for waiting in calls:
+            waiting.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+
 class TestEvictedCall:
     """Guards against evicted calls that run, or are never answered."""
 
     async def test_it_is_refused_like_one_that_is_not_admitted(self, harness):
         node = await harness.add_node()
-        node.target.script = node.target.hang
         admission = node.sidecar.admission
         limit = admission.load_for('read').limit
         count = limit * (QUEUE_PER_SLOT + 1)
-        calls = [
-            asyncio.create_task(
-                admission.serve(new_call(node, number, priority=2))
-            )
-            for number in range(count)
-        ]
+        calls = fill_queue(node, count)
         await wait_until(lambda: admission.work_count == count)
         urgent = asyncio.create_task(
             admission.serve(new_call(node, count, priority=0))
