Ask fewer peers while none of them has a fresh proof

Once all its sources have failed, a daemon now asks two of them in turn, not only after its proof has expired.

--- a/packages/core/src/cornelbeam_core/currency_sources.py
+++ b/packages/core/src/cornelbeam_core/currency_sources.py
@@ -22,7 +22,7 @@
 FAN_OUT: Final = 64
 # Readers of other failure domains that one daemon asks.
 _FAR_COUNT: Final = 3
-# Sources that a daemon without proof asks at once.
+# Sources that a daemon asks in one attempt after all of them have failed.
 _TURN_COUNT: Final = 2
 # Distinguishes these ranks from those of other choices among the same names.
 _KEY: Final = 'configuration currency'
@@ -100,8 +100,7 @@
 def take_turn(names: tuple[str, ...], attempt_count: int) -> tuple[str, ...]:
     """Return a few of the names, others with each attempt.
 
-    A daemon without proof has many sources to ask, and in an outage of the
-    store all daemons ask each other.
+    In an outage of the store, all daemons ask each other.
 
     >>> take_turn(('a', 'b', 'c', 'd'), 1)
     ('c', 'd')
--- a/packages/mesh/src/cornelbeam_mesh/configuration_currency.py
+++ b/packages/mesh/src/cornelbeam_mesh/configuration_currency.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import math
 from typing import Final, final
 
 import anyio
@@ -103,7 +102,7 @@
         self._wake = asyncio.Event()
         self._is_refusing = False
         self._failed_read_count = 0
-        # Attempts without a proof, which ask others in turn.
+        # Attempts while all sources are avoided, which ask others in turn.
         self._attempt_count = 0
         self._next_read_s = float('-inf')
         # Time since which this daemon has been looking for its first proof.
@@ -233,12 +232,13 @@
 
     async def _ask_peers(self, schedule: RenewalSchedule) -> bool:
         far_age_s = schedule.far_age_s(self._role())
+        avoided = self._avoided()
         names = order_sources(
             self._make_plan(),
-            self._avoided(),
+            avoided,
             is_far_allowed=self._counted_age_s(schedule) >= far_age_s,
         )
-        if schedule.expiry_s <= self.age_s() < math.inf:
+        if avoided.issuperset(names):
             self._attempt_count += 1
             names = take_turn(names, self._attempt_count)
         for name in names:
