Accept any positive bound of revocation

A platform that asks for less than a second would have kept the daemon from starting. A shorter bound only costs more calls and messages.

Evidence: test_settings_template.py passes.

--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -75,7 +75,7 @@
     cold_factor: float = 1.5
     cold_slack_count: float = 5
     grace_s: float = 6
-    revocation_ms: Annotated[int, msgspec.Meta(ge=1000)] | None = None
+    revocation_ms: Annotated[int, msgspec.Meta(ge=1)] | None = None
 
 
 class MeshLimits(Section, frozen=True):
