Look at the member entries only after one has changed

Each renewal went through all member entries several times to find out whom to ask, which grows with the fleet. The plan is now kept in a class of its own until a shared object changes.

The time was not measured.

--- a/packages/mesh/src/cornelbeam_mesh/configuration_currency.py
+++ b/packages/mesh/src/cornelbeam_mesh/configuration_currency.py
@@ -15,12 +15,7 @@
     Role,
     age_to_ms,
 )
-from cornelbeam_core.currency_sources import (
-    SourcePlan,
-    order_sources,
-    plan_sources,
-    take_turn,
-)
+from cornelbeam_core.currency_sources import order_sources, take_turn
 from cornelbeam_core.deadlines import MS_PER_S
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.shared_objects import Listing, era_of
@@ -31,6 +26,7 @@
 from prometheus_client import Counter
 
 from cornelbeam_mesh.boot_clock import read_boot_time_s
+from cornelbeam_mesh.currency_plan import CurrencyPlan
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.metrics import MeshMetrics
@@ -58,9 +54,6 @@
 
     __slots__ = (
         '_attempt_count',
-        '_avoided_until_s',
-        '_domain',
-        '_domains',
         '_early_read',
         '_failed_read_count',
         '_group',
@@ -91,7 +84,6 @@
         metrics: MeshMetrics,
     ) -> None:
         """Allow ``revocation_ms``; prefer sources in ``domain``."""
-        self._domain = domain
         self._state = state
         self._store_sync = store_sync
         self._peer_sync = peer_sync
@@ -111,9 +103,7 @@
         self._early_read: tuple[Listing, float] | None = None
         # Position of a configuration of another era that was pulled last.
         self._pulled_position = 0
-        self._avoided_until_s: dict[str, float] = {}
-        self._domains: dict[str, str] = {}
-        self._plan: SourcePlan | None = None
+        self._plan = CurrencyPlan(domain, state.members)
         self.clock = read_boot_time_s
         self._refusals: Counter | None = None
         if revocation_ms is not None:
@@ -168,7 +158,8 @@
         )
 
     def note_change(self) -> None:
-        """Start the renewal if the configuration has its first tenants."""
+        """Use changed members; start the renewal with the first tenants."""
+        self._plan.note_change()
         if self._searched_since_s is None and self._has_tenants():
             self._wake.set()
 
@@ -213,16 +204,7 @@
         )
 
     def _role(self) -> Role:
-        return self._make_plan().role_without(self._avoided())
-
-    def _avoided(self) -> frozenset[str]:
-        """Return the sources that have lately not answered or helped."""
-        now_s = self.clock()
-        return frozenset(
-            name
-            for name, until_s in self._avoided_until_s.items()
-            if until_s > now_s
-        )
+        return self._plan.role(self.clock())
 
     async def _renew(self, schedule: RenewalSchedule) -> bool:
         """Ask peers or the store until one of them has a fresh proof."""
@@ -232,9 +214,9 @@
 
     async def _ask_peers(self, schedule: RenewalSchedule) -> bool:
         far_age_s = schedule.far_age_s(self._role())
-        avoided = self._avoided()
+        avoided = self._plan.avoided(self.clock())
         names = order_sources(
-            self._make_plan(),
+            self._plan.get(),
             avoided,
             is_far_allowed=self._counted_age_s(schedule) >= far_age_s,
         )
@@ -261,12 +243,12 @@
         has_answered: asyncio.Event,
     ) -> None:
         avoided_until_s = self.clock() + schedule.revocation_s * _AVOIDANCE_PART
-        self._avoided_until_s[peer.name] = avoided_until_s
-        role, age_s = self._make_plan().role, self.age_s()
+        self._plan.avoid(peer.name, avoided_until_s)
+        role, age_s = self._plan.get().role, self.age_s()
         is_answered = await self._has_answer(schedule, peer)
         is_younger = self.age_s() < age_s
         if is_younger or (is_answered and not schedule.is_overdue(role, age_s)):
-            self._avoided_until_s.pop(peer.name, None)
+            self._plan.readmit(peer.name)
         has_answered.set()
 
     async def _has_answer(
@@ -291,7 +273,6 @@
                 sent_s,
             )
             self._log_renewal(schedule)
-        # A daemon of an earlier release answers with something else.
         return answer is not None
 
     async def _pull_of_other_era(
@@ -383,17 +364,3 @@
     def _has_tenants(self) -> bool:
         table = self._state.route_table
         return table is not None and table.tenants is not None
-
-    def _make_plan(self) -> SourcePlan:
-        own_name = self._state.members.own_name
-        domains = {
-            entry.name: entry.domain
-            for entry in self._state.members.others()
-            if not entry.is_leaving
-        }
-        domains[own_name] = self._domain
-        if self._plan is None or domains != self._domains:
-            self._domains = domains
-            self._avoided_until_s = {}
-            self._plan = plan_sources(own_name, domains)
-        return self._plan
--- a/packages/mesh/tests/test_revocation.py
+++ b/packages/mesh/tests/test_revocation.py
@@ -148,7 +148,7 @@
 
 
 def _rank(node) -> int:
-    return node.sidecar.currency._make_plan().role.standby_rank
+    return node.sidecar.currency._plan.get().role.standby_rank
 
 
 def has_lost_store(node) -> bool:
