Make the tests of revocation independent of the machine's speed

Two tests counted reads of the store and would have failed if a start took longer than a renewal period, and one if a daemon's turn to read came before the reader had renewed. Clocks now stand still or go forward in that order.

--- a/packages/mesh/tests/test_revocation.py
+++ b/packages/mesh/tests/test_revocation.py
@@ -16,7 +16,7 @@
     store_position,
 )
 from cornelbeam_core.tenants import TenantRule, digest_key
-from cornelbeam_mesh import store_sync
+from cornelbeam_mesh import configuration_currency, store_sync
 from cornelbeam_mesh.boot_clock import read_boot_time_s
 from cornelbeam_wire.gen import messages
 from mesh_harness import (
@@ -140,9 +140,9 @@
         for node in nodes:
             self.stores[node.name].is_cut = is_cut
 
-    def forward(self, seconds) -> None:
-        """Let time pass on all clocks; daemons notice when it is due."""
-        for node in self.nodes:
+    def forward(self, seconds, *nodes) -> None:
+        """Let time pass on clocks; daemons notice when it is due."""
+        for node in nodes or self.nodes:
             self.clocks[node.name].offset_s += seconds
             node.sidecar.currency._wake.set()
 
@@ -178,6 +178,13 @@
     return Fleet(harness)
 
 
+@pytest.fixture
+def _frozen_clock(monkeypatch) -> None:
+    """Keep proofs from ageing, so that nothing renews them."""
+    for module in (configuration_currency, store_sync):
+        monkeypatch.setattr(module, 'read_boot_time_s', lambda: 1000)
+
+
 class ScriptedMessenger:
     """Answers all queries by a script."""
 
@@ -200,6 +207,7 @@
 class TestStart:
     """Guards against a start that refuses keys, or asks the store again."""
 
+    @pytest.mark.usefixtures('_frozen_clock')
     async def test_first_listing_is_proof(self, fleet):
         node = await fleet.harness.add_node()
         assert serves(node)
@@ -270,8 +278,10 @@
 
     async def test_others_learn_from_the_reader(self, fleet):
         reader, *others = await fleet.add_domain(4)
-        fleet.forward(1.25)
-        for node in (reader, *others):
+        fleet.forward(1.25, reader)
+        await until_younger(reader, 1)
+        fleet.forward(1.25, *others)
+        for node in others:
             await until_younger(node, 1)
         assert fleet.stores[reader.name].read_count
         assert not any(fleet.stores[node.name].read_count for node in others)
@@ -361,6 +371,7 @@
 class TestRestoredStore:
     """Guards against keys that an older copy of the store holds again."""
 
+    @pytest.mark.usefixtures('_frozen_clock')
     async def test_first_listing_is_proof_once_peers_were_asked(self, fleet):
         fleet.harness.store.revision = store_position(2, 7)
         fleet.publish(8)
