--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -82,7 +82,6 @@
         self.is_suspect = False
         # Version of the configuration that it is routed by.
         self.configuration_version = 0
-        self.tenant: TenantRule | None = None
         # Time of the grant of its token of the quota of the tenant.
         self.quota_granted_s: float | None = None
         # Time that the caller has spent on earlier attempts.
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -78,7 +78,7 @@
     cold_factor: float = 1.5
     cold_slack_count: float = 5
     grace_s: float = 6
-    revocation_ms: Annotated[int, msgspec.Meta(ge=1000)] | None = None
+    revocation_ms: Annotated[int, msgspec.Meta(ge=1)] | None = None
     quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5
     quota_overage: Annotated[float, msgspec.Meta(ge=0)] = 0.1
     quota_slack_count: Annotated[float, msgspec.Meta(ge=0)] = 20
