Test that a new owner of a quota waits for the old one

The random schedules pass without the first second in which a new owner grants nothing, as a single overlap stays within the tolerance. This test adds daemons until one becomes the owner, while the earlier one does not know of it yet.

Evidence: it fails if the bucket of a new owner fills at once.

--- a/packages/core/tests/test_quota_schedules.py
+++ b/packages/core/tests/test_quota_schedules.py
@@ -50,6 +50,11 @@
     return count
 
 
+def learn_late(name) -> float:
+    """Return the longest time in which a daemon learns of a change."""
+    return CHANGE_DELAY_S
+
+
 def all_in_turn(number) -> str:
     """Choose all daemons evenly."""
     return f'place-{number % DAEMON_COUNT}'
@@ -174,6 +179,24 @@
         fleet.run(START_S + DURATION_S + 1)
         assert busiest_window(fleet.admitted_s) <= tolerated(LARGE)
 
+    def test_a_new_owner_waits_until_the_old_one_knows(self):
+        """Daemons are added until one of them is the new owner."""
+        fleet = make_fleet(LARGE)
+        owners = fleet.daemons['place-0'].owners
+        old = owners.owners('school', 'domain-0')[0]
+        new = ''
+        while owners.owners('school', 'domain-0')[0] != new:
+            new = f'new-{len(fleet.daemons)}'
+            fleet.add(new, 'domain-0', learn_late)
+            fleet.run(fleet.now_s)
+            owners = fleet.daemons[new].owners
+        fleet.run(fleet.now_s + CHANGE_DELAY_S / 2)
+        assert fleet._grant(old, 1).count == 1
+        assert fleet._grant(new, 1).count == 0
+        fleet.run(fleet.now_s + CHANGE_DELAY_S)
+        assert fleet._grant(old, 1).count == 0
+        assert fleet._grant(new, 1).count == 1
+
     def test_both_sides_of_a_partition_keep_it_together(self):
         fleet = make_fleet(LARGE)
         fleet.parts = {
