Grant own shares by the configuration in force, without a task

Under lasting load, one round of queries follows the other, and the rounds used the limit that was in force when the first request was read. A lowered limit then did not hold beside the owner. Own tokens are now granted by the configuration in force. A request beside the owner no longer starts a task.

Evidence: test_a_changed_limit_holds_for_requests_that_wait, which fails if the rule of the request is used.

--- a/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
+++ b/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
@@ -158,7 +158,7 @@
 
     def answer(self, stream: Stream, query: messages.QuotaRequest) -> None:
         """Answer the query of another daemon for tokens."""
-        grant = self._grant_to_peer(query.tenant, query.count)
+        grant = self._grant_own(query.tenant, query.count)
         wait_ms = None
         if grant.count < query.count:
             wait_ms = max(1, math.ceil(grant.wait_s * MS_PER_S))
@@ -167,7 +167,8 @@
             quota_grant=messages.QuotaGrant(count=grant.count, wait_ms=wait_ms),
         )
 
-    def _grant_to_peer(self, name: str, count: int) -> QuotaGrant:
+    def _grant_own(self, name: str, count: int) -> QuotaGrant:
+        """Grant tokens by the configuration in force."""
         if count <= 0:
             # It asks only whether this daemon answers.
             return QuotaGrant(0)
@@ -213,8 +214,12 @@
         if granted_s is not None:
             return granted_s
         if not tenant.is_asking:
-            if self._next_owner(rule, tenant, ()) is None:
+            owner = self._next_owner(rule, tenant, ())
+            if owner is None:
                 raise self._refusal(rule, tenant)
+            if owner == self._name and self._grant_own(rule.name, 1).count:
+                # The usual case beside an owner, without a task.
+                return now_s
             tenant.is_asking = True
             self._start_task(self._ask_owners(rule, tenant))
         waiting: asyncio.Future[float] = self._loop.create_future()
@@ -242,6 +247,7 @@
 
         Those that have arrived since get a round of their own.
         """
+        tenant.drop_ended()
         present = tuple(tenant.waiting)
         asked: set[str] = set()
         owner = self._next_owner(rule, tenant, asked)
@@ -262,7 +268,8 @@
         asked_s = self._loop.time()
         count = len(tenant.waiting)
         if owner == self._name:
-            grant = self._grant(rule, count)
+            # The requests may have been read by an earlier configuration.
+            grant = self._grant_own(rule.name, count)
         else:
             answer = await self._query(owner, rule.name, count)
             if answer is None:
--- a/packages/mesh/tests/test_tenant_quotas.py
+++ b/packages/mesh/tests/test_tenant_quotas.py
@@ -272,11 +272,37 @@
                 await quotas._take(FAST, quotas._loop.time() + 0.01)
         assert caught.value.code is ErrorCode.DEADLINE_PASSED
 
+    async def test_cancelled_requests_do_not_block_others(self, harness):
+        nodes = await add_nodes(harness, SLOW, ('north',))
+        fill(nodes)
+        quotas = nodes[0].sidecar.quotas
+        assert 0 < quotas._grant_own(TENANT, MANY).count < MANY
+        waiting = [
+            asyncio.ensure_future(quotas._take(SLOW, quotas._loop.time() + 9))
+            for _ in range(3)
+        ]
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        with pytest.raises(CornelbeamError) as caught:
+            await quotas._take(SLOW, quotas._loop.time() + LONG_S)
+        assert caught.value.code is ErrorCode.QUOTA_EXCEEDED
+
+    async def test_a_changed_limit_holds_for_requests_that_wait(self, harness):
+        """They were read by the configuration before."""
+        nodes = await add_nodes(harness, FAST, ('north',))
+        fill(nodes)
+        put_tenant(harness, SLOW, version=3)
+        await wait_until(partial(has_version, nodes[0], 3))
+        statuses = await send_many(nodes[0])
+        tolerated = nodes[0].sidecar.settings.bounds.quota_slack_count
+        assert 0 < statuses.count(OK) <= tolerated
+
     async def test_a_daemon_that_is_not_the_owner_grants_nothing(self, harness):
         nodes = await add_nodes(harness, FAST, ('north', 'north'))
         fill(nodes)
         other = next(node for node in nodes if node.name != owners(node)[0])
-        grant = other.sidecar.quotas._grant_to_peer(TENANT, 5)
+        grant = other.sidecar.quotas._grant_own(TENANT, 5)
         assert not grant.count
         assert grant.wait_s > 0
 
@@ -284,7 +310,7 @@
         nodes = await add_nodes(harness, FAST, ('north',))
         quotas = nodes[0].sidecar.quotas
         quotas._joined_at_s = None
-        assert not quotas._grant_to_peer(TENANT, 5).count
+        assert not quotas._grant_own(TENANT, 5).count
 
     async def test_a_reply_grants_no_more_than_was_asked_for(self, harness):
         nodes = await add_nodes(harness, FAST, ('north', 'north'))
