--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -47,6 +47,7 @@
         'is_nested',
         'is_suspect',
         'order',
+        'quota_granted_s',
         'reached_targets',
         'request',
         'request_id',
@@ -81,6 +82,8 @@
         self.is_suspect = False
         # Version of the configuration that it is routed by.
         self.configuration_version = 0
+        # Time of the grant of its token of the quota of the tenant.
+        self.quota_granted_s: float | None = None
         # Time that the caller has spent on earlier attempts.
         self.caller_spent_ms = 0
         # Targets that received the request.
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -1,7 +1,7 @@
 """Accepts connections of other daemons and dispatches their messages."""
 
 from collections.abc import Callable
-from typing import final
+from typing import Any, final
 
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor
@@ -12,6 +12,7 @@
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
 from cornelbeam_mesh.peer_sync import PeerSync
+from cornelbeam_mesh.tenant_quotas import TenantQuotas
 
 
 @final
@@ -19,7 +20,7 @@
     """Endpoint for the connections that other daemons open."""
 
     __slots__ = (
-        '_currency',
+        '_handlers',
         '_identity',
         '_messenger',
         '_on_control_message',
@@ -38,18 +39,26 @@
         revisions: RevisionExchange,
         quarantine: QuarantineSync,
         currency: ConfigurationCurrency,
+        quotas: TenantQuotas,
     ) -> None:
         """Serve calls through ``admission``.
 
         ``on_control_message`` is called with the name and address of a peer
         that sends a control message.
         """
-        self._currency = currency
         self._identity = identity
         self._peer_sync = peer_sync
         self._quarantine = quarantine
         self._messenger = messenger
         self._on_control_message = on_control_message
+        # By the field of the frame that holds the message.
+        self._handlers: dict[str, Callable[[Stream, Any], None]] = {
+            'config_pull': peer_sync.answer_pull,
+            'config_push': self._merge_push,
+            'configuration_age_query': currency.answer,
+            'ping': self._acknowledge,
+            'quota_request': quotas.answer,
+        }
         self.acceptor = PeerAcceptor(
             identity, admission, self._handle_control_message, revisions
         )
@@ -60,21 +69,19 @@
         peer = stream.connection.peer
         if peer is not None:
             self._on_control_message(peer.name, peer.address)
-        if frame.config_pull is not None:
-            self._peer_sync.answer_pull(stream, frame.config_pull)
-        elif frame.config_push is not None:
-            self._peer_sync.merge_push(
-                frame.config_push,
-                stream.connection.peer_name,
-            )
-        elif frame.configuration_age_query is not None:
-            self._currency.answer(stream)
-        elif frame.ping is not None:
-            self._acknowledge(stream)
-        else:
-            self._quarantine.answer(stream, frame, self._acknowledge)
+        for field, handle in self._handlers.items():
+            message = getattr(frame, field)
+            if message is not None:
+                handle(stream, message)
+                return
+        self._quarantine.answer(stream, frame, self._acknowledge)
 
-    def _acknowledge(self, stream: Stream) -> None:
+    def _merge_push(self, stream: Stream, push: messages.ConfigPush) -> None:
+        self._peer_sync.merge_push(push, stream.connection.peer_name)
+
+    def _acknowledge(
+        self, stream: Stream, ping: messages.Ping | None = None
+    ) -> None:
         self._messenger.reply(
             stream,
             ack=messages.Ack(
