--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -53,7 +53,7 @@
         self._on_control_message = on_control_message
         # By the field of the frame that holds the message.
         self._handlers: dict[str, Callable[[Stream, Any], None]] = {
-            'config_pull': peer_sync.answer_pull,
+            'config_pull': self._answer_pull,
             'config_push': self._merge_push,
             'configuration_age_query': currency.answer,
             'ping': self._acknowledge,
@@ -76,6 +76,9 @@
                 return
         self._quarantine.answer(stream, frame, self._acknowledge)
 
+    def _answer_pull(self, stream: Stream, pull: messages.ConfigPull) -> None:
+        self._peer_sync.answer_pull(stream, pull)
+
     def _merge_push(self, stream: Stream, push: messages.ConfigPush) -> None:
         self._peer_sync.merge_push(push, stream.connection.peer_name)
 
