Read the version of a target from its heartbeats

A rollout shifts traffic to targets of one version, but daemons did not know the version of a target. It is now part of the target's entry. Entries without it are read as before, and an odd version does not invalidate a heartbeat.

Evidence: tests/adapter/test_message_parser.py and packages/mesh/tests/test_members.py.

--- a/packages/mesh/src/cornelbeam_mesh/members.py
+++ b/packages/mesh/src/cornelbeam_mesh/members.py
@@ -34,6 +34,8 @@
     service: str
     slot_count: SlotCount
     is_draining: bool
+    # Empty if the target states none; daemons of earlier releases state none.
+    version: str = ''
 
 
 class MemberEntry(msgspec.Struct, frozen=True):
--- a/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
+++ b/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
@@ -62,7 +62,8 @@
     """State that a target reports to the daemon on its instance.
 
     ``started_ms`` is the start time in Unix milliseconds. It distinguishes runs
-    with the same ``instance``; each run restarts ``sequence``.
+    with the same ``instance``; each run restarts ``sequence``. ``version`` is
+    that of the target's software, empty if it states none.
     """
 
     instance: str
@@ -74,6 +75,7 @@
     slot_count: int
     is_draining: bool
     cold_remaining_ms: int
+    version: str = ''
 
 
 @final
--- a/packages/mesh/src/cornelbeam_mesh/registration.py
+++ b/packages/mesh/src/cornelbeam_mesh/registration.py
@@ -133,6 +133,7 @@
             service=heartbeat.service,
             slot_count=heartbeat.slot_count,
             is_draining=heartbeat.is_draining,
+            version=heartbeat.version,
         )
         self.is_target_known.set()
         self.on_heartbeat(heartbeat)
@@ -143,6 +144,7 @@
                 service=heartbeat.service,
                 sequence=heartbeat.sequence,
                 is_draining=heartbeat.is_draining,
+                version=heartbeat.version,
             )
             self.on_change()
 
--- a/packages/mesh/tests/test_members.py
+++ b/packages/mesh/tests/test_members.py
@@ -1,5 +1,7 @@
 """Entries that daemons hold of each other."""
 
+import dataclasses
+
 import msgspec
 import pytest
 from cornelbeam_core.shared_objects import SharedKind
@@ -7,6 +9,7 @@
     MemberEntry,
     Members,
     TargetEntry,
+    decode_member,
     encode_member,
 )
 from cornelbeam_mesh.peer_sync import PeerSync
@@ -47,6 +50,17 @@
         assert members.get('new') is not None
 
 
+class TestEarlierReleases:
+    """Guards against entries that daemons of two releases can't exchange."""
+
+    def test_entry_without_a_version_is_read(self):
+        stored = encode_member(entry('one', 1))
+        content = stored.content.replace(b',"version":""', b'')
+        assert content != stored.content
+        decoded = decode_member(dataclasses.replace(stored, content=content))
+        assert decoded.target.version == ''
+
+
 class TestOutdatedEntries:
     """Guards against a flood of pulls after a daemon has restarted."""
 
--- a/tests/adapter/test_message_parser.py
+++ b/tests/adapter/test_message_parser.py
@@ -48,6 +48,14 @@
         assert heartbeat.slot_count == 6
         assert not heartbeat.is_draining
 
+    @pytest.mark.parametrize(
+        ('stated', 'expected'), [('v1', 'v1'), (7, ''), (None, '')]
+    )
+    def test_odd_version_does_not_cost_the_target(self, stated, expected):
+        information = {**HEARTBEAT['information'], 'version': stated}
+        heartbeat = parse_registration(HEARTBEAT | {'information': information})
+        assert heartbeat.version == expected
+
     def test_deregistration(self):
         message = parse_registration({}, b'/cornelbeam/Instances.Leave/i-1')
         assert message == Deregistration('i-1')
