--- a/packages/core/tests/test_rollout_plan.py
+++ b/packages/core/tests/test_rollout_plan.py
@@ -26,7 +26,7 @@
     for tick in range(int(plan.final_at_s / TICK_S)):
         age_s = tick * TICK_S
         total_count += int(rate_per_s * TICK_S * rng.uniform(0.3, 1.7))
-        if rng.random() < 0.1:
+        if rng.randrange(10) == 0:
             spent_count = max(spent_count, reserved_count)
         traffic = Traffic(total_count, rate_per_s, spent_count)
         share = plan.share(age_s, traffic)
