Add messages and shared kinds of rollouts

The owner of an order asks gates for their counts, and all daemons learn the order and its progress as other shared objects. Nothing uses them yet, and daemons that don't know the messages ignore them.

--- a/packages/core/src/cornelbeam_core/shared_objects.py
+++ b/packages/core/src/cornelbeam_core/shared_objects.py
@@ -22,6 +22,13 @@
     CONFIGURATION = 'configuration'
     EVACUATION = 'evacuation'
     MEMBER = 'member'
+    ROLLOUT = 'rollout'
+    ROLLOUT_STEP = 'rollout_step'
+
+
+_DELETABLE_KINDS: Final = frozenset(
+    (SharedKind.EVACUATION, SharedKind.ROLLOUT, SharedKind.ROLLOUT_STEP)
+)
 
 
 @final
@@ -156,14 +163,14 @@
     def merge_listing(
         self, listing: Listing, *, is_settled: bool = True
     ) -> list[SharedObject]:
-        """Merge a listing; mark evacuations that it lacks as deleted.
+        """Merge a listing; mark what it lacks as deleted if that can be.
 
         A store that is not settled has just been restored and may lack what
         operators are about to write again, so what is older stays. Return all
         objects that changed.
         """
         changed = self.merge_all(listing.objects)
-        if listing.kind is not SharedKind.EVACUATION:
+        if listing.kind not in _DELETABLE_KINDS:
             # A configuration is replaced but never deleted, and members that
             # are gone are noticed by their peers.
             return changed
--- a/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
+++ b/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
@@ -158,5 +158,17 @@
     async def put_member(self, member: SharedObject) -> None:
         """Write a member entry unless the stored one is newer."""
 
+    async def write_object(
+        self,
+        written: SharedObject,
+        held: SharedObject | None,
+        *,
+        is_status: bool = False,
+    ) -> SharedObject:
+        """Write an object or its status if it is still as ``held``.
+
+        Without ``held``, create it. Return the object with its new position.
+        """
+
     async def close(self) -> None:
         """Close all connections to the store."""
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -3294,6 +3294,415 @@
         return not (self == other)
 
 
+class RolloutQuery(object):
+    """
+    Attributes:
+     - service_name
+     - order_key
+     - number
+     - phase
+     - granted_count
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'order_key',
+        'number',
+        'phase',
+        'granted_count',
+    )
+
+
+    def __init__(self, service_name=None, order_key=None, number=None, phase=None, granted_count=None,):
+        self.service_name = service_name
+        self.order_key = order_key
+        self.number = number
+        self.phase = phase
+        self.granted_count = granted_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.order_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.phase = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.granted_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutQuery')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order_key is not None:
+            oprot.writeFieldBegin('order_key', TType.STRING, 2)
+            oprot.writeString(self.order_key.encode('utf-8') if sys.version_info[0] == 2 else self.order_key)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.I32, 4)
+            oprot.writeI32(self.phase)
+            oprot.writeFieldEnd()
+        if self.granted_count is not None:
+            oprot.writeFieldBegin('granted_count', TType.I32, 5)
+            oprot.writeI32(self.granted_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.order_key is None:
+            raise TProtocolException(message='Required field order_key is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.phase is None:
+            raise TProtocolException(message='Required field phase is unset!')
+        if self.granted_count is None:
+            raise TProtocolException(message='Required field granted_count is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutRouteCounts(object):
+    """
+    Attributes:
+     - route
+     - request_count
+     - failure_count
+     - durations
+
+    """
+
+    __slots__ = (
+        'route',
+        'request_count',
+        'failure_count',
+        'durations',
+    )
+
+
+    def __init__(self, route=None, request_count=None, failure_count=None, durations=None,):
+        self.route = route
+        self.request_count = request_count
+        self.failure_count = failure_count
+        self.durations = durations
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.request_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.failure_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.durations = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readI32()
+                        self.durations.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutRouteCounts')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.request_count is not None:
+            oprot.writeFieldBegin('request_count', TType.I32, 2)
+            oprot.writeI32(self.request_count)
+            oprot.writeFieldEnd()
+        if self.failure_count is not None:
+            oprot.writeFieldBegin('failure_count', TType.I32, 3)
+            oprot.writeI32(self.failure_count)
+            oprot.writeFieldEnd()
+        if self.durations is not None:
+            oprot.writeFieldBegin('durations', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.durations))
+            for iter78 in self.durations:
+                oprot.writeI32(iter78)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.route is None:
+            raise TProtocolException(message='Required field route is unset!')
+        if self.request_count is None:
+            raise TProtocolException(message='Required field request_count is unset!')
+        if self.failure_count is None:
+            raise TProtocolException(message='Required field failure_count is unset!')
+        if self.durations is None:
+            raise TProtocolException(message='Required field durations is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RolloutCounts(object):
+    """
+    Attributes:
+     - order_key
+     - version
+     - phase
+     - granted_count
+     - request_count
+     - in_flight_count
+     - routes
+
+    """
+
+    __slots__ = (
+        'order_key',
+        'version',
+        'phase',
+        'granted_count',
+        'request_count',
+        'in_flight_count',
+        'routes',
+    )
+
+
+    def __init__(self, order_key=None, version=None, phase=None, granted_count=None, request_count=None, in_flight_count=None, routes=None,):
+        self.order_key = order_key
+        self.version = version
+        self.phase = phase
+        self.granted_count = granted_count
+        self.request_count = request_count
+        self.in_flight_count = in_flight_count
+        self.routes = routes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.order_key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.phase = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.granted_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.request_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.in_flight_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = RolloutRouteCounts()
+                        _elem84.read(iprot)
+                        self.routes.append(_elem84)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RolloutCounts')
+        if self.order_key is not None:
+            oprot.writeFieldBegin('order_key', TType.STRING, 1)
+            oprot.writeString(self.order_key.encode('utf-8') if sys.version_info[0] == 2 else self.order_key)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.STRING, 2)
+            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+            oprot.writeFieldEnd()
+        if self.phase is not None:
+            oprot.writeFieldBegin('phase', TType.I32, 3)
+            oprot.writeI32(self.phase)
+            oprot.writeFieldEnd()
+        if self.granted_count is not None:
+            oprot.writeFieldBegin('granted_count', TType.I32, 4)
+            oprot.writeI32(self.granted_count)
+            oprot.writeFieldEnd()
+        if self.request_count is not None:
+            oprot.writeFieldBegin('request_count', TType.I32, 5)
+            oprot.writeI32(self.request_count)
+            oprot.writeFieldEnd()
+        if self.in_flight_count is not None:
+            oprot.writeFieldBegin('in_flight_count', TType.I32, 6)
+            oprot.writeI32(self.in_flight_count)
+            oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter85 in self.routes:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.order_key is None:
+            raise TProtocolException(message='Required field order_key is unset!')
+        if self.version is None:
+            raise TProtocolException(message='Required field version is unset!')
+        if self.phase is None:
+            raise TProtocolException(message='Required field phase is unset!')
+        if self.granted_count is None:
+            raise TProtocolException(message='Required field granted_count is unset!')
+        if self.request_count is None:
+            raise TProtocolException(message='Required field request_count is unset!')
+        if self.in_flight_count is None:
+            raise TProtocolException(message='Required field in_flight_count is unset!')
+        if self.routes is None:
+            raise TProtocolException(message='Required field routes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3323,6 +3732,8 @@
      - configuration_age
      - quota_request
      - quota_grant
+     - rollout_query
+     - rollout_counts
 
     """
 
@@ -3353,10 +3764,12 @@
         'configuration_age',
         'quota_request',
         'quota_grant',
+        'rollout_query',
+        'rollout_counts',
     )
 
 
-    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None, revision=None, crash_report=None, quarantine_pull=None, configuration_age_query=None, configuration_age=None, quota_request=None, quota_grant=None,):
+    def __init__(self, stream_id=None, hello=None, call_start=None, body_part=None, answer_start=None, refusal=None, cancel=None, credit=None, outcome_query=None, outcome_reply=None, ping=None, ack=None, indirect_ping=None, view_request=None, view_reply=None, config_push=None, config_pull=None, probe_request=None, probe_reply=None, revision=None, crash_report=None, quarantine_pull=None, configuration_age_query=None, configuration_age=None, quota_request=None, quota_grant=None, rollout_query=None, rollout_counts=None,):
         self.stream_id = stream_id
         self.hello = hello
         self.call_start = call_start
@@ -3383,6 +3796,8 @@
         self.configuration_age = configuration_age
         self.quota_request = quota_request
         self.quota_grant = quota_grant
+        self.rollout_query = rollout_query
+        self.rollout_counts = rollout_counts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3547,6 +3962,18 @@
                     self.quota_grant.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.STRUCT:
+                    self.rollout_query = RolloutQuery()
+                    self.rollout_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.STRUCT:
+                    self.rollout_counts = RolloutCounts()
+                    self.rollout_counts.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3661,6 +4088,14 @@
             oprot.writeFieldBegin('quota_grant', TType.STRUCT, 26)
             self.quota_grant.write(oprot)
             oprot.writeFieldEnd()
+        if self.rollout_query is not None:
+            oprot.writeFieldBegin('rollout_query', TType.STRUCT, 40)
+            self.rollout_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.rollout_counts is not None:
+            oprot.writeFieldBegin('rollout_counts', TType.STRUCT, 41)
+            self.rollout_counts.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3916,6 +4351,34 @@
     (1, TType.I32, 'count', None, None, ),  # 1
     (2, TType.I32, 'wait_ms', None, None, ),  # 2
 )
+all_structs.append(RolloutQuery)
+RolloutQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'order_key', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.I32, 'phase', None, None, ),  # 4
+    (5, TType.I32, 'granted_count', None, None, ),  # 5
+)
+all_structs.append(RolloutRouteCounts)
+RolloutRouteCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'request_count', None, None, ),  # 2
+    (3, TType.I32, 'failure_count', None, None, ),  # 3
+    (4, TType.LIST, 'durations', (TType.I32, None, False), None, ),  # 4
+)
+all_structs.append(RolloutCounts)
+RolloutCounts.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'order_key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'phase', None, None, ),  # 3
+    (4, TType.I32, 'granted_count', None, None, ),  # 4
+    (5, TType.I32, 'request_count', None, None, ),  # 5
+    (6, TType.I32, 'in_flight_count', None, None, ),  # 6
+    (7, TType.LIST, 'routes', (TType.STRUCT, [RolloutRouteCounts, None], False), None, ),  # 7
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3945,6 +4408,21 @@
     (24, TType.STRUCT, 'configuration_age', [ConfigurationAge, None], None, ),  # 24
     (25, TType.STRUCT, 'quota_request', [QuotaRequest, None], None, ),  # 25
     (26, TType.STRUCT, 'quota_grant', [QuotaGrant, None], None, ),  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.STRUCT, 'rollout_query', [RolloutQuery, None], None, ),  # 40
+    (41, TType.STRUCT, 'rollout_counts', [RolloutCounts, None], None, ),  # 41
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -222,6 +222,36 @@
   2: optional i32 wait_ms
 }
 
+// Asks the daemon beside a target what it has counted since an order, and says
+// how much of the traffic its target may get.
+struct RolloutQuery {
+  1: required string service_name
+  2: required string order_key
+  // Increases with each query, also from one owner of the order to the next.
+  3: required i64 number
+  4: required i32 phase
+  // Requests that the target may get in all, if it has the new version.
+  5: required i32 granted_count
+}
+
+struct RolloutRouteCounts {
+  1: required string route
+  2: required i32 request_count
+  3: required i32 failure_count
+  // Answers that are no failures, by bucket of their duration.
+  4: required list<i32> durations
+}
+
+struct RolloutCounts {
+  1: required string order_key
+  2: required string version
+  3: required i32 phase
+  4: required i32 granted_count
+  5: required i32 request_count
+  6: required i32 in_flight_count
+  7: required list<RolloutRouteCounts> routes
+}
+
 struct Frame {
   1: required i32 stream_id
   2: optional Hello hello
@@ -251,4 +281,6 @@
   24: optional ConfigurationAge configuration_age
   25: optional QuotaRequest quota_request
   26: optional QuotaGrant quota_grant
+  40: optional RolloutQuery rollout_query
+  41: optional RolloutCounts rollout_counts
 }
