--- a/tests/adapter/fake_store.py
+++ b/tests/adapter/fake_store.py
@@ -24,20 +24,29 @@
         self.has_history = True
 
     def put(self, kind, name, specification) -> None:
-        """Write an object as an operator does."""
+        """Write an object as an operator does; its status stays."""
         self.revision += 1
+        stored = self.objects.get((kind, name))
+        created = self.revision
+        if stored is not None:
+            created = stored['metadata']['created']
         self.objects[kind, name] = {
             'metadata': {
                 'name': name,
                 'revision': self.revision,
-                'created': self.revision,
+                'created': created,
                 'finalizers': [],
                 'deleting': False,
             },
             'specification': specification,
-            'status': None,
+            'status': None if stored is None else stored['status'],
         }
 
+    def put_status(self, kind, name, status) -> None:
+        """Replace the status of an object."""
+        self.put(kind, name, self.objects[kind, name]['specification'])
+        self.objects[kind, name]['status'] = status
+
     def handle(self, request) -> httpx.Response:
         """Answer a request; all answers state the era."""
         response = self._answer(request)
@@ -97,6 +106,7 @@
         written = json.loads(request.content)
         expected_revision = written['metadata'].get('revision')
         name = name or written['metadata']['name']
+        name, _, part = name.partition('/')
         stored = self.objects.get((kind, name))
         if request.method == 'POST' and stored is not None:
             return httpx.Response(409, json=stored)
@@ -108,5 +118,8 @@
             and expected_revision != stored['metadata']['revision']
         ):
             return httpx.Response(409, json=stored)
-        self.put(kind, name, written['specification'])
+        if part == 'status':
+            self.put_status(kind, name, written['status'])
+        else:
+            self.put(kind, name, written['specification'])
         return httpx.Response(200, json=self.objects[kind, name])
