Choose targets by version while an order runs

Senders kept sending to all targets of a service whatever their version. With an order, a request goes to the new version with the probability of the share, and to an old target if the gates there have nothing left; without one the ranking is returned unchanged after one look-up.

--- a/packages/daemon/src/cornelbeam_daemon/logs.py
+++ b/packages/daemon/src/cornelbeam_daemon/logs.py
@@ -25,7 +25,7 @@
 FieldValue = str | int | float | bool
 
 PARTS: Final = frozenset(
-    ('caller', 'backend', 'member', 'config', 'relay', 'admin'),
+    ('caller', 'backend', 'member', 'config', 'relay', 'admin', 'rollout'),
 )
 LEVELS: Final = ('debug', 'info', 'warning', 'error')
 _REDACTED: Final = '[left out]'
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -18,6 +18,7 @@
 from cornelbeam_daemon.logs import get_log
 
 from cornelbeam_mesh.members import MemberEntry, Members, decode_member
+from cornelbeam_mesh.rollout_view import RolloutView
 
 _log = get_log('config')
 _configuration_decoder: Final = msgspec.json.Decoder(RoutingConfiguration)
@@ -44,6 +45,7 @@
         'is_configured',
         'members',
         'on_change',
+        'rollouts',
         'route_table',
         'store_revision',
     )
@@ -53,6 +55,7 @@
         self._objects = SharedObjects()
         self._configuration: RoutingConfiguration | None = None
         self.members = Members(own_name)
+        self.rollouts = RolloutView(self.members)
         self.route_table: RouteTable | None = None
         self.evacuated_domains: frozenset[str] = frozenset()
         self.is_configured = asyncio.Event()
@@ -206,8 +209,22 @@
             source=source,
         )
 
+    def apply_rollout(self, shared_object: SharedObject, source: str) -> None:
+        """Take over an order, and the step that may have come before it."""
+        self.rollouts.apply_order(shared_object, source)
+        step = self.get(SharedKind.ROLLOUT_STEP, shared_object.name)
+        if step is not None:
+            self.rollouts.apply_step(step, source)
+
+    def apply_rollout_step(
+        self, shared_object: SharedObject, source: str
+    ) -> None:
+        """Take over the progress of an order."""
+        self.rollouts.apply_step(shared_object, source)
+
     def apply_member(self, shared_object: SharedObject, source: str) -> None:
         """Update or remove the entry of a daemon."""
+        self.rollouts.forget_mixed()
         entry = (
             None if shared_object.is_deleted else decode_member(shared_object)
         )
@@ -235,6 +252,8 @@
     SharedKind.CONFIGURATION: FleetState.apply_configuration,
     SharedKind.EVACUATION: FleetState.apply_evacuation,
     SharedKind.MEMBER: FleetState.apply_member,
+    SharedKind.ROLLOUT: FleetState.apply_rollout,
+    SharedKind.ROLLOUT_STEP: FleetState.apply_rollout_step,
 }
 
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -220,7 +220,7 @@
             ),
         )
         choice = forwarded.order.choose(
-            ranked,
+            self._state.rollouts.arrange(forwarded.service, ranked),
             time_left(
                 now_s,
                 forwarded.deadline_s,
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_view.py
@@ -0,0 +1,243 @@
+"""Orders of rollouts as this daemon knows them, and the choice of versions."""
+
+import random
+import time
+from collections.abc import Callable, Iterable, Sequence
+from typing import Final, final
+
+import msgspec
+from cornelbeam_core.deadlines import MS_PER_S
+from cornelbeam_core.placement import Candidate
+from cornelbeam_core.rollout_orders import (
+    OrderState,
+    Phase,
+    RolloutOrder,
+    RolloutStep,
+    active_names,
+)
+from cornelbeam_core.shared_objects import SharedObject
+from cornelbeam_daemon.logs import get_log
+
+from cornelbeam_mesh.members import Members
+
+_log = get_log('rollout')
+_order_decoder: Final = msgspec.json.Decoder(RolloutOrder)
+_step_decoder: Final = msgspec.json.Decoder(RolloutStep)
+_ENDED_PHASES: Final = {
+    OrderState.COMPLETED: Phase.FINAL,
+    OrderState.ROLLED_BACK: Phase.STOPPED,
+}
+
+
+@final
+class ServiceRollout:
+    """The newest order of a service and its progress.
+
+    ``phase`` only increases; it is ``None`` before the first step.
+    ``ended`` is the final state, also if a restored store has lost it.
+    Versions in ``rejected`` belong to earlier orders that did not complete.
+    """
+
+    __slots__ = (
+        'ended',
+        'order',
+        'phase',
+        'rejected',
+        'seen_s',
+        'sign_s',
+        'step',
+        'step_seen_s',
+    )
+
+    def __init__(
+        self, order: RolloutOrder, rejected: frozenset[str], now_s: float
+    ) -> None:
+        """Start an order that this daemon has just learned of."""
+        self.order = order
+        self.rejected = rejected
+        self.phase: Phase | None = None
+        self.step: RolloutStep | None = None
+        self.ended: OrderState | None = None
+        self.seen_s = now_s
+        self.step_seen_s = float('-inf')
+        # Last time that the owner has shown that it is there.
+        self.sign_s = float('-inf')
+
+    @property
+    def share(self) -> float:
+        """Share of the requests that goes to the new version."""
+        if self.phase is Phase.TRIAL and self.step is not None:
+            return self.step.share
+        return int(self.phase is Phase.FINAL)
+
+    def age_s(self, now_s: float) -> float:
+        """Return the age of the order, as observed here or recorded."""
+        age_s = now_s - self.seen_s
+        if self.step is None:
+            return age_s
+        recorded_s = self.step.age_ms / MS_PER_S
+        return max(age_s, recorded_s + now_s - self.step_seen_s)
+
+    def note_phase(self, phase: Phase) -> None:
+        """Record a phase that the owner or a gate has stated."""
+        if self.phase is None or phase > self.phase:
+            self.phase = phase
+
+    def note_order(self, order: RolloutOrder) -> None:
+        """Record a changed status or duration of the same order."""
+        self.order = order
+        if order.ended_state is not None:
+            self.ended = order.ended_state
+            self.phase = _ENDED_PHASES[order.ended_state]
+
+
+@final
+class RolloutView:
+    """Orders by service; empty where no operator has written any."""
+
+    __slots__ = ('_members', '_mixed', '_rng', '_rollouts', 'now_s')
+
+    def __init__(
+        self,
+        members: Members,
+        now_s: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Start without orders; ``members`` knows the versions of targets."""
+        self._members = members
+        self.now_s = now_s
+        self._rng = rng or random.Random()
+        self._rollouts: dict[str, ServiceRollout] = {}
+        # Whether targets of several versions are known, by service.
+        self._mixed: dict[str, bool] = {}
+
+    def get(self, service: str) -> ServiceRollout | None:
+        """Return the newest order of a service."""
+        return self._rollouts.get(service)
+
+    def all(self) -> Iterable[ServiceRollout]:
+        """Return the newest order of each service."""
+        return tuple(self._rollouts.values())
+
+    def forget_mixed(self) -> None:
+        """Look up the versions again, as members have changed."""
+        self._mixed.clear()
+
+    def apply_order(self, shared_object: SharedObject, source: str) -> None:
+        """Take an order over that was written, changed or deleted."""
+        self.forget_mixed()
+        name = shared_object.name
+        known = self._rollouts.get(name)
+        if shared_object.is_deleted:
+            self._rollouts.pop(name, None)
+            _log.info('order deleted', service=name, source=source)
+            return
+        try:
+            order = _order_decoder.decode(shared_object.content)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            _log.error('invalid order ignored', service=name, why=str(error))
+            return
+        if known is None or known.order.key != order.key:
+            known = ServiceRollout(order, _rejected(known, order), self.now_s())
+            self._rollouts[name] = known
+            _log.info(
+                'order received',
+                service=name,
+                to_version=order.to_version,
+                duration_s=order.duration_s,
+                why=order.find_problem(),
+                source=source,
+            )
+        known.note_order(order)
+
+    def apply_step(self, shared_object: SharedObject, source: str) -> None:
+        """Take the progress of an order over."""
+        known = self._rollouts.get(shared_object.name)
+        if known is None or shared_object.is_deleted:
+            return
+        try:
+            step = _step_decoder.decode(shared_object.content)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            _log.error(
+                'invalid step ignored',
+                service=shared_object.name,
+                why=str(error),
+            )
+            return
+        if step.order_key != known.order.key:
+            return
+        if known.step is not None and step.number < known.step.number:
+            return
+        known.step = step
+        known.step_seen_s = self.now_s()
+        known.sign_s = known.step_seen_s
+        if known.ended is None:
+            known.note_phase(step.phase)
+
+    def is_mixed(self, service: str, to_version: str) -> bool:
+        """Return whether targets of other versions than the new are known.
+
+        False for an order that names no version: it changes nothing.
+        """
+        if not to_version:
+            return False
+        is_mixed = self._mixed.get(service)
+        if is_mixed is None:
+            is_mixed = any(
+                entry.target is not None
+                and entry.target.service == service
+                and entry.target.version != to_version
+                for entry in self._members.entries()
+            )
+            self._mixed[service] = is_mixed
+        return is_mixed
+
+    def arrange(
+        self, service: str, ranked: list[Candidate]
+    ) -> Sequence[Candidate]:
+        """Return the candidates that a request may be sent to, best first.
+
+        If the share sends it to the new version, the old one follows, as the
+        gates of the new version may have no requests left that were granted.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return ranked
+        order = rollout.order
+        if not self.is_mixed(service, order.to_version):
+            return ranked
+        new: list[Candidate] = []
+        old: list[Candidate] = []
+        for candidate in ranked:
+            version = self._version_of(candidate.name)
+            if version == order.to_version:
+                new.append(candidate)
+            elif version not in rollout.rejected:
+                old.append(candidate)
+        if rollout.phase is Phase.FINAL:
+            # If none is left, the gates of the old version decide.
+            return new or old
+        share = rollout.share
+        if not new or not share or self._rng.random() >= share:
+            return old
+        names = [each.name for each in new]
+        active = set(active_names(order.key, names, share))
+        return [each for each in new if each.name in active] + old
+
+    def _version_of(self, name: str) -> str:
+        entry = self._members.get(name)
+        if entry is None or entry.target is None:
+            return ''
+        return entry.target.version
+
+
+def _rejected(
+    known: ServiceRollout | None, order: RolloutOrder
+) -> frozenset[str]:
+    """Return the versions that a new order must not send anything to."""
+    if known is None:
+        return frozenset()
+    rejected = known.rejected
+    if known.ended is not OrderState.COMPLETED:
+        rejected |= {known.order.to_version}
+    return rejected - {order.to_version}
