Watch orders of rollouts only where the platform has them

Store calls are priced, so the kinds of rollouts are listed and watched only if bounds.exposure_share is set.

--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -64,7 +64,10 @@
     ``retry_ratio`` retries per request plus ``retry_slack_count``. A cold
     target receives at most ``cold_factor`` times the rate that it states plus
     ``cold_slack_count`` requests per second. A stopping daemon exits within
-    ``grace_s`` seconds.
+    ``grace_s`` seconds. In a rollout, a bad version receives at most
+    ``exposure_share`` of the requests of its service plus
+    ``exposure_slack_count``, and none later than ``rollback_ms`` after it has
+    shown to be bad. Without ``exposure_share`` there are no rollouts.
     """
 
     retry_ratio: float = 0.2
@@ -73,6 +76,9 @@
     cold_factor: float = 1.5
     cold_slack_count: float = 5
     grace_s: float = 6
+    exposure_share: float | None = None
+    exposure_slack_count: float = 50
+    rollback_ms: float = 5000
 
 
 class MeshLimits(Section, frozen=True):
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -46,6 +46,7 @@
 # Delay before something that the store answers unreadably is listed again.
 UNREADABLE_RETRY_S: Final = 0.8
 _WATCHED: Final = (SharedKind.CONFIGURATION, SharedKind.EVACUATION)
+ROLLOUT_KINDS: Final = (SharedKind.ROLLOUT, SharedKind.ROLLOUT_STEP)
 
 
 @final
@@ -67,6 +68,7 @@
         '_state',
         '_store',
         '_missing_revision',
+        '_watched',
         '_watches',
         '_write_requested',
         'is_listed',
@@ -78,8 +80,13 @@
         store: Store,
         state: FleetState,
         rng: random.Random,
+        more_kinds: tuple[SharedKind, ...] = (),
     ) -> None:
-        """Merge the objects of ``store`` into ``state``."""
+        """Merge the objects of ``store`` into ``state``.
+
+        ``more_kinds`` are watched besides those of each deployment.
+        """
+        self._watched = _WATCHED + more_kinds
         self._store = store
         self._state = state
         self._rng = rng
@@ -125,13 +132,13 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._poll_members)
             group.start_soon(self._write_own)
-            for kind in _WATCHED:
+            for kind in self._watched:
                 group.start_soon(self._watch, kind)
 
     async def _list_all_kinds(self) -> None:
         while not self.is_listed.is_set():
             try:
-                for kind in SharedKind:
+                for kind in (*self._watched, SharedKind.MEMBER):
                     revision = await self._list_readable(kind)
                     self._listed_at_revision[kind] = revision
             except CornelbeamError as error:
@@ -288,7 +295,7 @@
                     revision=revision_of(revision),
                     unwatched_ms=int((self._loop.time() - ended_s) * MS_PER_S),
                 )
-                if kind is SharedKind.EVACUATION:
+                if kind is not SharedKind.CONFIGURATION:
                     revision = await self._relist_settled(kind, revision)
             else:
                 self._reported_revision = max(self._reported_revision, revision)
