Count at the gate and keep to the granted requests

The gate beside a target counts what it receives and answers by route, with answers in transfer, and refuses what the owner of an order has not granted. It does so by itself, so a gate that is cut off stops too.

--- a/packages/daemon/src/cornelbeam_daemon/calls.py
+++ b/packages/daemon/src/cornelbeam_daemon/calls.py
@@ -127,6 +127,22 @@
         self.load = load
         self._on_close: Callable[[], None] | None = on_close
 
+    def notify_closed(self, notify: Callable[[], None]) -> None:
+        """Call ``notify`` once the answer has been closed.
+
+        At once if it is closed already.
+        """
+        on_close = self._on_close
+        if on_close is None:
+            notify()
+            return
+
+        def close() -> None:  # noqa: WPS430
+            on_close()
+            notify()
+
+        self._on_close = close
+
     def close(self) -> None:
         """Release what the answer holds; later calls do nothing."""
         on_close = self._on_close
--- a/packages/mesh/src/cornelbeam_mesh/admission.py
+++ b/packages/mesh/src/cornelbeam_mesh/admission.py
@@ -25,6 +25,7 @@
 from cornelbeam_daemon.suspect_runs import SuspectRuns
 
 from cornelbeam_mesh.members import TargetEntry
+from cornelbeam_mesh.rollout_gate import RolloutGate
 from cornelbeam_mesh.target_exchange import TargetExchange
 
 _log = get_log('backend')
@@ -66,6 +67,7 @@
         'on_slow_queue',
         'on_start',
         'origins',
+        'rollouts',
     )
 
     def __init__(
@@ -79,12 +81,15 @@
         is_evacuated: Callable[[], bool],
         quarantine: QuarantineSync,
         stop: StopDeadline,
+        rollouts: RolloutGate,
     ) -> None:
         """Admit calls to the target that ``target`` returns.
 
-        ``name`` is the name of this daemon. Calls end by the time of ``stop``.
+        ``name`` is the name of this daemon. Calls end by the time of ``stop``,
+        and ``rollouts`` refuses those that the target's version may not get.
         """
         self._stop = stop
+        self.rollouts = rollouts
         self.name = name
         self.ledger = ledger
         self.origins = CallOrigins()
@@ -183,11 +188,12 @@
         self.origins.start(call, call.deadline_s)
         self.on_start()
         try:
-            answer = await self._exchange.run(
+            exchange = self._exchange.run(
                 call,
                 target,
                 lambda: self._gate.may_send_again(self._loop.time()),
             )
+            answer = await self.rollouts.run(call, exchange)
             is_over = answer.body.is_ended
             answer.load = self.load_for(call.route)
             self._quarantine.note_answer(call)
@@ -249,6 +255,7 @@
             raise self._refusal_error(
                 Refusal.NO_TARGET, 'it serves another service'
             )
+        self.rollouts.check()
         self._quarantine.check(call.fingerprint)
         if call.target_incarnation != self.ledger.incarnation:
             raise CornelbeamError(ErrorCode.WRONG_INCARNATION, 'admission')
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -44,6 +44,7 @@
 from cornelbeam_mesh.peer_sync import PeerSync
 from cornelbeam_mesh.platform_adapter import PlatformAdapter, Store
 from cornelbeam_mesh.registration import Registration
+from cornelbeam_mesh.rollout_gate import RolloutGate
 from cornelbeam_mesh.settings import MeshSettings, split_address
 from cornelbeam_mesh.status_pages import StatusPages
 from cornelbeam_mesh.store_sync import StoreSync
@@ -170,6 +171,13 @@
             lambda: domain in self.state.evacuated_domains,
             self.quarantine,
             self._stop_deadline,
+            RolloutGate(
+                self.state.rollouts,
+                self._local_target,
+                self._gate,
+                ledger,
+                lambda: self.store_sync.is_reachable.is_set(),
+            ),
         )
         self._probe = TargetProbe(
             adapter,
