Own orders by conditional writes

One daemon carries an order out: the one whose write of the step succeeded. Eight candidates take over after a silence, so the number of store calls does not grow with the number of daemons.

--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -23,6 +23,7 @@
         '_on_control_message',
         '_peer_sync',
         '_quarantine',
+        '_rollouts',
         'acceptor',
     )
 
@@ -44,6 +45,7 @@
         self._identity = identity
         self._peer_sync = peer_sync
         self._quarantine = quarantine
+        self._rollouts = admission.rollouts
         self._messenger = messenger
         self._on_control_message = on_control_message
         self.acceptor = PeerAcceptor(
@@ -65,6 +67,9 @@
             )
         elif frame.ping is not None:
             self._acknowledge(stream)
+        elif frame.rollout_query is not None:
+            counts = self._rollouts.answer_query(frame.rollout_query)
+            self._messenger.reply(stream, rollout_counts=counts)
         else:
             self._quarantine.answer(stream, frame, self._acknowledge)
 
--- /dev/null
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -0,0 +1,294 @@
+"""Takes over orders that no other daemon carries out, and writes progress."""
+
+import heapq
+import zlib
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, final
+
+import anyio
+import msgspec
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.rollout_orders import OrderState, RolloutStep
+from cornelbeam_core.rollout_plan import ExposureBound
+from cornelbeam_core.shared_objects import SharedKind, SharedObject
+from cornelbeam_daemon.control_messages import Messenger
+from cornelbeam_daemon.logs import get_log
+
+from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_mesh.members import MemberEntry
+from cornelbeam_mesh.platform_adapter import Store
+from cornelbeam_mesh.rollout_driver import RolloutDriver
+from cornelbeam_mesh.rollout_gate import RolloutGate
+from cornelbeam_mesh.rollout_view import ServiceRollout
+from cornelbeam_mesh.settings import MeshBounds
+from cornelbeam_mesh.store_sync import ROLLOUT_KINDS
+
+_log = get_log('rollout')
+TICK_S: Final = 0.5
+# Daemons that may take an order over. More of them would make more store calls
+# if the store refuses the first ones.
+CANDIDATE_COUNT: Final = 8
+# Silence of an owner after which the first candidate takes over, and the
+# additional time of each further one.
+TAKEOVER_S: Final = 2.5
+TAKEOVER_STEP_S: Final = 0.7
+# A write that failed is repeated after this time.
+RETRY_S: Final = 1.0
+
+
+@final
+class RolloutOwner:
+    """Owner of orders: at most one daemon for each, by conditional writes."""
+
+    __slots__ = (
+        '_bound',
+        '_drivers',
+        '_failed_s',
+        '_gate',
+        '_is_store_reachable',
+        '_messenger',
+        '_name',
+        '_start_task',
+        '_state',
+        '_store',
+        '_writing',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        bound: ExposureBound,
+        state: FleetState,
+        gate: RolloutGate,
+        store: Store,
+        is_store_reachable: Callable[[], bool],
+        messenger: Messenger,
+        start_task: Callable[[Coroutine[Any, Any, None]], None],
+    ) -> None:
+        """Own orders as the daemon ``name``, beside whose target ``gate`` is.
+
+        Nothing is written while the store is unreachable.
+        """
+        self._name = name
+        self._bound = bound
+        self._state = state
+        self._gate = gate
+        self._store = store
+        self._is_store_reachable = is_store_reachable
+        self._messenger = messenger
+        self._start_task = start_task
+        # By service.
+        self._drivers: dict[str, RolloutDriver] = {}
+        self._failed_s: dict[str, float] = {}
+        # Services for which a write is on its way.
+        self._writing: set[str] = set()
+
+    async def run(self) -> None:
+        """Look after all orders until cancelled."""
+        while True:
+            await anyio.sleep(TICK_S)
+            for rollout in self._state.rollouts.all():
+                if rollout.order.ended_state is None:
+                    self._look_after(rollout)
+                else:
+                    self._drivers.pop(rollout.order.service, None)
+
+    def waiting_for(self, service: str) -> str:
+        """Return what an order of this daemon waits for, empty if nothing."""
+        driver = self._drivers.get(service)
+        return '' if driver is None else driver.waits_for
+
+    def _look_after(self, rollout: ServiceRollout) -> None:
+        service = rollout.order.service
+        driver = self._drivers.get(service)
+        if driver is not None and driver.rollout is not rollout:
+            driver = None
+            self._drivers.pop(service)
+        step = rollout.step
+        is_owner = step is not None and step.owner == self._name
+        if not is_owner:
+            self._drivers.pop(service, None)
+            if self._may_take_over(rollout):
+                self._take_over(rollout)
+            return
+        if driver is None:
+            # This daemon has restarted, or its first write has been confirmed
+            # by the watch only.
+            driver = self._make_driver(rollout)
+        if rollout.ended is not None:
+            # A restored store has lost the status.
+            self._write_status(rollout, rollout.ended)
+        elif not rollout.order.is_running:
+            self._write_status(rollout, OrderState.RUNNING)
+        if rollout.ended is None and not driver.is_busy:
+            self._start_task(driver.tick())
+
+    def _make_driver(self, rollout: ServiceRollout) -> RolloutDriver:
+        driver = RolloutDriver(
+            self._name,
+            rollout,
+            self._bound,
+            self._state,
+            self._gate,
+            self._messenger,
+            self._write_step,
+            self._write_status,
+        )
+        self._drivers[rollout.order.service] = driver
+        return driver
+
+    def _take_over(self, rollout: ServiceRollout) -> None:
+        if rollout.order.find_problem():
+            _log.warning(
+                'order refused',
+                service=rollout.order.service,
+                why=rollout.order.find_problem(),
+            )
+            self._write_status(rollout, OrderState.ROLLED_BACK)
+            return
+        driver = self._make_driver(rollout)
+        self._write_step(driver.first_step(self._state.rollouts.now_s()))
+
+    def _may_take_over(self, rollout: ServiceRollout) -> bool:
+        now_s = self._state.rollouts.now_s()
+        rank = self._rank(rollout)
+        if rank is None:
+            return False
+        wait_s = rank * TAKEOVER_STEP_S
+        if rollout.step is None:
+            return now_s - rollout.seen_s >= wait_s
+        return now_s - rollout.sign_s >= TAKEOVER_S + wait_s
+
+    def _rank(self, rollout: ServiceRollout) -> int | None:
+        """Return the position of this daemon among the candidates.
+
+        Daemons beside the new version come first: their gates know of a
+        missing owner by themselves.
+        """
+        order = rollout.order
+
+        def sort_key(entry: MemberEntry) -> tuple[int, int]:  # noqa: WPS430
+            distance = 2
+            if entry.target is not None and entry.serves(order.service):
+                distance = int(entry.target.version != order.to_version)
+            digest = zlib.crc32(f'{order.key}/{entry.name}'.encode())
+            return distance, digest
+
+        candidates = heapq.nsmallest(
+            CANDIDATE_COUNT,
+            (
+                entry
+                for entry in self._state.members.entries()
+                if not entry.is_leaving
+            ),
+            key=sort_key,
+        )
+        names = [entry.name for entry in candidates]
+        return names.index(self._name) if self._name in names else None
+
+    def _write_step(self, step: RolloutStep) -> None:
+        self._start_write(
+            step.service,
+            SharedObject(
+                SharedKind.ROLLOUT_STEP,
+                step.service,
+                0,
+                is_deleted=False,
+                content=msgspec.json.encode(step),
+            ),
+            self._state.get(SharedKind.ROLLOUT_STEP, step.service),
+        )
+
+    def _write_status(self, rollout: ServiceRollout, state: OrderState) -> None:
+        order = rollout.order
+        held = self._state.get(SharedKind.ROLLOUT, order.service)
+        if held is None or self._state.rollouts.get(order.service) is not (
+            rollout
+        ):
+            return
+        status = {'state': state.value, 'to_version': order.to_version}
+        self._start_write(
+            order.service,
+            SharedObject(
+                SharedKind.ROLLOUT,
+                order.service,
+                0,
+                is_deleted=False,
+                content=msgspec.json.encode(status),
+            ),
+            held,
+        )
+
+    def _start_write(
+        self, service: str, written: SharedObject, held: SharedObject | None
+    ) -> None:
+        """Start a write unless one is on its way or has just failed.
+
+        What is not written now is decided again at the next tick.
+        """
+        failed_s = self._failed_s.get(service, float('-inf'))
+        is_late = self._state.rollouts.now_s() - failed_s >= RETRY_S
+        if service in self._writing or not is_late:
+            return
+        if not self._is_store_reachable():
+            return
+        self._writing.add(service)
+        self._start_task(self._write(service, written, held))
+
+    async def _write(
+        self, service: str, written: SharedObject, held: SharedObject | None
+    ) -> None:
+        is_status = written.kind is SharedKind.ROLLOUT
+        try:
+            stored = await self._store.write_object(
+                written, held, is_status=is_status
+            )
+        except CornelbeamError as error:
+            # If it was written all the same, the watch reports it.
+            self._failed_s[service] = self._state.rollouts.now_s()
+            _log.info(
+                'progress not written',
+                service=service,
+                kind=written.kind.value,
+                why=str(error),
+            )
+        else:
+            if is_status:
+                _log.info(
+                    'status written',
+                    service=service,
+                    status=written.content.decode(),
+                )
+            self._state.merge([stored], 'store')
+        finally:
+            self._writing.discard(service)
+
+
+def rollout_kinds(bounds: MeshBounds) -> tuple[SharedKind, ...]:
+    """Return the kinds to watch; none where there are no rollouts."""
+    return () if bounds.exposure_share is None else ROLLOUT_KINDS
+
+
+def make_rollout_owner(
+    name: str,
+    bounds: MeshBounds,
+    state: FleetState,
+    gate: RolloutGate,
+    store: Store,
+    is_store_reachable: Callable[[], bool],
+    messenger: Messenger,
+    start_task: Callable[[Coroutine[Any, Any, None]], None],
+) -> RolloutOwner | None:
+    """Return an owner, ``None`` where there are no rollouts."""
+    if bounds.exposure_share is None:
+        return None
+    return RolloutOwner(
+        name,
+        ExposureBound(bounds.exposure_share, bounds.exposure_slack_count),
+        state,
+        gate,
+        store,
+        is_store_reachable,
+        messenger,
+        start_task,
+    )
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -45,6 +45,7 @@
 from cornelbeam_mesh.platform_adapter import PlatformAdapter, Store
 from cornelbeam_mesh.registration import Registration
 from cornelbeam_mesh.rollout_gate import RolloutGate
+from cornelbeam_mesh.rollout_owner import make_rollout_owner, rollout_kinds
 from cornelbeam_mesh.settings import MeshSettings, split_address
 from cornelbeam_mesh.status_pages import StatusPages
 from cornelbeam_mesh.store_sync import StoreSync
@@ -199,7 +200,19 @@
             lambda: self.state.store_revision,
             settings.instance.service,
         )
-        self.store_sync = StoreSync(store, self.state, self._rng)
+        self.store_sync = StoreSync(
+            store, self.state, self._rng, rollout_kinds(bounds)
+        )
+        self._rollout_owner = make_rollout_owner(
+            name,
+            bounds,
+            self.state,
+            self.admission.rollouts,
+            store,
+            self.store_sync.is_reachable.is_set,
+            self._messenger,
+            self._start_task,
+        )
         self.peer_sync = PeerSync(
             domain,
             self.state,
@@ -294,6 +307,8 @@
             group.start_soon(self.peer_sync.catch_up)
             group.start_soon(self._probe.run)
             group.start_soon(self._silence_monitor.run)
+            if self._rollout_owner is not None:
+                group.start_soon(self._rollout_owner.run)
             group.start_soon(expire_attempts, self.admission.ledger)
             group.start_soon(self._join)
             _log.info(
--- a/packages/mesh/tests/mesh_harness.py
+++ b/packages/mesh/tests/mesh_harness.py
@@ -9,7 +9,7 @@
 
 import anyio
 import msgspec
-from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 from cornelbeam_core.routes import (
     RequestKind,
     RouteRule,
@@ -76,6 +76,10 @@
         self.are_watches_silent = False
         self.fresh_list_count = 0
         self.write_count = 0
+        # Writes of orders and their steps.
+        self.written: list[SharedObject] = []
+        self.write_delay_s = 0
+        self.lost_answer_count = 0
         self.is_changed = asyncio.Event()
 
     def put(self, kind, name, content=b'', *, is_deleted=False) -> None:
@@ -126,6 +130,30 @@
         self.write_count += 1
         self.objects[member.kind, member.name] = member
 
+    async def write_object(self, written, held, *, is_status=False):
+        """Write an object or its status if the stored one is as ``held``."""
+        self._check()
+        self.written.append(written)
+        if self.write_delay_s:
+            await asyncio.sleep(self.write_delay_s)
+        stored = self.objects.get((written.kind, written.name))
+        if stored is not None and stored.is_deleted:
+            stored = None
+        if stored != held:
+            raise CornelbeamError(ErrorCode.STORE_CONFLICT, 'write')
+        content = written.content
+        if is_status:
+            content = with_status(stored.content, content)
+        self.put(written.kind, written.name, content)
+        if self.lost_answer_count:
+            self.lost_answer_count -= 1
+            raise CornelbeamError(
+                ErrorCode.STORE_UNAVAILABLE,
+                'write',
+                run_state=RunState.UNKNOWN,
+            )
+        return self.objects[written.kind, written.name]
+
     async def close(self) -> None:
         """Do nothing."""
 
@@ -134,6 +162,15 @@
             raise CornelbeamError(ErrorCode.STORE_UNAVAILABLE, 'call')
 
 
+def with_status(order, status) -> bytes:
+    """Return an encoded order with another status."""
+    fields = msgspec.json.decode(order)
+    stated = msgspec.json.decode(status)
+    fields['state'] = stated['state']
+    fields['state_version'] = stated['to_version']
+    return msgspec.json.encode(fields)
+
+
 _FIRST_PORT = 10_240
 _PORT_COUNT = 20_000
 # Concurrent test runs start at different ports.
@@ -196,8 +233,12 @@
 class Node:
     """One instance: a sidecar, its target and a caller."""
 
-    def __init__(self, number, domain, store, service=SERVICE) -> None:
+    def __init__(
+        self, number, domain, store, service=SERVICE, version='', bounds=()
+    ) -> None:
         """Choose free addresses for the listeners."""
+        self.version = version
+        self.bounds = {'grace_s': 5, **dict(bounds)}
         self.service = service
         self.name = f'place-{number}'
         self.domain = domain
@@ -224,7 +265,7 @@
                     'heartbeat_interval_ms': 1500,
                 },
                 'store': {'address': 'unused'},
-                'bounds': {'grace_s': 5},
+                'bounds': self.bounds,
             },
             MeshSettings,
         )
@@ -247,6 +288,7 @@
                 slot_count=8,
                 is_draining=is_draining,
                 cold_remaining_ms=0,
+                version=self.version,
             ),
         )
 
@@ -324,12 +366,20 @@
         self.group = group
         self.store = FakeStore()
         self.nodes: list[Node] = []
+        self.bounds: dict[str, float] = {}
 
     async def add_node(
-        self, domain='north', service=SERVICE, group=None
+        self, domain='north', service=SERVICE, group=None, version=''
     ) -> Node:
         """Start a node and wait until all nodes know its target."""
-        node = Node(len(self.nodes) + 1, domain, self.store, service)
+        node = Node(
+            len(self.nodes) + 1,
+            domain,
+            self.store,
+            service,
+            version,
+            self.bounds,
+        )
         self.nodes.append(node)
         await node.start(group or self.group)
         await wait_until(node.sidecar.store_sync.is_listed.is_set)
