Load few targets of a new version as completion would

A small share spread over all targets of a version never shows a fault under load. The share now goes to as many targets as would get it after completion, and to one spare target for what they refuse. Completion waits until less time is left, so that answers under the whole load are judged too.

--- a/packages/core/src/cornelbeam_core/rollout_orders.py
+++ b/packages/core/src/cornelbeam_core/rollout_orders.py
@@ -19,8 +19,6 @@
 # A shorter order leaves no time to judge a version and to drain the old one.
 MIN_DURATION_S: Final = 5.0
 MAX_DURATION_S: Final = 3600.0
-# Trials with a single target would depend on the state of one machine.
-MIN_ACTIVE_COUNT: Final = 2
 
 
 @final
@@ -134,14 +132,17 @@
 
 def active_names(
     order_key: str, names: Iterable[str], share: float
-) -> list[str]:
+) -> tuple[list[str], list[str]]:
     """Return the targets of the new version that a share is sent to.
 
-    They are as many as would get that share if all traffic went to the new
-    version, so that each is loaded as it would be then.
+    The first ones are as many as would get that share if all traffic went to
+    the new version, so that each is loaded as it would be then. The second
+    list holds a spare one, or none, for what the first ones refuse: a single
+    target may be down or cold.
 
-    >>> len(active_names('7/v2', ['a', 'b', 'c', 'd'], 0.1))
-    2
+    >>> active_names('7/v2', ['a', 'b', 'c', 'd'], 0.1)
+    (['a'], ['b'])
     """
     ranked = rank_by_hash(order_key, names)
-    return ranked[: max(MIN_ACTIVE_COUNT, math.ceil(share * len(ranked)))]
+    count = max(1, round(share * len(ranked)))
+    return ranked[:count], ranked[count : count + 1]
--- a/packages/core/src/cornelbeam_core/rollout_plan.py
+++ b/packages/core/src/cornelbeam_core/rollout_plan.py
@@ -12,6 +12,10 @@
 _FINAL_PART: Final = 0.25
 _MIN_FINAL_S: Final = 2.5
 _MAX_FINAL_S: Final = 5.0
+# Part of that time, and its least, that remains for the write of the status: a
+# store that is slow or loses answers takes some attempts.
+_STATUS_PART: Final = 0.6
+_MIN_STATUS_S: Final = 1.5
 # Part of the trial after which more of the bound is used.
 _LOAD_PART: Final = 0.7
 # Parts of the bound used in the first part of the trial and in its last one.
@@ -24,10 +28,12 @@
 _MAX_SHARE: Final = 0.5
 # Daemons learn a changed share over the store, so small changes aren't worth a
 # write.
-_SHARES: Final = (0.01, 0.02, 0.05, 0.1, 0.2, 0.3, _MAX_SHARE)
+_SHARES: Final = (0.01, 0.02, 0.05, 0.07, 0.1, 0.15, 0.2, 0.3, _MAX_SHARE)
 # Requests are reserved for the time until the next record.
 _RESERVED_S: Final = 2.5
 _MIN_RESERVED_COUNT: Final = 10
+# Granted to a target that stands in for the others.
+_SPARE_COUNT: Final = 2
 
 
 @final
@@ -65,13 +71,17 @@
     9.0
     """
 
-    __slots__ = ('_bound', 'duration_s', 'final_at_s')
+    __slots__ = ('_bound', 'complete_at_s', 'duration_s', 'final_at_s')
 
     def __init__(self, duration_s: float, bound: ExposureBound) -> None:
         """Plan an order of ``duration_s`` within a bound."""
         final_s = min(_MAX_FINAL_S, max(_MIN_FINAL_S, duration_s * _FINAL_PART))
         self.duration_s = duration_s
         self.final_at_s = duration_s - final_s
+        # Answers under the whole load are waited for until then.
+        self.complete_at_s = duration_s - max(
+            _MIN_STATUS_S, final_s * _STATUS_PART
+        )
         self._bound = bound
 
     def allowed_count(self, age_s: float, total_count: float) -> int:
@@ -129,24 +139,27 @@
         traffic: Traffic,
         share: float,
         gates: dict[str, tuple[int, int]],
+        spare: str = '',
     ) -> dict[str, int]:
         """Return how many more requests each gate may run.
 
         ``gates`` holds the number of granted and of received requests of the
         gates that get the share, by name. Together the gates get no more than
-        what is left of ``limit_count``, and each what it needs for a second.
+        what is left of ``limit_count``, and each what it needs for a second;
+        the gate ``spare`` gets only a few.
         """
         left_count = limit_count - traffic.spent_count
         granted: dict[str, int] = {}
         if not gates:
             return granted
-        needed_count = math.ceil(traffic.rate_per_s * share / len(gates)) + 1
+        full_count = math.ceil(traffic.rate_per_s * share / len(gates)) + 1
         fewest_first = sorted(
             gates, key=lambda name: gates[name][0] - gates[name][1]
         )
         for position, name in enumerate(fewest_first):
             granted_count, received_count = gates[name]
             part_count = math.ceil(left_count / (len(gates) - position))
+            needed_count = _SPARE_COUNT if name == spare else full_count
             missing_count = received_count + needed_count - granted_count
             more_count = max(0, min(part_count, missing_count, left_count))
             if more_count:
--- a/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
@@ -39,6 +39,8 @@
 SILENCE_MARGIN_S: Final = 1.8
 # Queries of one step.
 _QUERY_BITS: Final = 20
+# Granted and received requests by name.
+_GateCounts = dict[str, tuple[int, int]]
 WriteStep = Callable[[RolloutStep], None]
 WriteStatus = Callable[[ServiceRollout, OrderState], None]
 
@@ -160,6 +162,9 @@
     ) -> None:
         age_s = self.rollout.age_s(now_s)
         is_late = age_s >= self._plan.duration_s - SILENCE_MARGIN_S
+        if age_s < self._plan.complete_at_s:
+            self._renew(now_s, Phase.FINAL, 1, self._ledger.spent_count)
+            return
         busy = []
         for entry in entries:
             if not self._is_old(entry):
@@ -191,8 +196,9 @@
             step.reserved_count,
             self._plan.allowed_count(age_s, traffic.total_count),
         )
-        active = self._active_gates(share, now_s)
-        granted = self._plan.grant_counts(limit, traffic, share, active)
+        granted = self._plan.grant_counts(
+            limit, traffic, share, *self._active_gates(share, now_s)
+        )
         for entry in entries:
             self._ledger.grant(entry, now_s, granted.get(entry.name, 0))
         reserved = self._plan.reserve_count(
@@ -209,14 +215,16 @@
 
     def _active_gates(
         self, share: float, now_s: float
-    ) -> dict[str, tuple[int, int]]:
+    ) -> tuple[_GateCounts, str]:
+        """Return the counts of gates that get the share, and a spare one."""
         order = self.rollout.order
         serving = {entry.name: entry for entry in self._serving_new()}
+        active, spare = active_names(order.key, serving, share)
         gates = {}
-        for name in active_names(order.key, serving, share):
+        for name in active + spare:
             gate = self._ledger.gate(serving[name], now_s)
             gates[name] = gate.granted_count, gate.request_count
-        return gates
+        return gates, ''.join(spare)
 
     def _entries(self) -> list[MemberEntry]:
         return [
--- a/packages/mesh/src/cornelbeam_mesh/rollout_view.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_view.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from cornelbeam_core.deadlines import MS_PER_S
+from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.placement import Candidate
 from cornelbeam_core.rollout_orders import (
     OrderState,
@@ -29,6 +30,15 @@
 }
 
 
+# Step of the errors with which gates refuse what a rollout does not allow.
+REFUSAL_STEP: Final = 'rollout'
+
+
+def replacement_detail(order: RolloutOrder) -> str:
+    """Return the detail of a refusal because of the final phase."""
+    return f'its version is replaced by order {order.key}'
+
+
 @final
 class ServiceRollout:
     """The newest order of a service and its progress.
@@ -221,8 +231,21 @@
         if not new or not share or self._rng.random() >= share:
             return old
         names = [each.name for each in new]
-        active = set(active_names(order.key, names, share))
-        return [each for each in new if each.name in active] + old
+        active, spare = active_names(order.key, names, share)
+        first = [each for each in new if each.name in active]
+        second = [each for each in new if each.name in spare]
+        return first + second + old
+
+    def note_refusal(self, service: str, error: CornelbeamError) -> None:
+        """Learn from a gate that everything goes to the new version.
+
+        A daemon may learn of the final phase later than the gates.
+        """
+        rollout = self._rollouts.get(service)
+        if rollout is None or error.step != REFUSAL_STEP:
+            return
+        if error.detail == replacement_detail(rollout.order):
+            rollout.note_phase(Phase.FINAL)
 
     def _version_of(self, name: str) -> str:
         entry = self._members.get(name)
