Give senders time to learn of the final phase

A sender that learns of the final phase after the gates had its requests refused by each gate of the old version, and its caller got 503. Gates now close 0.4 s after they learn of the phase, and a sender learns it from the first refusal. The refusal has a code that daemons of earlier releases know. Counts of durations are sent without empty buckets: 72 gates would otherwise take a fifth of a 5 Mbit/s link.

The traffic is computed, not measured.

--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -398,6 +398,7 @@
             is_unreachable = True
             self._on_stale_entry(member)
         self._quarantine.note_refusal(forwarded.fingerprint, error)
+        self._state.rollouts.note_refusal(forwarded.service, error)
         if is_broken_off(error):
             forwarded.is_suspect = True
         is_refused = error.code is ErrorCode.BACKEND_REFUSED
--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -1,6 +1,7 @@
 """Counts at the gate beside a target, and its part of the exposure limit."""
 
 import asyncio
+import itertools
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, final
 
@@ -18,15 +19,24 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_mesh.members import TargetEntry
-from cornelbeam_mesh.rollout_view import RolloutView, ServiceRollout
+from cornelbeam_mesh.rollout_view import (
+    REFUSAL_STEP,
+    RolloutView,
+    ServiceRollout,
+    replacement_detail,
+)
 
 _log = get_log('rollout')
 _FIRST_ERROR_STATUS: Final = 500
+_LIMITED: Final = 'its version may get no more requests now'
 # The old version may be stopped from this time before the limit on, and a gate
 # that is cut off must have ended its requests. After the second time, the old
 # version has evidently not been stopped.
 CUT_OFF_BEFORE_S: Final = 3.5
 CUT_OFF_AFTER_S: Final = 3.0
+# Watches tell all daemons of a change within a few hundred milliseconds; until
+# then they still send to the old version.
+CLOSING_DELAY_S: Final = 0.4
 # An owner asks twice a second.
 CUT_OFF_SILENCE_S: Final = 2.5
 
@@ -52,6 +62,7 @@
     """
 
     __slots__ = (
+        '_final_at_s',
         '_gate',
         '_granted_count',
         '_is_store_reachable',
@@ -83,6 +94,8 @@
         self.in_flight_count = 0
         self._order_key = ''
         self._query_number = 0
+        # When this gate has learned of the final phase.
+        self._final_at_s: float | None = None
         self._granted_count = 0
         self._request_count = 0
         self._routes: dict[str, _RouteCount] = {}
@@ -105,8 +118,10 @@
             return
         reason = self._find_refusal(rollout, target)
         if reason:
+            # Daemons of earlier releases must know the code, as they take an
+            # unknown one for an unknown run state.
             raise CornelbeamError(
-                ErrorCode.NO_ELIGIBLE_TARGET, 'rollout', detail=reason
+                ErrorCode.NO_ELIGIBLE_TARGET, REFUSAL_STEP, detail=reason
             )
 
     async def run(
@@ -164,6 +179,9 @@
                     self._granted_count, query.granted_count
                 )
         phase = None if rollout is None else rollout.phase
+        if rollout is not None and phase is Phase.FINAL:
+            is_closed = target is None or self._is_closed(rollout)
+            phase = Phase.FINAL if is_closed else Phase.TRIAL
         return messages.RolloutCounts(
             order_key=self._order_key,
             version='' if target is None else target.version,
@@ -176,7 +194,7 @@
                     route=route,
                     request_count=each.request_count,
                     failure_count=each.failure_count,
-                    durations=list(each.durations),
+                    durations=_encode_durations(each.durations),
                 )
                 for route, each in self._routes.items()
             ],
@@ -190,16 +208,25 @@
         if not self._view.is_mixed(target.service, order.to_version):
             return ''
         if target.version == order.to_version:
-            if rollout.phase is Phase.FINAL:
-                return ''
-            if rollout.phase is not Phase.TRIAL:
-                return 'its version gets nothing'
             is_spent = self._request_count >= self._granted_count
-            return 'no requests left for its version' if is_spent else ''
-        if rollout.phase is Phase.FINAL or target.version in rollout.rejected:
-            return 'its version is replaced'
+            is_open = rollout.phase is Phase.FINAL or (
+                rollout.phase is Phase.TRIAL and not is_spent
+            )
+            return '' if is_open else _LIMITED
+        if target.version in rollout.rejected:
+            return _LIMITED
+        if rollout.phase is Phase.FINAL and self._is_closed(rollout):
+            return replacement_detail(order)
         is_left_alone = rollout.ended is None and self._is_left_alone(rollout)
-        return 'its version may be replaced' if is_left_alone else ''
+        return _LIMITED if is_left_alone else ''
+
+    def _is_closed(self, rollout: ServiceRollout) -> bool:
+        """Return whether senders have had time to learn of the final phase."""
+        now_s = self._view.now_s()
+        if self._final_at_s is None:
+            self._final_at_s = now_s
+        is_due = now_s - self._final_at_s >= CLOSING_DELAY_S
+        return is_due or rollout.ended is not None
 
     def _is_left_alone(self, rollout: ServiceRollout) -> bool:
         """Return whether the version may have been replaced unnoticed."""
@@ -216,6 +243,7 @@
             return
         self._order_key = rollout.order.key
         self._query_number = 0
+        self._final_at_s = None
         self._granted_count = 0
         self._request_count = 0
         self._routes = {}
@@ -244,3 +272,12 @@
 
     def _note_closed(self) -> None:
         self.in_flight_count -= 1
+
+
+def _encode_durations(durations: list[int]) -> list[int]:
+    """Return buckets and their counts alternately, without empty ones.
+
+    Most of the 32 buckets are empty, and links may be slow.
+    """
+    pairs = [each for each in enumerate(durations) if each[1]]
+    return list(itertools.chain.from_iterable(pairs))
--- a/packages/mesh/src/cornelbeam_mesh/rollout_ledger.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_ledger.py
@@ -1,11 +1,15 @@
 """What the gates of a service have counted and were granted."""
 
 from collections import deque
+from collections.abc import Sequence
 from typing import Final, final
 
 from cornelbeam_core.rollout_orders import Phase
 from cornelbeam_core.rollout_plan import Traffic
-from cornelbeam_core.rollout_verdict import RouteCounts
+from cornelbeam_core.rollout_verdict import (
+    DURATION_BUCKET_COUNT,
+    RouteCounts,
+)
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_mesh.members import MemberEntry
@@ -97,7 +101,9 @@
         slot = self._new if counts.version == self.to_version else self._old
         for each in counts.routes:
             total = RouteCounts(
-                each.request_count, each.failure_count, tuple(each.durations)
+                each.request_count,
+                each.failure_count,
+                _decode_durations(each.durations),
             )
             added = total.since(gate.routes.get(each.route))
             gate.routes[each.route] = total
@@ -127,3 +133,11 @@
         """Let a gate run more requests, from the next query to it on."""
         self.gate(entry, now_s).granted_count += more_count
         self.spent_count += more_count
+
+
+def _decode_durations(pairs: Sequence[int]) -> tuple[int, ...]:
+    """Return the count of each bucket; see ``RolloutRouteCounts``."""
+    counts = dict(zip(pairs[::2], pairs[1::2]))
+    return tuple(
+        counts.get(bucket, 0) for bucket in range(DURATION_BUCKET_COUNT)
+    )
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -238,7 +238,7 @@
   1: required string route
   2: required i32 request_count
   3: required i32 failure_count
-  // Answers that are no failures, by bucket of their duration.
+  // Buckets of durations and numbers of answers in them alternate.
   4: required list<i32> durations
 }
 
