Count no answer below 40 ms as slow

One of six runs of the partition test rolled a fine version back: its answers take a millisecond, and a busy event loop delays several at once. The reason of that stop was not recorded; a delay of the loop is the likely one.

--- a/packages/core/src/cornelbeam_core/rollout_verdict.py
+++ b/packages/core/src/cornelbeam_core/rollout_verdict.py
@@ -26,6 +26,8 @@
 # when it takes 1.4 to 2 times as long or more.
 _SLOW_BUCKET_DISTANCE: Final = 2
 _SLOW_QUANTILE: Final = 0.9
+# A busy daemon delays several answers at once by as much, whatever the version.
+_MIN_SLOW_S: Final = 0.04
 # Fewer answers of the old version show no quantile.
 _MIN_QUANTILE_COUNT: Final = 20
 # Slots of half a second that are compared, and those of the recent test, which
@@ -208,7 +210,10 @@
         for bucket, count in enumerate(total.durations):
             left_count -= count
             if left_count <= 0:
-                return bucket + _SLOW_BUCKET_DISTANCE
+                return max(
+                    bucket + _SLOW_BUCKET_DISTANCE,
+                    duration_bucket(_MIN_SLOW_S),
+                )
         return DURATION_BUCKET_COUNT
 
 
