Complete no order whose targets don't work

An order was completed although all targets of its version had crashed: requests that reach no target are no answers, so nothing was judged. Gates now state whether their target is open. At least half of the targets must be when everything is sent there and until completion, and closed ones get no share.

Evidence: test_new_targets_that_crash_cost_no_answer, which failed before.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
@@ -32,6 +32,8 @@
 RENEWAL_S: Final = 1.5
 # Granted before the rate of requests is known.
 FIRST_RESERVED_COUNT: Final = 15
+# An older answer says nothing about a target.
+OPEN_AGE_S: Final = 2.0
 # Gates that are silent for this time are gone or have closed by themselves.
 SILENCE_S: Final = 4.0
 # Time before the limit until which silent gates are waited for; a slow store
@@ -127,15 +129,25 @@
         elif self._judge.is_bad():
             await self._stop(now_s, 'the version is bad')
         elif rollout.phase is Phase.FINAL:
-            self._try_to_complete(entries, now_s)
+            await self._watch_final(entries, now_s)
         elif rollout.age_s(now_s) >= self._plan.final_at_s:
             await self._begin_final(now_s, traffic)
         else:
             self._continue_trial(entries, now_s, traffic)
 
+    async def _watch_final(
+        self, entries: list[MemberEntry], now_s: float
+    ) -> None:
+        if self._is_available(now_s):
+            self._try_to_complete(entries, now_s)
+        else:
+            await self._stop(now_s, 'too few targets of the version')
+
     async def _begin_final(self, now_s: float, traffic: Traffic) -> None:
-        if not self._serving_new():
-            await self._stop(now_s, 'no target of the version')
+        if not self._is_available(now_s):
+            self.waits_for = 'targets of the new version'
+            if self.rollout.age_s(now_s) >= self._plan.complete_at_s:
+                await self._stop(now_s, 'too few targets of the version')
         elif self._judge.is_bad(is_last=True):
             await self._stop(now_s, 'the version is probably bad')
         elif self._may_write(now_s):
@@ -218,7 +230,7 @@
     ) -> tuple[_GateCounts, str]:
         """Return the counts of gates that get the share, and a spare one."""
         order = self.rollout.order
-        serving = {entry.name: entry for entry in self._serving_new()}
+        serving = {entry.name: entry for entry in self._open_new(now_s)}
         active, spare = active_names(order.key, serving, share)
         gates = {}
         for name in active + spare:
@@ -247,6 +259,27 @@
             if entry.name in names and not self._is_old(entry)
         ]
 
+    def _open_new(self, now_s: float) -> list[MemberEntry]:
+        """Return the new targets that work, as their gates have just said."""
+        entries = self._serving_new()
+        gates = [self._ledger.gate(entry, now_s) for entry in entries]
+        return [
+            entry
+            for entry, gate in zip(entries, gates)
+            if gate.is_open and now_s - gate.replied_s < OPEN_AGE_S
+        ]
+
+    def _is_available(self, now_s: float) -> bool:
+        """Return whether the new version can take all requests.
+
+        Half of its targets suffice: a third of all daemons may be cut off.
+        """
+        known_count = len(self._entries()) - sum(
+            self._is_old(entry) for entry in self._entries()
+        )
+        open_count = len(self._open_new(now_s))
+        return open_count > 0 and open_count * 2 >= known_count
+
     def _is_old(self, entry: MemberEntry) -> bool:
         target = entry.target
         return (
--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -65,6 +65,7 @@
         '_final_at_s',
         '_gate',
         '_granted_count',
+        '_is_open',
         '_is_store_reachable',
         '_ledger',
         '_local_target',
@@ -83,6 +84,7 @@
         gate: TargetGate,
         ledger: AttemptLedger,
         is_store_reachable: Callable[[], bool],
+        is_open: Callable[[], bool],
     ) -> None:
         """Count for the target that ``local_target`` returns."""
         self._view = view
@@ -90,6 +92,7 @@
         self._gate = gate
         self._ledger = ledger
         self._is_store_reachable = is_store_reachable
+        self._is_open = is_open
         # Includes answers in transfer, since the start of this daemon.
         self.in_flight_count = 0
         self._order_key = ''
@@ -189,6 +192,7 @@
             granted_count=self._granted_count,
             request_count=self._request_count,
             in_flight_count=self.in_flight_count,
+            is_open=self._is_open(),
             routes=[
                 messages.RolloutRouteCounts(
                     route=route,
--- a/packages/mesh/src/cornelbeam_mesh/rollout_ledger.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_ledger.py
@@ -28,6 +28,7 @@
         'failure_count',
         'granted_count',
         'in_flight_count',
+        'is_open',
         'phase',
         'replied_s',
         'request_count',
@@ -41,6 +42,7 @@
         self.request_count = 0
         self.in_flight_count = 0
         self.failure_count = 0
+        self.is_open = False
         self.phase = 0
         self.version = ''
         # Time when the last answered query was sent.
@@ -95,6 +97,7 @@
         gate.phase = counts.phase
         gate.in_flight_count = counts.in_flight_count
         gate.version = counts.version
+        gate.is_open = bool(counts.is_open)
         gate.granted_count = max(gate.granted_count, counts.granted_count)
         self.total_count += max(0, counts.request_count - gate.request_count)
         gate.request_count = counts.request_count
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -178,6 +178,7 @@
                 self._gate,
                 ledger,
                 lambda: self.store_sync.is_reachable.is_set(),
+                lambda: self.admission.is_open(),
             ),
         )
         self._probe = TargetProbe(
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -3550,6 +3550,7 @@
      - request_count
      - in_flight_count
      - routes
+     - is_open
 
     """
 
@@ -3561,10 +3562,11 @@
         'request_count',
         'in_flight_count',
         'routes',
+        'is_open',
     )
 
 
-    def __init__(self, order_key=None, version=None, phase=None, granted_count=None, request_count=None, in_flight_count=None, routes=None,):
+    def __init__(self, order_key=None, version=None, phase=None, granted_count=None, request_count=None, in_flight_count=None, routes=None, is_open=None,):
         self.order_key = order_key
         self.version = version
         self.phase = phase
@@ -3572,6 +3574,7 @@
         self.request_count = request_count
         self.in_flight_count = in_flight_count
         self.routes = routes
+        self.is_open = is_open
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3623,6 +3626,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3664,6 +3672,10 @@
                 iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_open is not None:
+            oprot.writeFieldBegin('is_open', TType.BOOL, 8)
+            oprot.writeBool(self.is_open)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4378,6 +4390,7 @@
     (5, TType.I32, 'request_count', None, None, ),  # 5
     (6, TType.I32, 'in_flight_count', None, None, ),  # 6
     (7, TType.LIST, 'routes', (TType.STRUCT, [RolloutRouteCounts, None], False), None, ),  # 7
+    (8, TType.BOOL, 'is_open', None, None, ),  # 8
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -250,6 +250,8 @@
   5: required i32 request_count
   6: required i32 in_flight_count
   7: required list<RolloutRouteCounts> routes
+  // Whether the target accepts requests, apart from the rollout.
+  8: optional bool is_open
 }
 
 struct Frame {
