Show the share, failures and waits of rollouts

Operators could not see how far an order is. The share and the requests and failures of the own target since the order are exported while an order is known, and the step in the store says what its owner waits for.

Evidence: TestMetrics in packages/mesh/tests/test_rollouts.py.

--- a/packages/core/src/cornelbeam_core/rollout_orders.py
+++ b/packages/core/src/cornelbeam_core/rollout_orders.py
@@ -110,7 +110,8 @@
 
     ``number`` increases with each record. ``age_ms`` is the age of the order
     then. At most ``reserved_count`` requests are granted to the gates of the
-    new version until the next record.
+    new version until the next record. ``waits_for`` says what the owner waits
+    for, empty if for nothing but time.
     """
 
     service: str
@@ -121,6 +122,7 @@
     share: float
     age_ms: int
     reserved_count: int
+    waits_for: str = ''
 
 
 def rank_by_hash(key: str, names: Iterable[str]) -> list[str]:
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -11,6 +11,7 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.registry import Collector
 
 # From less than the duration of a short call up to the longest timeout.
 _BUCKETS_S: Final = (0.05, 0.1, 0.15, 0.25, 0.5, 0.75, 1, 1.5, 2.5, 5, 10)
@@ -107,6 +108,10 @@
             unreadable_count,
         )
 
+    def add_collector(self, collector: Collector) -> None:
+        """Add metrics that exist only at times."""
+        self._registry.register(collector)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
@@ -145,9 +145,11 @@
 
     async def _begin_final(self, now_s: float, traffic: Traffic) -> None:
         if not self._is_available(now_s):
-            self.waits_for = 'targets of the new version'
+            self._wait_for('targets of the new version')
             if self.rollout.age_s(now_s) >= self._plan.complete_at_s:
                 await self._stop(now_s, 'too few targets of the version')
+            else:
+                self._renew(now_s, Phase.TRIAL, 0, self._ledger.spent_count)
         elif self._judge.is_bad(is_last=True):
             await self._stop(now_s, 'the version is probably bad')
         elif self._may_write(now_s):
@@ -185,17 +187,21 @@
             is_silent = now_s - gate.replied_s >= SILENCE_S
             if not gate.is_idle and not (is_silent and is_late):
                 busy.append(entry.name)
-        self.waits_for = ' '.join(busy)
+        self._wait_for(' '.join(busy))
         if busy:
-            _log.info(
-                'completion waits for the old version',
-                service=self.rollout.order.service,
-                waits_for=self.waits_for,
-            )
             self._renew(now_s, Phase.FINAL, 1, self._ledger.spent_count)
         else:
             self._write_status(self.rollout, OrderState.COMPLETED)
 
+    def _wait_for(self, waits_for: str) -> None:
+        if waits_for and waits_for != self.waits_for:
+            _log.info(
+                'order waits',
+                service=self.rollout.order.service,
+                waits_for=waits_for,
+            )
+        self.waits_for = waits_for
+
     def _continue_trial(
         self, entries: list[MemberEntry], now_s: float, traffic: Traffic
     ) -> None:
@@ -357,4 +363,5 @@
             share,
             int(rollout.age_s(now_s) * MS_PER_S),
             reserved_count,
+            self.waits_for,
         )
--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -93,11 +93,6 @@
                 else:
                     self._drivers.pop(rollout.order.service, None)
 
-    def waiting_for(self, service: str) -> str:
-        """Return what an order of this daemon waits for, empty if nothing."""
-        driver = self._drivers.get(service)
-        return '' if driver is None else driver.waits_for
-
     def _look_after(self, rollout: ServiceRollout) -> None:
         service = rollout.order.service
         driver = self._drivers.get(service)
@@ -187,6 +182,14 @@
         return names.index(self._name) if self._name in names else None
 
     def _write_step(self, step: RolloutStep) -> None:
+        _log.debug(
+            'step planned',
+            service=step.service,
+            number=step.number,
+            phase=step.phase.name.lower(),
+            share=step.share,
+            reserved_count=step.reserved_count,
+        )
         self._start_write(
             step.service,
             SharedObject(
--- a/packages/mesh/src/cornelbeam_mesh/rollout_view.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_view.py
@@ -178,6 +178,16 @@
             return
         if known.step is not None and step.number < known.step.number:
             return
+        if known.step is None or known.step.share != step.share:
+            _log.info(
+                'share changed',
+                service=step.service,
+                to_version=known.order.to_version,
+                share=step.share,
+                phase=step.phase.name.lower(),
+                owner=step.owner,
+                source=source,
+            )
         known.step = step
         known.step_seen_s = self.now_s()
         known.sign_s = known.step_seen_s
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -45,6 +45,7 @@
 from cornelbeam_mesh.platform_adapter import PlatformAdapter, Store
 from cornelbeam_mesh.registration import Registration
 from cornelbeam_mesh.rollout_gate import RolloutGate
+from cornelbeam_mesh.rollout_metrics import RolloutCollector
 from cornelbeam_mesh.rollout_owner import make_rollout_owner, rollout_kinds
 from cornelbeam_mesh.settings import MeshSettings, split_address
 from cornelbeam_mesh.status_pages import StatusPages
@@ -266,6 +267,11 @@
             lambda: self.quarantine.count,
             lambda: store.unreadable_count,
         )
+        self.metrics.add_collector(
+            RolloutCollector(
+                self.state.rollouts, self.admission.rollouts, self._local_target
+            )
+        )
 
     def stop(self) -> None:
         """Request a planned stop."""
--- a/packages/mesh/tests/test_rollouts.py
+++ b/packages/mesh/tests/test_rollouts.py
@@ -91,6 +91,24 @@
         assert fleet.state == 'rolled_back'
 
 
+class TestMetrics:
+    """Guards against a rollout that operators can't follow."""
+
+    async def test_share_and_failures_are_exported(self, fleet):
+        await fleet.start(1, 1)
+        new = fleet.new[0]
+        new.target.script = new.target.fail
+        assert 'rollout' not in new.sidecar.metrics.render().decode()
+        async with fleet.traffic():
+            fleet.order()
+            await fleet.until('completed', 'rolled_back')
+        text = new.sidecar.metrics.render().decode()
+        labels = '{service="windows",version="v2"}'
+        assert f'cornelbeam_rollout_share{labels} 0.0' in text
+        count = new.sidecar.admission.rollouts.request_count
+        assert f'cornelbeam_rollout_failures{labels} {count:.1f}' in text
+
+
 class TestOtherDeployments:
     """Guards against calls and messages where there are no rollouts."""
 
