--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -224,7 +224,7 @@
 
     def apply_member(self, shared_object: SharedObject, source: str) -> None:
         """Update or remove the entry of a daemon."""
-        self.rollouts.forget_mixed()
+        self.rollouts.forget_versions()
         entry = (
             None if shared_object.is_deleted else decode_member(shared_object)
         )
--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -209,7 +209,7 @@
     ) -> str:
         order = rollout.order
         self._follow(rollout)
-        if not self._view.is_mixed(target.service, order.to_version):
+        if not self._view.is_mixed(rollout):
             return ''
         if target.version == order.to_version:
             is_spent = self._request_count >= self._granted_count
--- a/packages/mesh/src/cornelbeam_mesh/rollout_view.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_view.py
@@ -3,6 +3,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
 from typing import Final, final
 
 import msgspec
@@ -101,11 +102,24 @@
             self.phase = _ENDED_PHASES[order.ended_state]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Versions:
+    """Daemons beside targets of the new version, and of those it replaces.
+
+    ``has_others`` also holds if only rejected versions are left.
+    """
+
+    new: frozenset[str]
+    old: frozenset[str]
+    has_others: bool
+
+
 @final
 class RolloutView:
     """Orders by service; empty where no operator has written any."""
 
-    __slots__ = ('_members', '_mixed', '_rng', '_rollouts', 'now_s')
+    __slots__ = ('_members', '_rng', '_rollouts', '_versions', 'now_s')
 
     def __init__(
         self,
@@ -118,8 +132,8 @@
         self.now_s = now_s
         self._rng = rng or random.Random()
         self._rollouts: dict[str, ServiceRollout] = {}
-        # Whether targets of several versions are known, by service.
-        self._mixed: dict[str, bool] = {}
+        # By service, until members or orders change.
+        self._versions: dict[str, _Versions] = {}
 
     def get(self, service: str) -> ServiceRollout | None:
         """Return the newest order of a service."""
@@ -129,13 +143,13 @@
         """Return the newest order of each service."""
         return tuple(self._rollouts.values())
 
-    def forget_mixed(self) -> None:
+    def forget_versions(self) -> None:
         """Look up the versions again, as members have changed."""
-        self._mixed.clear()
+        self._versions.clear()
 
     def apply_order(self, shared_object: SharedObject, source: str) -> None:
         """Take an order over that was written, changed or deleted."""
-        self.forget_mixed()
+        self.forget_versions()
         name = shared_object.name
         known = self._rollouts.get(name)
         if shared_object.is_deleted:
@@ -194,23 +208,22 @@
         if known.ended is None:
             known.note_phase(step.phase)
 
-    def is_mixed(self, service: str, to_version: str) -> bool:
+    def is_mixed(self, rollout: ServiceRollout) -> bool:
         """Return whether targets of other versions than the new are known.
 
         False for an order that names no version: it changes nothing.
         """
-        if not to_version:
+        if not rollout.order.to_version:
             return False
-        is_mixed = self._mixed.get(service)
-        if is_mixed is None:
-            is_mixed = any(
-                entry.target is not None
-                and entry.target.service == service
-                and entry.target.version != to_version
-                for entry in self._members.entries()
-            )
-            self._mixed[service] = is_mixed
-        return is_mixed
+        return self._versions_of(rollout).has_others
+
+    def _versions_of(self, rollout: ServiceRollout) -> _Versions:
+        service = rollout.order.service
+        versions = self._versions.get(service)
+        if versions is None:
+            versions = _split_versions(rollout, self._members)
+            self._versions[service] = versions
+        return versions
 
     def arrange(
         self, service: str, ranked: list[Candidate]
@@ -223,25 +236,21 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return ranked
-        order = rollout.order
-        if not self.is_mixed(service, order.to_version):
+        if not self.is_mixed(rollout):
             return ranked
-        new: list[Candidate] = []
+        versions = self._versions_of(rollout)
+        share = rollout.share
         old: list[Candidate] = []
-        for candidate in ranked:
-            version = self._version_of(candidate.name)
-            if version == order.to_version:
-                new.append(candidate)
-            elif version not in rollout.rejected:
-                old.append(candidate)
+        if rollout.phase is not Phase.FINAL:
+            old = [each for each in ranked if each.name in versions.old]
+            if not share or self._rng.random() >= share:
+                return old
+        new = [each for each in ranked if each.name in versions.new]
         if rollout.phase is Phase.FINAL:
             # If none is left, the gates of the old version decide.
-            return new or old
-        share = rollout.share
-        if not new or not share or self._rng.random() >= share:
-            return old
+            return new or ranked
         names = [each.name for each in new]
-        active, spare = active_names(order.key, names, share)
+        active, spare = active_names(rollout.order.key, names, share)
         first = [each for each in new if each.name in active]
         second = [each for each in new if each.name in spare]
         return first + second + old
@@ -257,12 +266,6 @@
         if error.detail == replacement_detail(rollout.order):
             rollout.note_phase(Phase.FINAL)
 
-    def _version_of(self, name: str) -> str:
-        entry = self._members.get(name)
-        if entry is None or entry.target is None:
-            return ''
-        return entry.target.version
-
 
 def _rejected(
     known: ServiceRollout | None, order: RolloutOrder
@@ -274,3 +277,20 @@
     if known.ended is not OrderState.COMPLETED:
         rejected |= {known.order.to_version}
     return rejected - {order.to_version}
+
+
+def _split_versions(rollout: ServiceRollout, members: Members) -> _Versions:
+    order = rollout.order
+    new: set[str] = set()
+    old: set[str] = set()
+    has_others = False
+    for entry in members.entries():
+        if entry.target is None or entry.target.service != order.service:
+            continue
+        version = entry.target.version
+        has_others = has_others or version != order.to_version
+        if version == order.to_version:
+            new.add(entry.name)
+        elif version not in rollout.rejected:
+            old.add(entry.name)
+    return _Versions(frozenset(new), frozenset(old), has_others)
