Judge a version once more before it is completed

Answers under the whole load were judged by the running test only, which needs more certainty. Once the write of the last status has started, the order is not stopped any more: the write may have been stored although its answer was lost, and the old version stopped.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
@@ -44,7 +44,8 @@
 # Granted and received requests by name.
 _GateCounts = dict[str, tuple[int, int]]
 WriteStep = Callable[[RolloutStep], None]
-WriteStatus = Callable[[ServiceRollout, OrderState], None]
+# Returns whether a write was started.
+WriteStatus = Callable[[ServiceRollout, OrderState], bool]
 
 
 @final
@@ -53,6 +54,7 @@
 
     __slots__ = (
         '_gate',
+        '_is_completing',
         '_judge',
         '_ledger',
         '_messenger',
@@ -96,6 +98,7 @@
         self._query_count = 0
         self._written_s = float('-inf')
         self.is_busy = False
+        self._is_completing = False
         # What the order waits for, as log lines say it.
         self.waits_for = ''
 
@@ -124,6 +127,9 @@
             return
         self._judge.note(*self._ledger.take_slot())
         traffic = self._ledger.traffic(now_s)
+        if self._is_completing:
+            self._complete()
+            return
         if rollout.phase is Phase.STOPPED:
             self._write_status(rollout, OrderState.ROLLED_BACK)
         elif self._judge.is_bad():
@@ -138,10 +144,13 @@
     async def _watch_final(
         self, entries: list[MemberEntry], now_s: float
     ) -> None:
-        if self._is_available(now_s):
-            self._try_to_complete(entries, now_s)
-        else:
+        if not self._is_available(now_s):
             await self._stop(now_s, 'too few targets of the version')
+        elif self._is_replaced(entries, now_s):
+            if self._judge.is_bad(is_last=True):
+                await self._stop(now_s, 'the version is probably bad')
+            else:
+                self._complete()
 
     async def _begin_final(self, now_s: float, traffic: Traffic) -> None:
         if not self._is_available(now_s):
@@ -171,14 +180,22 @@
         await self._ask_all(self._entries())
         self._write_status(self.rollout, OrderState.ROLLED_BACK)
 
-    def _try_to_complete(
-        self, entries: list[MemberEntry], now_s: float
-    ) -> None:
+    def _complete(self) -> None:
+        """Write the last status.
+
+        Once a write has started, the order is not stopped any more: the old
+        version may have been stopped although the answer was lost.
+        """
+        if self._write_status(self.rollout, OrderState.COMPLETED):
+            self._is_completing = True
+
+    def _is_replaced(self, entries: list[MemberEntry], now_s: float) -> bool:
+        """Return whether it is time and nothing is in flight at old targets."""
         age_s = self.rollout.age_s(now_s)
         is_late = age_s >= self._plan.duration_s - SILENCE_MARGIN_S
         if age_s < self._plan.complete_at_s:
             self._renew(now_s, Phase.FINAL, 1, self._ledger.spent_count)
-            return
+            return False
         busy = []
         for entry in entries:
             if not self._is_old(entry):
@@ -190,8 +207,7 @@
         self._wait_for(' '.join(busy))
         if busy:
             self._renew(now_s, Phase.FINAL, 1, self._ledger.spent_count)
-        else:
-            self._write_status(self.rollout, OrderState.COMPLETED)
+        return not busy
 
     def _wait_for(self, waits_for: str) -> None:
         if waits_for and waits_for != self.waits_for:
--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -202,15 +202,16 @@
             self._state.get(SharedKind.ROLLOUT_STEP, step.service),
         )
 
-    def _write_status(self, rollout: ServiceRollout, state: OrderState) -> None:
+    def _write_status(self, rollout: ServiceRollout, state: OrderState) -> bool:
+        """Start to write a status; return whether that was possible."""
         order = rollout.order
         held = self._state.get(SharedKind.ROLLOUT, order.service)
         if held is None or self._state.rollouts.get(order.service) is not (
             rollout
         ):
-            return
+            return False
         status = {'state': state.value, 'to_version': order.to_version}
-        self._start_write(
+        return self._start_write(
             order.service,
             SharedObject(
                 SharedKind.ROLLOUT,
@@ -224,7 +225,7 @@
 
     def _start_write(
         self, service: str, written: SharedObject, held: SharedObject | None
-    ) -> None:
+    ) -> bool:
         """Start a write unless one is on its way or has just failed.
 
         What is not written now is decided again at the next tick.
@@ -232,11 +233,12 @@
         failed_s = self._failed_s.get(service, float('-inf'))
         is_late = self._state.rollouts.now_s() - failed_s >= RETRY_S
         if service in self._writing or not is_late:
-            return
+            return False
         if not self._is_store_reachable():
-            return
+            return False
         self._writing.add(service)
         self._start_task(self._write(service, written, held))
+        return True
 
     async def _write(
         self, service: str, written: SharedObject, held: SharedObject | None
