Count the grants of a restarted gate twice

A daemon that restarts loses its counts. Until its new entry was known, its gate got the grant of the earlier run once more, which nobody had counted. It is now taken as spent again.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_ledger.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_ledger.py
@@ -93,6 +93,12 @@
     ) -> None:
         """Add what a gate has counted since its last answer."""
         gate = self.gate(entry, sent_s)
+        if counts.request_count < gate.request_count:
+            # The daemon has restarted and its entry is not known yet. What
+            # was granted to the earlier run is granted again.
+            self.spent_count += gate.granted_count
+            gate.request_count = 0
+            gate.routes = {}
         gate.replied_s = sent_s
         gate.phase = counts.phase
         gate.in_flight_count = counts.in_flight_count
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -67,7 +67,8 @@
     ``grace_s`` seconds. In a rollout, a bad version receives at most
     ``exposure_share`` of the requests of its service plus
     ``exposure_slack_count``, and none later than ``rollback_ms`` after it has
-    shown to be bad. Without ``exposure_share`` there are no rollouts.
+    shown to be bad. Without ``exposure_share`` there are no rollouts. No
+    decision reads ``rollback_ms``, as a version is stopped at once.
     """
 
     retry_ratio: float = 0.2
