Limit the requests to a version that refuses them

Requests that a target refused as not run were not counted, so a version that refuses everything got any number of them. Only those that reach no target are left out now.

Evidence: test_version_that_refuses_everything_is_limited.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -147,9 +147,11 @@
             answer = await exchange
         except CornelbeamError as error:
             self.in_flight_count -= 1
-            if error.run_state is RunState.NOT_RUN:
+            if error.code is ErrorCode.BACKEND_UNREACHABLE:
                 self._withdraw(counted)
-            elif counted is not None:
+            elif counted is not None and (
+                error.run_state is not RunState.NOT_RUN
+            ):
                 counted.failure_count += 1
             raise
         except BaseException:
@@ -263,7 +265,11 @@
         return counted
 
     def _withdraw(self, counted: _RouteCount | None) -> None:
-        """Uncount a request that the target has refused."""
+        """Uncount a request that has not reached the target.
+
+        One that the target has refused counts: the exposure of a version that
+        refuses everything must be limited too.
+        """
         if counted is not None and counted in self._routes.values():
             self._request_count -= 1
             counted.request_count -= 1
--- a/packages/mesh/tests/test_rollouts.py
+++ b/packages/mesh/tests/test_rollouts.py
@@ -90,6 +90,17 @@
             await fleet.until('completed', 'rolled_back')
         assert fleet.state == 'rolled_back'
 
+    async def test_version_that_refuses_everything_is_limited(self, fleet):
+        await fleet.start()
+        for node in fleet.new:
+            node.target.script = node.target.shed
+        async with fleet.traffic():
+            fleet.order(duration_s=30)
+            await wait_until(lambda: len(fleet.answers) > 300)
+            total_count = fleet.received(fleet.old + fleet.new)
+            assert fleet.received(fleet.new) <= 0.1 * total_count + 50
+        assert set(fleet.answers) == {OK}
+
 
 class TestMetrics:
     """Guards against a rollout that operators can't follow."""
