Write fewer steps of an order

Each write of a step ends the watch of every daemon, and each new watch is a store call. A share is kept while it is about right, more requests are reserved at once, and the sign of life comes every 4 s.

--- a/packages/core/src/cornelbeam_core/rollout_plan.py
+++ b/packages/core/src/cornelbeam_core/rollout_plan.py
@@ -29,8 +29,11 @@
 # Daemons learn a changed share over the store, so small changes aren't worth a
 # write.
 _SHARES: Final = (0.01, 0.02, 0.05, 0.07, 0.1, 0.15, 0.2, 0.3, _MAX_SHARE)
+# A share is kept while the wanted one is between these multiples of it.
+_KEPT_BELOW: Final = 0.7
+_KEPT_ABOVE: Final = 1.7
 # Requests are reserved for the time until the next record.
-_RESERVED_S: Final = 2.5
+_RESERVED_S: Final = 5.0
 _MIN_RESERVED_COUNT: Final = 10
 # Granted to a target that stands in for the others.
 _SPARE_COUNT: Final = 2
@@ -98,9 +101,13 @@
             + slack_part * self._bound.slack_count
         )
 
-    def share(self, age_s: float, traffic: Traffic) -> float:
+    def share(
+        self, age_s: float, traffic: Traffic, current: float = 0
+    ) -> float:
         """Return the share that spends what is allowed evenly over the trial.
 
+        The ``current`` one is kept while it is about right.
+
         Early answers count as much as late ones, as a version may be bad from
         the start, later, or under load.
         """
@@ -112,6 +119,8 @@
             self.allowed_count(age_s, expected_count) - traffic.spent_count
         )
         wanted = left_count / max(1, traffic.rate_per_s * left_s)
+        if _KEPT_BELOW * current <= wanted <= _KEPT_ABOVE * current:
+            return current
         return max(
             (each for each in _SHARES if each <= wanted), default=_SHARES[0]
         )
--- a/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
@@ -28,8 +28,9 @@
 _log = get_log('rollout')
 # A gate that doesn't answer must not delay the others.
 QUERY_TIMEOUT_S: Final = 0.4
-# A step is written again after this time as a sign of life.
-RENEWAL_S: Final = 1.5
+# A step is written again after this time as a sign of life. Each write ends the
+# watch of every daemon, so there must be few.
+RENEWAL_S: Final = 4.0
 # Granted before the rate of requests is known.
 FIRST_RESERVED_COUNT: Final = 15
 # An older answer says nothing about a target.
@@ -225,7 +226,7 @@
         step = self.rollout.step
         if step is None:
             return
-        share = self._plan.share(age_s, traffic)
+        share = self._plan.share(age_s, traffic, step.share)
         limit = min(
             step.reserved_count,
             self._plan.allowed_count(age_s, traffic.total_count),
--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -30,8 +30,8 @@
 CANDIDATE_COUNT: Final = 8
 # Silence of an owner after which the first candidate takes over, and the
 # additional time of each further one. Daemons beside targets of the service are
-# asked twice a second; others only see the steps, every 1.5 s at least.
-TAKEOVER_S: Final = 2.5
+# asked twice a second; others only see the steps, every 4 s at least.
+TAKEOVER_S: Final = 6.0
 ASKED_TAKEOVER_S: Final = 1.6
 TAKEOVER_STEP_S: Final = 0.7
 # A write that failed is repeated after this time.
--- a/packages/mesh/tests/test_rollouts.py
+++ b/packages/mesh/tests/test_rollouts.py
@@ -10,6 +10,8 @@
 
 pytestmark = pytest.mark.anyio
 OK = 'HTTP/1.1 200 OK'
+# Of an order of 9 s; each ends a watch of every daemon.
+MAX_WRITE_COUNT = 12
 
 
 @pytest.fixture
@@ -39,6 +41,7 @@
         assert in_flight == [0, 0, 0]
         assert fleet.received(fleet.old) == old_count
         assert set(fleet.answers) == {OK}
+        assert len(fleet.harness.store.written) <= MAX_WRITE_COUNT
 
     async def test_order_without_traffic_is_completed(self, fleet):
         await fleet.start(2, 2)
