--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -175,6 +175,10 @@
             registry=self._registry,
         )
 
+    def add_collector(self, collector: Collector) -> None:
+        """Add metrics that exist only at times."""
+        self._registry.register(collector)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
+++ b/packages/mesh/src/cornelbeam_mesh/platform_adapter.py
@@ -61,7 +61,8 @@
     """State that a target reports to the daemon on its instance.
 
     ``started_ms`` is the start time in Unix milliseconds. It distinguishes runs
-    with the same ``instance``; each run restarts ``sequence``.
+    with the same ``instance``; each run restarts ``sequence``. ``version`` is
+    that of the target's software, empty if it states none.
     """
 
     instance: str
@@ -73,6 +74,7 @@
     slot_count: int
     is_draining: bool
     cold_remaining_ms: int
+    version: str = ''
 
 
 @final
@@ -155,5 +157,17 @@
     async def put_member(self, member: SharedObject) -> None:
         """Write a member entry unless the stored one is newer."""
 
+    async def write_object(
+        self,
+        written: SharedObject,
+        held: SharedObject | None,
+        *,
+        is_status: bool = False,
+    ) -> SharedObject:
+        """Write an object or its status if it is still as ``held``.
+
+        Without ``held``, create it. Return the object with its new position.
+        """
+
     async def close(self) -> None:
         """Close all connections to the store."""
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -70,6 +70,11 @@
     In a window of ``quota_window_s`` seconds at most the limit of a tenant,
     exceeded by the ratio ``quota_overage``, plus ``quota_slack_count`` of its
     requests run.
+    In a rollout, a bad version receives at most ``exposure_share`` of the
+    requests of its service plus ``exposure_slack_count``, and none later than
+    ``rollback_ms`` after it has shown to be bad. Without ``exposure_share``
+    there are no rollouts. No decision reads ``rollback_ms``, as a version is
+    stopped at once.
     """
 
     retry_ratio: float = 0.2
@@ -82,6 +87,9 @@
     quota_window_s: Annotated[float, msgspec.Meta(gt=0)] = 5
     quota_overage: Annotated[float, msgspec.Meta(ge=0)] = 0.1
     quota_slack_count: Annotated[float, msgspec.Meta(ge=0)] = 20
+    exposure_share: float | None = None
+    exposure_slack_count: float = 50
+    rollback_ms: float = 5000
 
 
 class MeshLimits(Section, frozen=True):
