Keep no state of kinds at a gate without tenants

The lead of a kind was computed and kept for each call that may wait, also without tenants, where nothing drops it.

Evidence: test_no_state_is_kept, which fails on the commit before.

--- a/packages/core/src/cornelbeam_core/load_shedding.py
+++ b/packages/core/src/cornelbeam_core/load_shedding.py
@@ -163,6 +163,8 @@
 
         It counts if the difference is above ``-margin``.
         """
+        if not self.is_active:
+            return False
         kind = _kind(ticket)
         lead = self._leads.get(kind)
         if lead is None:
--- a/packages/core/tests/test_load_shedding.py
+++ b/packages/core/tests/test_load_shedding.py
@@ -233,6 +233,15 @@
         assert refused_count > 100
         assert not gate.shedding.is_active
 
+    def test_no_state_is_kept(self):
+        gate = open_gate()
+        shedding = gate.shedding
+        for number in range(100):
+            gate.enqueue(ticket(number, '', route=f'route-{number}'), 0)
+            gate.withdraw(number)
+        states = shedding._tenants, shedding._kinds, shedding._leads
+        assert not any(len(state) for state in states)
+
     def test_order_of_arrival_holds_again_without_calls_of_tenants(self):
         gate = open_gate()
         gate.enqueue(ticket('tenant'), 0)
