Draw the requests of each tenant in a play by its own generator

The check of what others get in a burst compared two plays in which they send different requests, so chance decided it near the bound. They send the same ones now; loads and bounds are unchanged.

--- a/packages/core/tests/test_tenant_overload.py
+++ b/packages/core/tests/test_tenant_overload.py
@@ -81,13 +81,15 @@
     return gate
 
 
-def draw_requests(rng, load, kinds_of, burst):
+def draw_requests(seed, load, kinds_of, burst):
     """Draw requests at ``load`` times the capacity.
 
     The tenant ``burst`` sends 7.5 times its usual load in the second half.
     """
     requests = []
     for index, size in enumerate(SIZES):
+        # The others send the same requests with and without a burst.
+        rng = random.Random(f'{seed} {index}')
         usual_per_s = load * capacity_per_s() * size / sum(SIZES)
         at_s: float = 0
         kinds = kinds_of(index)
@@ -231,7 +233,7 @@
     compared with one that is mostly sent before.
     """
     requests = draw_requests(
-        random.Random(SEED),
+        SEED,
         load,
         kinds_of_one_priority if is_by_priority else all_kinds,
         burst,
