Keep the old version open once the new one was stopped

A gate that heard of the stop and lost the store afterwards closed near the limit of the order, as nobody asked it any more. It stays open now: the old version is not replaced.

Evidence: test_cut_off_gate_stays_open_after_the_version_was_stopped, which failed before.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -223,8 +223,10 @@
             return _LIMITED
         if rollout.phase is Phase.FINAL and self._is_closed(rollout):
             return replacement_detail(order)
-        is_left_alone = rollout.ended is None and self._is_left_alone(rollout)
-        return _LIMITED if is_left_alone else ''
+        is_decided = rollout.phase is Phase.STOPPED or rollout.ended is not None
+        if is_decided or not self._is_left_alone(rollout):
+            return ''
+        return _LIMITED
 
     def _is_closed(self, rollout: ServiceRollout) -> bool:
         """Return whether senders have had time to learn of the final phase."""
--- a/packages/mesh/tests/test_rollout_gate.py
+++ b/packages/mesh/tests/test_rollout_gate.py
@@ -158,6 +158,14 @@
         bench.now_s += 7
         assert bench.is_open
 
+    def test_cut_off_gate_stays_open_after_the_version_was_stopped(self):
+        bench = GateBench('v1')
+        bench.order()
+        bench.grant(0, phase=Phase.STOPPED)
+        bench.is_store_reachable = False
+        bench.now_s += DURATION_S - 1
+        assert bench.is_open
+
     def test_gate_that_hears_of_the_owner_stays_open(self):
         bench = GateBench('v1')
         bench.order()
