Replace an owner that can't reach the store

An owner that the store did not serve kept the order, as its queries showed that it was there, and no status was written. Its queries now say that it can't write, and a candidate that reaches the store takes over.

Evidence: test_owner_that_loses_the_store_is_replaced.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_driver.py
@@ -56,6 +56,7 @@
     __slots__ = (
         '_gate',
         '_is_completing',
+        '_is_store_reachable',
         '_judge',
         '_ledger',
         '_messenger',
@@ -81,6 +82,7 @@
         messenger: Messenger,
         write_step: WriteStep,
         write_status: WriteStatus,
+        is_store_reachable: Callable[[], bool],
     ) -> None:
         """Continue an order after the step that is recorded."""
         self.name = name
@@ -90,6 +92,7 @@
         self._messenger = messenger
         self._write_step = write_step
         self._write_status = write_status
+        self._is_store_reachable = is_store_reachable
         self._judge = VersionJudge()
         step = rollout.step
         self._ledger = GateLedger(
@@ -326,6 +329,7 @@
             number=(step_number << _QUERY_BITS) + self._query_count,
             phase=rollout.phase or Phase.TRIAL,
             granted_count=self._ledger.gate(entry, sent_s).granted_count,
+            is_store_lost=not self._is_store_reachable(),
         )
         counts = await self._exchange(entry, query)
         if counts is None or counts.order_key != rollout.order.key:
--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -174,7 +174,9 @@
         target = self._local_target()
         rollout = self._view.get(query.service_name)
         if rollout is not None and rollout.order.key == query.order_key:
-            rollout.sign_s = self._view.now_s()
+            rollout.note_sign(
+                self._view.now_s(), is_able=not query.is_store_lost
+            )
             if rollout.ended is None and query.phase in set(Phase):
                 rollout.note_phase(Phase(query.phase))
             self._follow(rollout)
--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -105,7 +105,7 @@
         is_owner = step is not None and step.owner == self._name
         if not is_owner:
             self._drivers.pop(service, None)
-            if self._may_take_over(rollout):
+            if self._is_store_reachable() and self._may_take_over(rollout):
                 self._take_over(rollout)
             return
         if driver is None:
@@ -130,6 +130,7 @@
             self._messenger,
             self._write_step,
             self._write_status,
+            self._is_store_reachable,
         )
         self._drivers[rollout.order.service] = driver
         return driver
@@ -159,7 +160,7 @@
             rollout.order.service
         )
         wait_s += ASKED_TAKEOVER_S if is_asked else TAKEOVER_S
-        return now_s - rollout.sign_s >= wait_s
+        return now_s - rollout.able_sign_s >= wait_s
 
     def _rank(self, rollout: ServiceRollout) -> int | None:
         """Return the position of this daemon among the candidates.
--- a/packages/mesh/src/cornelbeam_mesh/rollout_view.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_view.py
@@ -50,6 +50,7 @@
     """
 
     __slots__ = (
+        'able_sign_s',
         'ended',
         'order',
         'phase',
@@ -73,6 +74,8 @@
         self.step_seen_s = float('-inf')
         # Last time that the owner has shown that it is there.
         self.sign_s = float('-inf')
+        # The same of an owner that reaches the store.
+        self.able_sign_s = float('-inf')
 
     @property
     def share(self) -> float:
@@ -89,6 +92,12 @@
         recorded_s = self.step.age_ms / MS_PER_S
         return max(age_s, recorded_s + now_s - self.step_seen_s)
 
+    def note_sign(self, now_s: float, *, is_able: bool) -> None:
+        """Record that the owner is there, and whether it can write."""
+        self.sign_s = now_s
+        if is_able:
+            self.able_sign_s = now_s
+
     def note_phase(self, phase: Phase) -> None:
         """Record a phase that the owner or a gate has stated."""
         if self.phase is None or phase > self.phase:
@@ -204,7 +213,7 @@
             )
         known.step = step
         known.step_seen_s = self.now_s()
-        known.sign_s = known.step_seen_s
+        known.note_sign(known.step_seen_s, is_able=True)
         if known.ended is None:
             known.note_phase(step.phase)
 
--- a/packages/mesh/tests/test_rollout_failures.py
+++ b/packages/mesh/tests/test_rollout_failures.py
@@ -252,6 +252,19 @@
         assert fleet.state == 'completed'
         assert fleet.received(new)
 
+    async def test_owner_that_loses_the_store_is_replaced(self, fleet):
+        """The others still reach the store, and the owner."""
+        await fleet.start(2, 2)
+        fleet.order()
+        await wait_until(lambda: step_is(fleet, lambda step: step.share > 0))
+        first = fleet.owner()
+        first.sidecar.store_sync._store = LostStore()
+        first.sidecar._rollout_owner._store = LostStore()
+        first.sidecar.store_sync._restart_watches()
+        await fleet.until(*ENDED)
+        assert fleet.state == 'completed'
+        assert fleet.owner() is not first
+
 
 class LostStore:
     """Store that a daemon doesn't reach."""
--- a/packages/wire/src/cornelbeam_wire/gen/messages.py
+++ b/packages/wire/src/cornelbeam_wire/gen/messages.py
@@ -3302,6 +3302,7 @@
      - number
      - phase
      - granted_count
+     - is_store_lost
 
     """
 
@@ -3311,15 +3312,17 @@
         'number',
         'phase',
         'granted_count',
+        'is_store_lost',
     )
 
 
-    def __init__(self, service_name=None, order_key=None, number=None, phase=None, granted_count=None,):
+    def __init__(self, service_name=None, order_key=None, number=None, phase=None, granted_count=None, is_store_lost=None,):
         self.service_name = service_name
         self.order_key = order_key
         self.number = number
         self.phase = phase
         self.granted_count = granted_count
+        self.is_store_lost = is_store_lost
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3355,6 +3358,11 @@
                     self.granted_count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_store_lost = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3385,6 +3393,10 @@
             oprot.writeFieldBegin('granted_count', TType.I32, 5)
             oprot.writeI32(self.granted_count)
             oprot.writeFieldEnd()
+        if self.is_store_lost is not None:
+            oprot.writeFieldBegin('is_store_lost', TType.BOOL, 6)
+            oprot.writeBool(self.is_store_lost)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4371,6 +4383,7 @@
     (3, TType.I64, 'number', None, None, ),  # 3
     (4, TType.I32, 'phase', None, None, ),  # 4
     (5, TType.I32, 'granted_count', None, None, ),  # 5
+    (6, TType.BOOL, 'is_store_lost', None, None, ),  # 6
 )
 all_structs.append(RolloutRouteCounts)
 RolloutRouteCounts.thrift_spec = (
--- a/packages/wire/src/cornelbeam_wire/messages.thrift
+++ b/packages/wire/src/cornelbeam_wire/messages.thrift
@@ -232,6 +232,8 @@
   4: required i32 phase
   // Requests that the target may get in all, if it has the new version.
   5: required i32 granted_count
+  // The sender can't write progress, so another daemon should take over.
+  6: optional bool is_store_lost
 }
 
 struct RolloutRouteCounts {
