--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -174,7 +174,9 @@
         target = self._local_target()
         rollout = self._view.get(query.service_name)
         if rollout is not None and rollout.order.key == query.order_key:
-            rollout.sign_s = self._view.now_s()
+            rollout.note_sign(
+                self._view.now_s(), is_able=not query.is_store_lost
+            )
             if rollout.ended is None and query.phase in set(Phase):
                 rollout.note_phase(Phase(query.phase))
             self._follow(rollout)
@@ -223,8 +225,10 @@
             return _LIMITED
         if rollout.phase is Phase.FINAL and self._is_closed(rollout):
             return replacement_detail(order)
-        is_left_alone = rollout.ended is None and self._is_left_alone(rollout)
-        return _LIMITED if is_left_alone else ''
+        is_decided = rollout.phase is Phase.STOPPED or rollout.ended is not None
+        if is_decided or not self._is_left_alone(rollout):
+            return ''
+        return _LIMITED
 
     def _is_closed(self, rollout: ServiceRollout) -> bool:
         """Return whether senders have had time to learn of the final phase."""
