--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -268,7 +268,10 @@
         )
         forwarded.headers = self._replace_control_fields(forwarded, table)
         forwarded.is_nested = self._is_nested(forwarded, table, own_deadline_s)
-        forwarded.order = AttemptOrder(is_nested=forwarded.is_nested)
+        forwarded.order = AttemptOrder(
+            is_nested=forwarded.is_nested,
+            has_tenant=forwarded.tenant is not None,
+        )
         if not forwarded.is_nested:
             # A nested call inherits the remaining time of its parent, which
             # says nothing about earlier attempts.
