--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -26,6 +26,7 @@
         '_on_control_message',
         '_peer_sync',
         '_quarantine',
+        '_rollouts',
         'acceptor',
     )
 
@@ -49,15 +50,17 @@
         self._identity = identity
         self._peer_sync = peer_sync
         self._quarantine = quarantine
+        self._rollouts = admission.rollouts
         self._messenger = messenger
         self._on_control_message = on_control_message
         # By the field of the frame that holds the message.
         self._handlers: dict[str, Callable[[Stream, Any], None]] = {
-            'config_pull': peer_sync.answer_pull,
+            'config_pull': self._answer_pull,
             'config_push': self._merge_push,
             'configuration_age_query': currency.answer,
             'ping': self._acknowledge,
             'quota_request': quotas.answer,
+            'rollout_query': self._answer_rollout_query,
         }
         self.acceptor = PeerAcceptor(
             identity, admission, self._handle_control_message, revisions
@@ -76,6 +79,15 @@
                 return
         self._quarantine.answer(stream, frame, self._acknowledge)
 
+    def _answer_pull(self, stream: Stream, pull: messages.ConfigPull) -> None:
+        self._peer_sync.answer_pull(stream, pull)
+
+    def _answer_rollout_query(
+        self, stream: Stream, query: messages.RolloutQuery
+    ) -> None:
+        counts = self._rollouts.answer_query(query)
+        self._messenger.reply(stream, rollout_counts=counts)
+
     def _merge_push(self, stream: Stream, push: messages.ConfigPush) -> None:
         self._peer_sync.merge_push(push, stream.connection.peer_name)
 
