--- a/tests/adapter/soak_fleet.py
+++ b/tests/adapter/soak_fleet.py
@@ -175,6 +175,11 @@
         self._process = None
         self._sequence = 0
 
+    @property
+    def pid(self) -> int:
+        """Process id of the daemon."""
+        return self._process.pid
+
     async def start(self) -> None:
         """Start the daemon."""
         with self._log.open('wb') as log:
