Stop reading pipelined requests whose bodies are in the input

A caller that sent pipelined uploads and read no answers had all of them read into memory: 16 connections with 16 MiB each took 274 to 307 MiB in a daemon. The number of waiting requests was only checked outside of bodies, and with bodies of 100 kB each part of 64 KiB that is parsed ends within one. A part now ends with a body whose length is known, is short in a chunked one, and a request that such a part has started too early waits.

--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -9,6 +9,7 @@
 import httptools
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
 
+from cornelbeam_daemon import headers as fields
 from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES, BodyBuffer
 from cornelbeam_daemon.http_message import (
     HttpRequest,
@@ -39,8 +40,9 @@
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _NEVER_S: Final = float('inf')
 # Input is parsed in parts, which are short outside of bodies, so that a part
-# holds few requests.
+# holds few requests. The end of a body is known only if it has a length.
 _HEAD_PART_BYTES: Final = 1024
+_CHUNKED_PART_BYTES: Final = 8192
 _BODY_PART_BYTES: Final = 65_536
 
 
@@ -121,10 +123,7 @@
         self._unparsed = b''
         start = 0
         while start < len(unparsed) and not self._is_pipeline_full():
-            part_bytes = _HEAD_PART_BYTES
-            if self._is_in_body():
-                part_bytes = _BODY_PART_BYTES
-            part = unparsed[start : start + part_bytes]
+            part = unparsed[start : start + self._part_bytes()]
             start += len(part)
             self._feed(part)
             if self._error is not None or self._is_discarding:
@@ -133,9 +132,28 @@
         if self._unparsed:
             self._pause_reading()
 
+    def _part_bytes(self) -> int:
+        """Return how much to parse at once.
+
+        A part that exceeded the body would start the next requests, whether
+        the pipeline is full or not.
+        """
+        request = self._request
+        if request is None or not self._is_in_body():
+            return _HEAD_PART_BYTES
+        length = fields.find(request.headers, b'content-length')
+        if length is None:
+            return _CHUNKED_PART_BYTES
+        # Malformed requests may state a length and have no body.
+        left_bytes = max(1, int(length) - self._body_bytes)
+        return min(_BODY_PART_BYTES, left_bytes)
+
     def _is_pipeline_full(self) -> bool:
-        is_full = len(self._pipeline) >= self._rules.request_count
-        return is_full and not self._is_in_body()
+        excess_count = len(self._pipeline) - self._rules.request_count
+        if self._is_in_body():
+            # The part with the end of a chunked body started it too early.
+            return excess_count > 0
+        return excess_count >= 0
 
     def _is_in_body(self) -> bool:
         request = self._request
