Count the bytes of bodies in one budget of the process

A few clients that send bodies without end or read no answers could make a daemon run out of memory: each buffer had a limit of its own, but nothing limited their sum. Bodies count what they buffer and keep. A body that is dropped raises an error for a reader, as a target could take the rest for the whole body.

--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -7,7 +7,11 @@
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 
+from cornelbeam_daemon.memory_budget import MemoryAccount
+
 BUFFER_LIMIT_BYTES: Final = 256 * 1024
+# Limit of a buffer while the memory for all buffers is short.
+SHORT_BUFFER_BYTES: Final = 64 * 1024
 # A request body up to this size can be sent again to another target.
 REPLAY_LIMIT_BYTES: Final = 64 * 1024
 # The deadline of a request covers only the head of its answer, as a long body
@@ -30,13 +34,17 @@
     ``on_consumed`` is called with the number of bytes that the consumer took,
     so that the producer can resume reading or grant credit. ``on_wanted`` is
     set while the producer holds the body back, and called once to ask for it.
+    What is buffered and kept is counted in ``account``.
     """
 
     __slots__ = (
+        '_account',
         '_error',
+        '_is_dropped',
         '_parts',
         '_waiter',
         'is_complete',
+        'kept',
         'on_consumed',
         'on_wanted',
         'size_bytes',
@@ -45,8 +53,13 @@
     def __init__(
         self,
         on_consumed: Callable[[int], None] | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
         """Create an empty buffer."""
+        self._account = account
+        self._is_dropped = False
+        # The start of the body that stays in memory after it was consumed.
+        self.kept = bytearray()
         self._parts: deque[bytes] = deque()
         self._error: CornelbeamError | None = None
         self._waiter: asyncio.Future[None] | None = None
@@ -58,7 +71,46 @@
     @property
     def is_ended(self) -> bool:
         """Return whether the body is complete and fully consumed."""
-        return self.is_complete and not self._parts
+        is_consumed = self.is_complete and not self._parts
+        return is_consumed and not self._is_dropped
+
+    def __del__(self) -> None:  # noqa: WPS603
+        """Stop counting an answer that nobody has read to its end.
+
+        It may be dropped by its connection, its call or its reader.
+        """
+        if self._account is not None:
+            self._account.subtract(self.size_bytes + len(self.kept))
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether the producer should wait for the consumer."""
+        if self.size_bytes > SHORT_BUFFER_BYTES and self._account is not None:
+            return (
+                self.size_bytes > BUFFER_LIMIT_BYTES or self._account.is_short
+            )
+        return self.size_bytes > BUFFER_LIMIT_BYTES
+
+    def keep(self, content: bytes) -> None:
+        """Keep a consumed part in memory, until ``drop`` is called."""
+        self.kept += content
+        if self._account is not None:
+            self._account.add(len(content))
+
+    def drop(self) -> None:
+        """Drop what is buffered and kept; nothing is counted any more.
+
+        The handling of a request that has ended may still refer to its body,
+        and a reader gets an error, as a shorter body may look complete.
+        """
+        self._is_dropped = True
+        account = self._account
+        self._account = None
+        if account is not None:
+            account.subtract(self.size_bytes + len(self.kept))
+        self._parts.clear()
+        self.size_bytes = 0
+        self.kept = bytearray()
 
     def feed(self, content: bytes) -> None:
         """Append a part.
@@ -77,11 +129,16 @@
             self._append(content)
             self.size_bytes += len(content)
             self._wake()
+            if self._account is not None:
+                # Last, as it may refuse this body.
+                self._account.add(len(content))
 
     def push_front(self, content: bytes) -> None:
         """Put a consumed part back at the front."""
         self._parts.appendleft(content)
         self.size_bytes += len(content)
+        if self._account is not None:
+            self._account.add(len(content))
 
     def finish(self) -> None:
         """Mark the body as complete."""
@@ -103,6 +160,8 @@
         )
         self._parts.clear()
         self.size_bytes = 0
+        if self._account is not None:
+            self._account.subtract(len(content))
         if self.on_consumed is not None:
             self.on_consumed(len(content))
         return content
@@ -116,6 +175,13 @@
         while not self._parts:
             if self._error is not None:
                 raise self._error
+            if self._is_dropped:
+                raise CornelbeamError(
+                    ErrorCode.PROTOCOL_VIOLATION,
+                    'body',
+                    detail='the body has been dropped',
+                    run_state=RunState.UNKNOWN,
+                )
             if self.is_complete:
                 return b''
             self._ask()
@@ -189,7 +255,6 @@
 
     __slots__ = (
         '_buffer',
-        '_kept',
         '_read_bytes',
         '_replay_limit_bytes',
         'is_replayable',
@@ -203,7 +268,6 @@
         """Read from the buffer that the caller's connection fills."""
         self._buffer = buffer
         self._replay_limit_bytes = replay_limit_bytes
-        self._kept = bytearray()
         # Size of what has been read, kept or not.
         self._read_bytes = 0
         # Whether all that has arrived so far is short enough to be kept.
@@ -212,7 +276,7 @@
     @property
     def kept_bytes(self) -> int:
         """Size of the start that is kept."""
-        return len(self._kept)
+        return len(self._buffer.kept)
 
     @property
     def is_intact(self) -> bool:
@@ -220,7 +284,7 @@
 
         Another reader can then read the body from its start.
         """
-        return self._read_bytes == len(self._kept)
+        return self._read_bytes == len(self._buffer.kept)
 
     @property
     def is_rest_dropped(self) -> bool:
@@ -268,18 +332,18 @@
 
         Raise ``protocol_violation`` if what follows has been dropped.
         """
-        if len(self._kept) <= start < self._read_bytes:
+        if len(self._buffer.kept) <= start < self._read_bytes:
             raise CornelbeamError(
                 ErrorCode.PROTOCOL_VIOLATION,
                 'request body',
                 detail='a part of the body has not been kept',
             )
         end = None if size_bytes is None else start + size_bytes
-        return bytes(memoryview(self._kept)[start:end])
+        return bytes(memoryview(self._buffer.kept)[start:end])
 
     def kept_start(self, size_bytes: int) -> bytes:
         """Return up to ``size_bytes`` of the start that has been kept."""
-        return bytes(memoryview(self._kept)[:size_bytes])
+        return bytes(memoryview(self._buffer.kept)[:size_bytes])
 
     def take_ready(self) -> bytes:
         """Return what has arrived, and keep it for later readers."""
@@ -292,8 +356,10 @@
     def _keep(self, content: bytes) -> bytes:
         self._read_bytes += len(content)
         if self.is_replayable:
-            self._kept += content
-            self.is_replayable = len(self._kept) <= self._replay_limit_bytes
+            self._buffer.keep(content)
+            self.is_replayable = (
+                len(self._buffer.kept) <= self._replay_limit_bytes
+            )
         return content
 
 
