Bound what the connections of a daemon buffer together

Callers that sent bodies without end, or pipelined requests and read no answers, made a daemon take up to 307 MiB. Connections of callers, calls of other daemons and answers now count in the budget. While it is short, a caller's connection is read only for the request in turn, none runs ahead of its turn, and buffers are shorter. Above it, the largest body that has not ended is refused, with 503 if no part of it was passed on and 502 otherwise, and connections with unread answers or several requests are closed. What a connection that ends holds is freed at once: exceptions kept bodies alive until the garbage collector ran.

--- a/packages/daemon/src/cornelbeam_daemon/backend_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_client.py
@@ -6,6 +6,7 @@
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 
 from cornelbeam_daemon.backend_connection import BackendConnection
+from cornelbeam_daemon.memory_budget import MemoryBudget, unlimited_budget
 
 CONNECT_TIMEOUT_S: Final = 1.0
 # A backend server may close an idle connection at any time, and a request that
@@ -18,10 +19,20 @@
 class BackendClient:
     """Connection pool that reuses connections last in, first out."""
 
-    __slots__ = ('_host', '_idle', '_in_use', '_limit', '_port')
+    __slots__ = ('_account', '_host', '_idle', '_in_use', '_limit', '_port')
 
-    def __init__(self, host: str, port: int, connection_limit: int) -> None:
-        """Create an empty pool; limit the connections that are in use."""
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        connection_limit: int,
+        budget: MemoryBudget | None = None,
+    ) -> None:
+        """Create an empty pool; limit the connections that are in use.
+
+        The answers that are received are counted in ``budget``.
+        """
+        self._account = (budget or unlimited_budget()).open_account()
         self._host = host
         self._port = port
         self._limit = connection_limit
@@ -66,7 +77,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, opened = await asyncio.get_running_loop().create_connection(
-                    BackendConnection,
+                    lambda: BackendConnection(self._account),
                     self._host,
                     self._port,
                 )
--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -14,6 +14,7 @@
     BodyBuffer,
     BodyReader,
 )
+from cornelbeam_daemon.memory_budget import MemoryAccount
 
 _MIN_FINAL_STATUS: Final = 200
 _CLOSED: Final = 'the backend server closed the connection'
@@ -46,8 +47,12 @@
 class BackendConnection(asyncio.Protocol):
     """Connection to the backend server that carries one request at a time."""
 
-    def __init__(self) -> None:
-        """Create an unconnected protocol for ``create_connection``."""
+    def __init__(self, account: MemoryAccount | None = None) -> None:
+        """Create an unconnected protocol for ``create_connection``.
+
+        The bodies of answers are counted in ``account``.
+        """
+        self._account = account
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -169,7 +174,7 @@
             self._skip_answer()
             return
         assert self._head is not None  # noqa: S101
-        self._body = BodyBuffer(self._on_consumed)
+        self._body = BodyBuffer(self._on_consumed, self._account)
         self._has_progress = True
         if not self._head.done():
             self._head.set_result(
@@ -187,7 +192,7 @@
             return
         self._has_progress = True
         self._body.feed(content)
-        if self._body.size_bytes > BUFFER_LIMIT_BYTES and self._transport:
+        if self._body.is_full and self._transport:
             self._is_read_paused = True
             self._transport.pause_reading()
 
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -42,6 +42,8 @@
 )
 from cornelbeam_daemon.listening import LISTEN_BACKLOG, bind_listener
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.memory_budget import MemoryBudget, budget_bytes
+from cornelbeam_daemon.memory_metrics import MemoryCollector
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor, ignore_streams
 from cornelbeam_daemon.peer_client import PeerClient
@@ -96,6 +98,8 @@
         self._admin_stop = asyncio.Event()
         self._admin_ended = asyncio.Event()
         self._callers: set[HttpServerConnection] = set()
+        self.budget = MemoryBudget(budget_bytes(settings.limits.memory_mb))
+        MemoryCollector(self.budget, self.metrics.registry)
         self._identity = Identity(
             own.name,
             own.service,
@@ -118,6 +122,7 @@
             settings.backend_server.host,
             settings.backend_server.port,
             settings.backend_server.connection_count,
+            self.budget,
         )
         self.backend_side = BackendSide(
             own.name,
@@ -132,6 +137,7 @@
             self._identity,
             self.backend_side,
             self._on_control,
+            budget=self.budget,
         )
         self.prober = Prober(
             settings,
@@ -148,7 +154,7 @@
         self.caller_side = CallerSide(
             own.name,
             self.table,
-            PeerClient(self._pool),
+            PeerClient(self._pool, self.budget),
             self.backend_side,
             settings.limits,
             settings.policy.selection,
@@ -262,6 +268,7 @@
                     self.settings.limits.pipelined_count,
                     self.caller_side.may_overlap,
                 ),
+                budget=self.budget,
             ),
             sock=self.sockets['caller'],
             backlog=LISTEN_BACKLOG,
--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -19,6 +19,7 @@
     truncated_answer,
 )
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.memory_budget import MemoryBudget, unlimited_budget
 from cornelbeam_daemon.pipelining import PipelinedAnswer, PipelineRules
 from cornelbeam_daemon.request_head import check_head, is_awaiting_continue
 
@@ -61,13 +62,21 @@
         connections: set['HttpServerConnection'],
         on_open: Callable[['HttpServerConnection'], None] | None = None,
         pipeline_rules: PipelineRules | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Create the protocol for one accepted connection.
 
         It is a member of ``connections`` while it is open. ``on_open`` is
-        called before anything is read.
+        called before anything is read. What it buffers counts in ``budget``.
         """
         self._rules = pipeline_rules or PipelineRules()
+        self._account = (budget or unlimited_budget()).open_account(
+            self._end_for_memory,
+            self._rules.request_count * BUFFER_LIMIT_BYTES,
+        )
+        # Bytes of ``_unparsed`` and of unread answers that are counted.
+        self._unparsed_bytes = 0
+        self._unread_bytes = 0
         self._on_open = on_open
         self._handler = handler
         self._head_limit_bytes = head_limit_bytes
@@ -129,9 +138,16 @@
             if self._error is not None or self._is_discarding:
                 return
         self._unparsed = unparsed[start:]
+        self._count_unparsed()
         if self._unparsed:
             self._pause_reading()
 
+    def _count_unparsed(self) -> None:
+        added_bytes = len(self._unparsed) - self._unparsed_bytes
+        if added_bytes:
+            self._unparsed_bytes += added_bytes
+            self._account.add(added_bytes)
+
     def _part_bytes(self) -> int:
         """Return how much to parse at once.
 
@@ -183,6 +199,10 @@
         """Cancel the work for the disconnected caller."""
         self._connections.discard(self)
         self.is_closing = True
+        self._account.close()
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            self._account.note_paused(-1)
         if self._timer is not None:
             self._timer.cancel()
         self.resume_writing()
@@ -193,10 +213,19 @@
     def pause_writing(self) -> None:
         """Make ``drain`` wait."""
         self._is_write_paused = True
+        assert self._transport is not None  # noqa: S101
+        self._unread_bytes = self._transport.get_write_buffer_size()
+        self._account.allow_refusal()
+        # Last, as it may end this connection.
+        self._account.add(self._unread_bytes)
 
     def resume_writing(self) -> None:
         """Let ``drain`` return."""
         self._is_write_paused = False
+        self._account.subtract(self._unread_bytes)
+        self._unread_bytes = 0
+        if not self._is_in_body():
+            self._account.forbid_refusal()
         waiter = self._drain_waiter
         self._drain_waiter = None
         if waiter is not None and not waiter.done():
@@ -207,7 +236,9 @@
 
     def on_message_begin(self) -> None:
         """Start receiving a request."""
-        self._request = HttpRequest(BodyBuffer(self._on_consumed))
+        self._request = HttpRequest(
+            BodyBuffer(self._on_consumed, self._account)
+        )
         self._request.peer_host = self._peer_host
         self._is_head_done = False
         self._is_head_timed = False
@@ -246,7 +277,7 @@
         )
         check_head(request, is_upgrade=is_upgrade)
         request.received_s = self._loop.time()
-        self._pipeline.append(PipelinedAnswer(self, request))
+        self._pipeline.append(PipelinedAnswer(self, request, self._account))
         self._start_ready()
 
     def on_body(self, content: bytes) -> None:
@@ -261,15 +292,21 @@
                 'request body',
                 detail=f'more than {self._body_limit_bytes} bytes',
             )
-        body = self._request.body
-        body.feed(content)
-        if body.size_bytes > BUFFER_LIMIT_BYTES:
+        if self._error is not None:
+            return
+        self._account.allow_refusal()
+        self._request.body.feed(content)
+        if not self._may_read():
             self._pause_reading()
 
     def on_message_complete(self) -> None:
         """Mark the body as complete."""
         assert self._request is not None  # noqa: S101
+        if self._error is not None:
+            return
         self._request.body.finish()
+        if not self._is_write_paused:
+            self._account.forbid_refusal()
         self._start_ready()
 
     # Called by the responder and the application.
@@ -324,7 +361,7 @@
         first_ones = islice(self._pipeline, self._rules.request_count)
         for position, answer in enumerate(first_ones):
             if answer.task is None:
-                if position and not may_overlap(answer.request):
+                if position and not self._may_run_ahead(answer):
                     return
                 self._start(answer)
             if position:
@@ -333,6 +370,15 @@
             if len(self._pipeline) == 1 or not may_overlap(answer.request):
                 return
 
+    def _may_run_ahead(self, answer: PipelinedAnswer) -> bool:
+        """Return whether a request may run ahead; reserve its memory if so."""
+        if not self._rules.may_overlap(answer.request):
+            return False
+        if not self._account.may_read_ahead:
+            return False
+        answer.reserve()
+        return True
+
     def _start(self, answer: PipelinedAnswer) -> None:
         if is_awaiting_continue(answer.request):
             # Sent only now: earlier, it would get into the previous answer.
@@ -360,6 +406,7 @@
             return
         while self._pipeline and self._pipeline[0].is_done:
             request = self._pipeline.popleft().request
+            request.body.drop()
             if not (request.body.is_complete and request.is_keep_alive):
                 self._end(is_input_left=not request.body.is_complete)
                 return
@@ -383,6 +430,9 @@
         for answer in self._pipeline:
             if answer.task is not None:
                 answer.task.cancel()
+            # Not left to the garbage collector, which runs rarely.
+            answer.request.body.drop()
+            answer.release()
         self._pipeline.clear()
 
     def _continue_reading(self) -> None:
@@ -450,6 +500,28 @@
         if not self._pipeline:
             self._send_error(error)
 
+    def _end_for_memory(self) -> None:
+        """Refuse the request that is being read.
+
+        The connection is closed if its answers are not read, or if earlier
+        requests hold memory too.
+        """
+        request = self._request
+        is_alone = len(self._pipeline) == 1
+        if self._is_write_paused or request is None or not is_alone:
+            self._account.close()
+            self.abort()
+            return
+        request.is_keep_alive = False
+        request.body.drop()
+        self._refuse(
+            CornelbeamError(
+                ErrorCode.OVERLOADED,
+                'request body',
+                detail='the memory for bodies is used up',
+            ),
+        )
+
     def _send_error(self, error: CornelbeamError) -> None:
         assert self._transport is not None  # noqa: S101
         request = HttpRequest(BodyBuffer())
@@ -492,13 +564,28 @@
     def _pause_reading(self) -> None:
         if not self._is_reading_paused and self._transport is not None:
             self._is_reading_paused = True
+            self._account.note_paused(1)
             self._transport.pause_reading()
 
-    def _resume_reading(self) -> None:
+    def _may_read(self) -> bool:
+        """Return whether more input may be buffered.
+
+        The request in turn is read on, as those behind it wait for it.
+        """
         if self._unparsed:
+            return False
+        request = self._request
+        if request is not None and request.body.is_full:
+            return False
+        is_behind = len(self._pipeline) > self._is_in_body()
+        return not is_behind or self._account.may_read_ahead
+
+    def _resume_reading(self) -> None:
+        if not (self._is_discarding or self._may_read()):
             return
         if self._is_reading_paused and self._transport is not None:
             self._is_reading_paused = False
+            self._account.note_paused(-1)
             if not self._transport.is_closing():
                 self._transport.resume_reading()
 
--- a/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
@@ -13,6 +13,7 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_daemon.calls import CallServer
+from cornelbeam_daemon.memory_budget import MemoryBudget
 from cornelbeam_daemon.peer_server import PeerServer
 
 
@@ -38,8 +39,9 @@
         call_server: CallServer,
         on_control: Callable[[Stream, messages.Frame], None],
         revisions: RevisionExchange | None = None,
+        budget: MemoryBudget | None = None,
     ) -> None:
-        """Serve calls with ``call_server``.
+        """Serve calls with ``call_server``; bodies are counted in ``budget``.
 
         ``on_control`` is called with every other message that opens a stream.
         All connections exchange store positions by ``revisions``.
@@ -49,7 +51,7 @@
         self._identity = identity
         self._on_control = on_control
         self._accepted_count = 0
-        self._peer_server = PeerServer(call_server)
+        self._peer_server = PeerServer(call_server, budget)
 
     @property
     def call_count(self) -> int:
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -18,6 +18,7 @@
 
 from cornelbeam_daemon.attempt_records import is_recorded
 from cornelbeam_daemon.calls import Answer, Call
+from cornelbeam_daemon.memory_budget import MemoryBudget, unlimited_budget
 from cornelbeam_daemon.remote_call import NotifySilent, RemoteCall
 
 # Time between two outcome queries to a daemon that cannot be reached.
@@ -30,11 +31,17 @@
 class PeerClient:
     """Sends calls to the daemons of other targets."""
 
-    __slots__ = ('_pool',)
+    __slots__ = ('_account', '_pool')
 
-    def __init__(self, pool: PeerPool) -> None:
-        """Send over the connections of ``pool``."""
+    def __init__(
+        self, pool: PeerPool, budget: MemoryBudget | None = None
+    ) -> None:
+        """Send over the connections of ``pool``.
+
+        The answers that are received are counted in ``budget``.
+        """
         self._pool = pool
+        self._account = (budget or unlimited_budget()).open_account()
 
     async def call(
         self,
@@ -51,7 +58,7 @@
         waiting; without it, raise the error as for a lost connection.
         """
         connection = await self._connect(target)
-        remote = RemoteCall(call.deadline_s, notify_silent)
+        remote = RemoteCall(call.deadline_s, notify_silent, self._account)
         remote.stream = connection.open_stream(remote)
         reader = call.body.reader()
         first_part, is_whole = b'', False
@@ -165,7 +172,7 @@
         call: Call,
     ) -> tuple[RunState, RemoteCall | None]:
         connection = await self._connect(target)
-        remote = RemoteCall(call.deadline_s)
+        remote = RemoteCall(call.deadline_s, account=self._account)
         remote.stream = connection.open_stream(remote)
         remote.stream.send(
             outcome_query=messages.OutcomeQuery(
--- a/packages/daemon/src/cornelbeam_daemon/peer_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_server.py
@@ -12,6 +12,7 @@
 from cornelbeam_daemon.attempt_records import may_be_queried
 from cornelbeam_daemon.calls import CallServer
 from cornelbeam_daemon.convert import refusal_to_wire
+from cornelbeam_daemon.memory_budget import MemoryBudget, unlimited_budget
 from cornelbeam_daemon.served_call import ServedCall
 
 _MS_PER_S: Final = 1000
@@ -21,11 +22,16 @@
 class PeerServer:
     """Serves calls of other daemons and answers their outcome queries."""
 
-    __slots__ = ('_backend_side', '_queried_numbers', '_served')
+    __slots__ = ('_backend_side', '_budget', '_queried_numbers', '_served')
 
-    def __init__(self, backend_side: CallServer) -> None:
-        """Serve with ``backend_side``."""
+    def __init__(
+        self,
+        backend_side: CallServer,
+        budget: MemoryBudget | None = None,
+    ) -> None:
+        """Serve with ``backend_side``; bodies are counted in ``budget``."""
         self._backend_side = backend_side
+        self._budget = budget or unlimited_budget()
         # The newest connection over which each peer has forbidden a call.
         self._queried_numbers: dict[str, int] = {}
         self._served: dict[bytes, ServedCall] = {}
@@ -65,6 +71,7 @@
             stream,
             start,
             lambda attempt_id: self._remove(attempt_id, served),
+            self._budget,
         )
         # A repeated attempt must not replace the one in progress.
         self._served.setdefault(start.attempt_id, served)
--- a/packages/daemon/src/cornelbeam_daemon/pipelining.py
+++ b/packages/daemon/src/cornelbeam_daemon/pipelining.py
@@ -6,6 +6,7 @@
 
 from cornelbeam_daemon.bodies import BUFFER_LIMIT_BYTES
 from cornelbeam_daemon.http_message import AnswerWriter, HttpRequest
+from cornelbeam_daemon.memory_budget import MemoryAccount
 
 # Requests of one connection that are read before the first is answered.
 DEFAULT_PIPELINED_COUNT: Final = 8
@@ -51,9 +52,11 @@
     """
 
     __slots__ = (
+        '_account',
         '_buffer',
         '_buffered_bytes',
         '_connection',
+        '_reserved_bytes',
         '_turn',
         'is_aborted',
         'is_done',
@@ -65,9 +68,15 @@
         self,
         connection: AnswerWriter,
         request: HttpRequest,
+        account: MemoryAccount,
     ) -> None:
-        """Keep what is written until ``take_turn`` is called."""
+        """Keep what is written until ``take_turn`` is called.
+
+        What is kept is counted in ``account``.
+        """
         self.request = request
+        self._account = account
+        self._reserved_bytes = 0
         self.task: asyncio.Task[None] | None = None
         self.is_aborted = False
         self.is_done = False
@@ -76,13 +85,28 @@
         self._buffered_bytes = 0
         self._turn = asyncio.Event()
 
+    def reserve(self) -> None:
+        """Count a full buffer, as the request runs ahead of its turn."""
+        self._reserved_bytes = BUFFER_LIMIT_BYTES
+        self._account.add(BUFFER_LIMIT_BYTES)
+
+    def release(self) -> None:
+        """Stop counting: the answer has been written, or never will be."""
+        self._account.subtract(max(self._reserved_bytes, self._buffered_bytes))
+        self._reserved_bytes = 0
+        self._buffered_bytes = 0
+        self._buffer.clear()
+
     def write(self, content: bytes) -> None:
         """Write bytes now, or once all earlier answers have been written."""
         if self._turn.is_set():
             self._connection.write(content)
             return
         self._buffer.append(content)
+        counted_bytes = max(self._reserved_bytes, self._buffered_bytes)
         self._buffered_bytes += len(content)
+        if self._buffered_bytes > counted_bytes:
+            self._account.add(self._buffered_bytes - counted_bytes)
 
     async def drain(self) -> None:
         """Wait while too much is kept, or while the caller reads slowly."""
@@ -109,6 +133,6 @@
         self._turn.set()
         if self._buffer:
             self._connection.write(b''.join(self._buffer))
-            self._buffer.clear()
+        self.release()
         if self.is_aborted:
             self._connection.abort()
--- a/packages/daemon/src/cornelbeam_daemon/remote_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/remote_call.py
@@ -14,6 +14,7 @@
 from cornelbeam_daemon.bodies import BodyBuffer, BodyReader
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.convert import load_from_wire, refusal_from_wire
+from cornelbeam_daemon.memory_budget import MemoryAccount
 
 # Called with the connection that went silent while a call waited on it.
 NotifySilent = Callable[[PeerConnection], None]
@@ -26,6 +27,7 @@
     """Receives the answer to a call or to an outcome query."""
 
     __slots__ = (
+        '_account',
         '_answer_body',
         '_deadline_s',
         '_notify_silent',
@@ -41,13 +43,15 @@
         self,
         deadline_s: float,
         notify_silent: NotifySilent | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
-        """Start without an answer.
+        """Start without an answer; its body is counted in ``account``.
 
         ``notify_silent`` is called when the connection goes silent before the
         head has arrived. Without it, the call fails then.
         """
         loop = asyncio.get_running_loop()
+        self._account = account
         self._deadline_s = deadline_s
         self._notify_silent = notify_silent
         self.head: asyncio.Future[Answer] = loop.create_future()
@@ -182,7 +186,9 @@
         is_final = _MIN_STATUS <= start.status <= _MAX_STATUS
         if not (is_final and fields.are_well_formed(start.headers)):
             raise protocol_error('malformed head of an answer')
-        body = BodyBuffer(None if start.is_complete else stream.grant_credit)
+        body = BodyBuffer(
+            None if start.is_complete else stream.grant_credit, self._account
+        )
         body.feed(start.body)
         if start.is_complete:
             body.finish()
--- a/packages/daemon/src/cornelbeam_daemon/served_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/served_call.py
@@ -20,6 +20,7 @@
 from cornelbeam_daemon.calls import Answer, Call, CallServer
 from cornelbeam_daemon.convert import load_to_wire, refusal_to_wire
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.memory_budget import MemoryBudget
 
 _log = get_log('backend')
 _MS_PER_S: Final = 1000
@@ -37,6 +38,7 @@
     """
 
     __slots__ = (
+        '_account',
         '_attached',
         '_backend_side',
         '_body',
@@ -55,12 +57,17 @@
         stream: Stream,
         start: messages.CallStart,
         on_end: Callable[[bytes], None],
+        budget: MemoryBudget,
     ) -> None:
-        """Start a task that serves the call opened by ``start``."""
+        """Start a task that serves the call opened by ``start``.
+
+        The body of the call is counted in ``budget``.
+        """
         loop = asyncio.get_running_loop()
         self._backend_side = backend_side
         self._on_end = on_end
-        self._body = BodyBuffer(self._grant_credit)
+        self._account = budget.open_account(self._end_for_memory)
+        self._body = BodyBuffer(self._grant_credit, self._account)
         self._body.feed(start.body)
         if start.is_complete:
             self._body.finish()
@@ -149,6 +156,8 @@
                 answer.close()
 
     def _end(self, task: 'asyncio.Task[None]') -> None:
+        self._body.drop()
+        self._account.close()
         self._body_stream.close()
         if self.stream is not None:
             self.stream.close()
@@ -261,9 +270,11 @@
 
     def feed_body(self, part: messages.BodyPart) -> None:
         """Append a part of the request body."""
+        self._account.allow_refusal()
         self._body.feed(part.content)
         if part.is_last:
             self._body.finish()
+            self._account.forbid_refusal()
 
     def fail_body(self) -> None:
         """Fail a request body whose rest can no longer arrive."""
@@ -276,6 +287,17 @@
                 ),
             )
 
+    def _end_for_memory(self) -> None:
+        """Refuse the call, whose body would take more memory."""
+        self._body.drop()
+        self._body.fail(
+            CornelbeamError(
+                ErrorCode.OVERLOADED,
+                'request body',
+                detail='the memory for bodies is used up',
+            ),
+        )
+
     def _grant_credit(self, size_bytes: int) -> None:
         self._body_stream.grant_credit(size_bytes)
 
--- a/packages/daemon/tests/test_read_ahead.py
+++ b/packages/daemon/tests/test_read_ahead.py
@@ -3,7 +3,11 @@
 import asyncio
 
 import pytest
+from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_daemon.bodies import RequestBody
+from cornelbeam_daemon.http_message import send_error
 from cornelbeam_daemon.http_server import HttpServerConnection
+from cornelbeam_daemon.memory_budget import MIN_BUDGET_BYTES, MemoryBudget
 from cornelbeam_daemon.pipelining import DEFAULT_PIPELINED_COUNT
 
 pytestmark = pytest.mark.anyio
@@ -11,8 +15,10 @@
 REQUEST_COUNT = 40
 PIECE_BYTES = 262_144
 CHUNK = b'%x\r\n%b\r\n' % (BODY_BYTES, b'a' * BODY_BYTES)
+UPLOAD_HEAD = b'POST / HTTP/1.1\r\nhost: a\r\n'
+LENGTH = b'content-length: %d\r\n\r\n%b'
 BODIES = {
-    'length': (b'content-length: %d\r\n\r\n' % BODY_BYTES + b'a' * BODY_BYTES),
+    'length': LENGTH % (BODY_BYTES, b'a' * BODY_BYTES),
     'chunks': b'transfer-encoding: chunked\r\n\r\n%b0\r\n\r\n' % CHUNK,
 }
 
@@ -72,6 +78,11 @@
         self.connection.connection_made(self.transport)
 
     async def _wait(self, request, responder) -> None:
+        try:
+            await RequestBody(request.body, 10_000_000).buffer_all()
+        except CornelbeamError as error:
+            send_error(responder, error)
+            return
         await asyncio.Event().wait()
 
     def send(self, content) -> int:
@@ -97,10 +108,45 @@
 
     @pytest.mark.parametrize('framing', BODIES)
     async def test_reading_stops_at_the_limit(self, framing):
-        upload = b'POST / HTTP/1.1\r\nhost: a\r\n' + BODIES[framing]
+        upload = b'%b%b' % (UPLOAD_HEAD, BODIES[framing])
         caller = Caller()
         taken_bytes = caller.send(upload * REQUEST_COUNT)
         await asyncio.sleep(0)
         assert len(caller.connection._pipeline) <= DEFAULT_PIPELINED_COUNT + 1
         assert taken_bytes < (DEFAULT_PIPELINED_COUNT + 4) * len(upload)
         await caller.close()
+
+
+class TestShortMemory:
+    """Guards against callers that take the memory of others."""
+
+    async def test_longest_body_is_refused_and_others_go_on(self):
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        callers = [Caller(budget=budget) for _ in range(20)]
+        for caller in callers:
+            caller.send(UPLOAD_HEAD)
+            caller.send(LENGTH % (9_000_000, b'a' * PIECE_BYTES))
+        await asyncio.sleep(0)
+        refused = [each for each in callers if each.transport.written]
+        assert refused
+        assert len(refused) < len(callers)
+        assert all(
+            each.transport.written.startswith(b'HTTP/1.1 503 ')
+            for each in refused
+        )
+        assert budget.used_bytes <= budget.limit_bytes
+        for caller in callers:
+            await caller.close()
+        assert budget.used_bytes == 0
+        assert budget.paused_count == 0
+
+    async def test_unread_answer_is_given_up(self):
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        caller = Caller(budget=budget)
+        caller.connection.write(b'a' * MIN_BUDGET_BYTES)
+        caller.connection.pause_writing()
+        assert not caller.transport.is_closed
+        budget.open_account().add(1)
+        assert caller.transport.is_closed
+        assert budget.used_bytes == 1
+        await caller.close()
