Set the budget for buffers of both daemons

limits.memory_mb states the memory of the machine, a quarter of which may hold bodies and answers; without it, /proc/meminfo counts.

--- a/packages/mesh/src/cornelbeam_mesh/listeners.py
+++ b/packages/mesh/src/cornelbeam_mesh/listeners.py
@@ -7,6 +7,7 @@
 from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.listening import LISTEN_BACKLOG, bind_listener
+from cornelbeam_daemon.memory_budget import MemoryBudget
 from cornelbeam_daemon.pipelining import PipelineRules
 
 from cornelbeam_mesh.settings import split_address
@@ -23,10 +24,14 @@
 class Listeners:
     """Bound sockets with their servers and HTTP connections."""
 
-    __slots__ = ('_servers', '_sockets', 'internal_connections')
+    __slots__ = ('_budget', '_servers', '_sockets', 'internal_connections')
 
-    def __init__(self, addresses: Iterable[str]) -> None:
-        """Bind all addresses; raise ``OSError`` if one is unavailable."""
+    def __init__(self, addresses: Iterable[str], budget: MemoryBudget) -> None:
+        """Bind all addresses; raise ``OSError`` if one is unavailable.
+
+        What HTTP connections buffer is counted in ``budget``.
+        """
+        self._budget = budget
         self._sockets = {
             address: bind_listener(*split_address(address))
             for address in addresses
@@ -60,6 +65,7 @@
                 tracked,
                 on_open,
                 pipeline_rules,
+                self._budget,
             ),
         )
 
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -4,6 +4,8 @@
 from typing import Final, final
 
 from cornelbeam_core.target_gate import TargetGate
+from cornelbeam_daemon.memory_budget import MemoryBudget
+from cornelbeam_daemon.memory_metrics import MemoryCollector
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -107,6 +109,10 @@
             unreadable_count,
         )
 
+    def add_budget(self, budget: MemoryBudget) -> None:
+        """Add the metrics of the memory budget."""
+        MemoryCollector(budget, self._registry)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from cornelbeam_daemon.control_messages import Messenger
+from cornelbeam_daemon.memory_budget import MemoryBudget
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor
 from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_wire import Identity, RevisionExchange, Stream
@@ -35,11 +36,12 @@
         on_control_message: Callable[[str, str], None],
         revisions: RevisionExchange,
         quarantine: QuarantineSync,
+        budget: MemoryBudget,
     ) -> None:
         """Serve calls through ``admission``.
 
         ``on_control_message`` is called with the name and address of a peer
-        that sends a control message.
+        that sends a control message. Bodies of calls are counted in ``budget``.
         """
         self._identity = identity
         self._peer_sync = peer_sync
@@ -47,7 +49,11 @@
         self._messenger = messenger
         self._on_control_message = on_control_message
         self.acceptor = PeerAcceptor(
-            identity, admission, self._handle_control_message, revisions
+            identity,
+            admission,
+            self._handle_control_message,
+            revisions,
+            budget,
         )
 
     def _handle_control_message(
--- a/packages/mesh/src/cornelbeam_mesh/settings.py
+++ b/packages/mesh/src/cornelbeam_mesh/settings.py
@@ -79,12 +79,14 @@
     """Limits of what callers may occupy.
 
     Of each connection, ``pipelined_count`` requests are read before the first
-    is answered.
+    is answered. ``memory_mb`` is the memory of the machine, a quarter of which
+    may hold bodies and answers; 0 for what the operating system states.
     """
 
     pipelined_count: Annotated[int, msgspec.Meta(ge=1)] = (
         DEFAULT_PIPELINED_COUNT
     )
+    memory_mb: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
 class MeshLog(Section, frozen=True):
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -19,6 +19,7 @@
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.memory_budget import MemoryBudget, budget_bytes
 from cornelbeam_daemon.peer_acceptor import ignore_streams
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.pipelining import PipelineRules
@@ -92,7 +93,8 @@
         """
         self.settings = settings
         listeners = settings.listeners
-        self._listeners = Listeners(listeners.addresses)
+        self._budget = MemoryBudget(budget_bytes(settings.limits.memory_mb))
+        self._listeners = Listeners(listeners.addresses, self._budget)
         self._store = store
         self._rng = random.Random()
         self._stop = asyncio.Event()
@@ -149,7 +151,9 @@
             bounds.retry_window_s,
         )
         host, port = split_address(settings.backend_server.address)
-        self._backend = BackendClient(host, port, MAX_BACKEND_CONNECTIONS)
+        self._backend = BackendClient(
+            host, port, MAX_BACKEND_CONNECTIONS, self._budget
+        )
         observer = TargetObserver(
             adapter, self._gate, self.registration.note_departure
         )
@@ -207,6 +211,7 @@
             self._on_control_message,
             revisions,
             self.quarantine,
+            self._budget,
         )
         self._reader = RequestReader(
             adapter,
@@ -225,7 +230,7 @@
                 adapter,
                 self.state.members,
                 self.admission,
-                PeerClient(self._pool),
+                PeerClient(self._pool, self._budget),
                 self._rng,
             ),
             self.admission,
@@ -244,6 +249,7 @@
             lambda: self.quarantine.count,
             lambda: store.unreadable_count,
         )
+        self.metrics.add_budget(self._budget)
 
     def stop(self) -> None:
         """Request a planned stop."""
--- a/packages/settings/src/cornelbeam_settings/model.py
+++ b/packages/settings/src/cornelbeam_settings/model.py
@@ -207,6 +207,16 @@
             1024 * _MEBIBYTE,
         ),
     ] = 64 * _MEBIBYTE
+    memory_mb: Annotated[
+        int,
+        quantity(
+            'Memory of the machine, a quarter of which may hold bodies and'
+            ' answers; 0 for what the operating system states.',
+            'MB',
+            0,
+            1_000_000,
+        ),
+    ] = 0
     pipelined_count: Annotated[
         int,
         quantity(
--- a/tests/adapter/memory_fleet.py
+++ b/tests/adapter/memory_fleet.py
@@ -19,6 +19,9 @@
 
 # Above it, a body is refused.
 BODY_LIMIT_BYTES = 4 * 1_048_576
+# Memory of a machine that would be far too small for the daemon: the budget for
+# buffers follows it.
+MACHINE_MB = 32
 ANSWER = b'a' * 300_000
 _READ_BYTES = 65_536
 
@@ -82,7 +85,12 @@
         self.target = Target()
         self._machines = [
             Machine(
-                number, DOMAINS[number], self._platform, self.target, folder
+                number,
+                DOMAINS[number],
+                self._platform,
+                self.target,
+                folder,
+                {'memory_mb': MACHINE_MB},
             )
             for number in range(2)
         ]
@@ -132,6 +140,7 @@
             'fleet': {'ping_period_ms': 200, 'view_period_ms': 500},
             'limits': {
                 'body_bytes': BODY_LIMIT_BYTES,
+                'memory_mb': MACHINE_MB,
                 'queue_ms': 5000,
                 'queue_count': 200,
             },
--- a/tests/adapter/soak_fleet.py
+++ b/tests/adapter/soak_fleet.py
@@ -143,7 +143,9 @@
 class Machine:
     """A daemon in a process of its own, beside a target."""
 
-    def __init__(self, number, domain, platform, target, folder) -> None:
+    def __init__(
+        self, number, domain, platform, target, folder, limits=None
+    ) -> None:
         """Write the settings of the daemon."""
         self.domain = domain
         self.target = target
@@ -164,6 +166,7 @@
                         'heartbeat_interval_ms': 1000,
                     },
                     'store': {'address': platform.address},
+                    'limits': limits or {},
                     # Limits of other tests don't bind here.
                     'bounds': {
                         'retry_slack_count': 10_000,
