Enforce the limits of requests that operators configure

The mesh daemon ignored limits.header_bytes and limits.body_bytes of the configuration: a body announced as 100 GB was read up to 256 MiB. Now an announced body above the limit is answered with 413 at once, and a chunked one ends at the limit. Without limits those of before hold.

Both daemons answered 413 with cornelbeam-ran: unknown after a part of a body was passed on, although 413 says that the request has not run.

--- a/packages/core/src/cornelbeam_core/errors.py
+++ b/packages/core/src/cornelbeam_core/errors.py
@@ -72,7 +72,7 @@
 }
 _DEFAULT_HTTP_STATUS: Final = 503
 # Statuses that promise that the request has not run and never will.
-_PROMISING_HTTP_STATUSES: Final = frozenset((429, _DEFAULT_HTTP_STATUS))
+_PROMISING_HTTP_STATUSES: Final = frozenset((413, 429, _DEFAULT_HTTP_STATUS))
 _UNCLEAR_HTTP_STATUS: Final = 502
 
 
@@ -114,8 +114,8 @@
     def http_status(self) -> int:
         """HTTP status that reports this error.
 
-        429 and 503 promise that the request has not run, so an error without
-        that certainty is reported as 502.
+        413, 429 and 503 promise that the request has not run, so an error
+        without that certainty is reported as 502.
         """
         status = _HTTP_STATUSES.get(self.code, _DEFAULT_HTTP_STATUS)
         is_promise = status in _PROMISING_HTTP_STATUSES
--- a/packages/core/src/cornelbeam_core/routes.py
+++ b/packages/core/src/cornelbeam_core/routes.py
@@ -101,15 +101,25 @@
     cold_per_s: float | None
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Limits of what a caller may send; ``None`` if operators state none."""
+
+    head_bytes: int | None = None
+    body_bytes: int | None = None
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
-    """One version of the configured routes, services and tenants."""
+    """One version of the configured routes, services, tenants and limits."""
 
     version: int
     routes: tuple[RouteRule, ...]
     services: tuple[ServiceRule, ...]
     tenants: tuple[TenantRule, ...] = ()
+    limits: RequestLimits = RequestLimits()
 
 
 @final
@@ -126,6 +136,7 @@
     __slots__ = (
         '_current_weights',
         '_routes',
+        'limits',
         'services',
         'tenants',
         'version',
@@ -134,6 +145,7 @@
     def __init__(self, configuration: RoutingConfiguration) -> None:
         """Index the routes of a configuration by host."""
         self.version = configuration.version
+        self.limits = configuration.limits
         self.services: Mapping[str, ServiceRule] = {
             service.name: service for service in configuration.services
         }
--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -21,7 +21,11 @@
 from cornelbeam_daemon.logs import get_log
 from cornelbeam_daemon.memory_budget import MemoryBudget, unlimited_budget
 from cornelbeam_daemon.pipelining import PipelinedAnswer, PipelineRules
-from cornelbeam_daemon.request_head import check_head, is_awaiting_continue
+from cornelbeam_daemon.request_head import (
+    InputLimits,
+    check_head,
+    is_awaiting_continue,
+)
 
 _log = get_log('caller')
 # Limits how long an incomplete request head can occupy a connection.
@@ -63,11 +67,13 @@
         on_open: Callable[['HttpServerConnection'], None] | None = None,
         pipeline_rules: PipelineRules | None = None,
         budget: MemoryBudget | None = None,
+        limits: InputLimits | None = None,
     ) -> None:
         """Create the protocol for one accepted connection.
 
         It is a member of ``connections`` while it is open. ``on_open`` is
         called before anything is read. What it buffers counts in ``budget``.
+        The ``limits`` replace those given as numbers.
         """
         self._rules = pipeline_rules or PipelineRules()
         self._account = (budget or unlimited_budget()).open_account(
@@ -79,8 +85,10 @@
         self._unread_bytes = 0
         self._on_open = on_open
         self._handler = handler
-        self._head_limit_bytes = head_limit_bytes
-        self._body_limit_bytes = body_limit_bytes
+        self._limits = limits or InputLimits(head_limit_bytes, body_limit_bytes)
+        # Those of the request that is being received.
+        self._head_limit_bytes = self._limits.head_bytes
+        self._body_limit_bytes = self._limits.body_bytes
         self._connections = connections
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
@@ -240,6 +248,8 @@
             BodyBuffer(self._on_consumed, self._account)
         )
         self._request.peer_host = self._peer_host
+        self._head_limit_bytes = self._limits.head_bytes
+        self._body_limit_bytes = self._limits.body_bytes
         self._is_head_done = False
         self._is_head_timed = False
         self._head_bytes = 0
--- a/packages/daemon/src/cornelbeam_daemon/request_head.py
+++ b/packages/daemon/src/cornelbeam_daemon/request_head.py
@@ -1,13 +1,39 @@
 """Checks of request heads that parsers may read differently."""
 
-from typing import Final
+from typing import Final, final
+
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
 
 from cornelbeam_daemon import headers as fields
-from cornelbeam_daemon.http_message import HttpRequest, malformed
+from cornelbeam_daemon.http_message import HttpRequest, malformed, read_number
 
+# The longest number that a length is written with.
+_MAX_DIGITS: Final = 18
 _VERSIONS: Final = frozenset(('1.0', '1.1'))
 
 
+@final
+class InputLimits:
+    """Limits of heads and bodies, which may change while callers connect."""
+
+    __slots__ = ('body_bytes', 'head_bytes')
+
+    def __init__(self, head_bytes: int, body_bytes: int) -> None:
+        """Start with these limits."""
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+
+    def check_announced(self, headers: list[bytes]) -> None:
+        """Raise ``body_too_large`` for an announced body above the limit."""
+        size_bytes = read_number(headers, b'content-length', 0, _MAX_DIGITS)
+        if size_bytes > self.body_bytes:
+            raise CornelbeamError(
+                ErrorCode.BODY_TOO_LARGE,
+                'request head',
+                detail=f'more than {self.body_bytes} bytes',
+            )
+
+
 def check_head(request: HttpRequest, *, is_upgrade: bool) -> None:
     """Refuse ambiguous heads (RFC 9112, sections 3.2 and 6.1).
 
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -18,6 +18,7 @@
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest, malformed, read_number
 from cornelbeam_daemon.request_fingerprint import compute_fingerprint
+from cornelbeam_daemon.request_head import InputLimits
 
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.platform_adapter import PlatformAdapter
@@ -160,6 +161,7 @@
         '_caller_service',
         '_caller_wait',
         '_host',
+        '_limits',
         '_origins',
         '_state',
         '_stop',
@@ -173,12 +175,15 @@
         host: str,
         origins: CallOrigins,
         stop: StopDeadline,
+        limits: InputLimits,
     ) -> None:
         """Read requests of callers on an instance of ``caller_service``.
 
         ``host`` is the IP address of the backend server, and ``origins`` knows
-        the requests that it runs. No deadline is later than that of ``stop``.
+        the requests that it runs. No deadline is later than that of ``stop``,
+        and no body may be announced as larger than ``limits`` say.
         """
+        self._limits = limits
         self._stop = stop
         self._adapter = adapter
         self._state = state
@@ -210,6 +215,7 @@
                 'routing',
                 detail='no configuration yet',
             )
+        self._limits.check_announced(request.headers)
         route = _find_route(request, table)
         if not route.is_supported:
             raise CornelbeamError(
--- a/packages/mesh/src/cornelbeam_mesh/listeners.py
+++ b/packages/mesh/src/cornelbeam_mesh/listeners.py
@@ -4,19 +4,34 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Final, final
 
+from cornelbeam_core.routes import RequestLimits
 from cornelbeam_daemon.http_message import HttpRequest, Responder
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.listening import LISTEN_BACKLOG, bind_listener
 from cornelbeam_daemon.memory_budget import MemoryBudget
 from cornelbeam_daemon.pipelining import PipelineRules
+from cornelbeam_daemon.request_head import InputLimits
 
 from cornelbeam_mesh.settings import split_address
 
-# Above any limit that operators configure: the configured limits may change
-# while connections are open.
+# Limits of callers if operators configure none, and of other connections. A
+# head must fit into a frame between daemons whatever operators configure.
 HEAD_LIMIT_BYTES: Final = 65_536
 BODY_LIMIT_BYTES: Final = 268_435_456
 
+
+def default_limits() -> InputLimits:
+    """Return the limits of callers if operators configure none."""
+    return InputLimits(HEAD_LIMIT_BYTES, BODY_LIMIT_BYTES)
+
+
+def apply_limits(limits: InputLimits, stated: RequestLimits) -> None:
+    """Set the limits of callers to those that operators state."""
+    head_bytes, body_bytes = stated.head_bytes, stated.body_bytes
+    limits.head_bytes = min(head_bytes or HEAD_LIMIT_BYTES, HEAD_LIMIT_BYTES)
+    limits.body_bytes = BODY_LIMIT_BYTES if body_bytes is None else body_bytes
+
+
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -47,11 +62,13 @@
         connections: set[HttpServerConnection] | None = None,
         on_open: Callable[[HttpServerConnection], None] | None = None,
         pipeline_rules: PipelineRules | None = None,
+        limits: InputLimits | None = None,
     ) -> None:
         """Serve HTTP requests at an address with ``handler``.
 
         Open connections are kept in ``connections``; ``on_open`` is called
-        for each new one before anything is read from it.
+        for each new one before anything is read from it. Without ``limits``
+        those of this module hold.
         """
         tracked = (
             self.internal_connections if connections is None else connections
@@ -66,6 +83,7 @@
                 on_open,
                 pipeline_rules,
                 self._budget,
+                limits,
             ),
         )
 
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -32,7 +32,7 @@
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import RequestReader
 from cornelbeam_mesh.forwarding import Forwarder
-from cornelbeam_mesh.listeners import Listeners
+from cornelbeam_mesh.listeners import Listeners, apply_limits, default_limits
 from cornelbeam_mesh.members import (
     MemberEntry,
     TargetEntry,
@@ -94,6 +94,7 @@
         self.settings = settings
         listeners = settings.listeners
         self._budget = MemoryBudget(budget_bytes(settings.limits.memory_mb))
+        self._input_limits = default_limits()
         self._listeners = Listeners(listeners.addresses, self._budget)
         self._store = store
         self._rng = random.Random()
@@ -220,6 +221,7 @@
             host,
             self.admission.origins,
             self._stop_deadline,
+            self._input_limits,
         )
         self.forwarder = Forwarder(
             domain,
@@ -283,6 +285,7 @@
                 self.settings.limits.pipelined_count,
                 self._reader.may_overlap,
             ),
+            self._input_limits,
         )
         async with anyio.create_task_group() as group:
             self._group = group
@@ -386,6 +389,9 @@
             _log.warning('departure confirmed before a peer has it')
 
     def _on_state_change(self, kinds: set[SharedKind]) -> None:
+        table = self.state.route_table
+        if table is not None:
+            apply_limits(self._input_limits, table.limits)
         target = self._local_target()
         if target is not None:
             self._gate.resize(target.slot_count)
