Refuse answers with a status outside of 100 to 599

Both daemons passed 600 and 999 of a backend server on to the caller, who can't know what they mean, and took 000 and 099 for informational answers, so that the caller waited for a final one.

--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -16,7 +16,9 @@
 )
 from cornelbeam_daemon.memory_budget import MemoryAccount
 
+_MIN_STATUS: Final = 100
 _MIN_FINAL_STATUS: Final = 200
+_MAX_STATUS: Final = 599
 _CLOSED: Final = 'the backend server closed the connection'
 # The head of an answer and a body part must fit into one frame between daemons.
 HEAD_LIMIT_BYTES: Final = 65_536
@@ -166,6 +168,11 @@
     def on_headers_complete(self) -> None:
         """Deliver the head of the final answer; ignore informational ones."""
         status = self._parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            # RFC 9110, section 15: it has no defined meaning.
+            self._fail(_failure_code(self._body), f'status {status}')
+            self.close()
+            return
         if status < _MIN_FINAL_STATUS or self._is_answered:
             return
         if self._is_own_answer is not None and not self._is_own_answer(
--- a/packages/daemon/src/cornelbeam_daemon/remote_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/remote_call.py
@@ -19,7 +19,7 @@
 # Called with the connection that went silent while a call waited on it.
 NotifySilent = Callable[[PeerConnection], None]
 _MIN_STATUS: Final = 200
-_MAX_STATUS: Final = 999
+_MAX_STATUS: Final = 599
 
 
 @final
