--- a/tests/adapter/memory_fleet.py
+++ b/tests/adapter/memory_fleet.py
@@ -70,12 +70,12 @@
 
     method = 'POST'
 
-    def __init__(self, folder) -> None:
+    def __init__(self, folder, body_limit_bytes=BODY_LIMIT_BYTES) -> None:
         """Prepare the processes; settings and logs are in ``folder``."""
         self._platform = Platform()
         limits = {
             'header_bytes': 16_384,
-            'body_bytes': BODY_LIMIT_BYTES,
+            'body_bytes': body_limit_bytes,
             'header_timeout_ms': 3000,
             'idle_timeout_ms': 15_000,
         }
@@ -133,13 +133,13 @@
 
     method = 'PUT'
 
-    def __init__(self, folder) -> None:
+    def __init__(self, folder, body_limit_bytes=BODY_LIMIT_BYTES) -> None:
         """Prepare the processes; settings are in ``folder``."""
         self._fleet = Fleet(folder)
         self._fleet.settings = {
             'fleet': {'ping_period_ms': 200, 'view_period_ms': 500},
             'limits': {
-                'body_bytes': BODY_LIMIT_BYTES,
+                'body_bytes': body_limit_bytes,
                 'memory_mb': MACHINE_MB,
                 'queue_ms': 5000,
                 'queue_count': 200,
--- a/tests/adapter/test_memory.py
+++ b/tests/adapter/test_memory.py
@@ -33,6 +33,8 @@
 DESCRIPTOR_BOUND = 256
 # A daemon that does not answer within this time hangs.
 HANG_S = 120
+# The limit of bodies in the example of a configuration.
+LARGE_BODY = bytes(64 * 1_048_576)
 _PART = b'b' * 65_536
 _REQUEST_IDS = itertools.count()
 
@@ -194,3 +196,31 @@
         print(make_pair.__name__, form, *figures)  # noqa: T201, WPS421
         assert max(peaks) <= MEMORY_BOUND_BYTES
         assert max(descriptors) <= DESCRIPTOR_BOUND
+
+
+@pytest.mark.parametrize('make_pair', [MeshPair, DaemonPair])
+class TestLargeBody:
+    """Guards against a budget that refuses a request within the limits."""
+
+    @pytest.mark.parametrize('kind', ['upload', 'idempotent'])
+    async def test_it_is_served_alone(self, make_pair, kind, tmp_path):
+        pair = make_pair(tmp_path, len(LARGE_BODY))
+        method = 'POST' if kind == 'upload' else pair.method
+        try:
+            await pair.start()
+            await ask_until_answered(pair)
+            async with asyncio.timeout(HANG_S):
+                status, content = await exchange(
+                    pair.address,
+                    f'{method} /{kind}/1',
+                    LARGE_BODY,
+                    fields=(
+                        *pair.fields,
+                        f'x-attempt-id: l-{next(_REQUEST_IDS)}',
+                    ),
+                )
+            peaks = [read_peak_bytes(pid) for pid in pair.pids]
+        finally:
+            await pair.stop()
+        assert (status, content) == (200, b'ok')
+        assert max(peaks) <= MEMORY_BOUND_BYTES
