--- a/packages/daemon/src/cornelbeam_daemon/http_server.py
+++ b/packages/daemon/src/cornelbeam_daemon/http_server.py
@@ -519,6 +519,12 @@
         request = self._request
         is_alone = len(self._pipeline) == 1
         if self._is_write_paused or request is None or not is_alone:
+            _log.info(
+                'connection closed, memory for buffers used up',
+                buffered_bytes=self._account.used_bytes,
+                unanswered_count=len(self._pipeline),
+                is_answer_unread=self._is_write_paused,
+            )
             self._account.close()
             self.abort()
             return
