--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -20,6 +20,7 @@
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.http_server import HttpServerConnection
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.memory_budget import MemoryBudget, budget_bytes
 from cornelbeam_daemon.peer_acceptor import ignore_streams
 from cornelbeam_daemon.peer_client import PeerClient
 from cornelbeam_daemon.pipelining import PipelineRules
@@ -34,7 +35,7 @@
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import RequestReader
 from cornelbeam_mesh.forwarding import Forwarder
-from cornelbeam_mesh.listeners import Listeners
+from cornelbeam_mesh.listeners import Listeners, apply_limits, default_limits
 from cornelbeam_mesh.members import (
     MemberEntry,
     TargetEntry,
@@ -99,7 +100,9 @@
         """
         self.settings = settings
         listeners = settings.listeners
-        self._listeners = Listeners(listeners.addresses)
+        self._budget = MemoryBudget(budget_bytes(settings.limits.memory_mb))
+        self._input_limits = default_limits()
+        self._listeners = Listeners(listeners.addresses, self._budget)
         self._store = store
         self._rng = random.Random()
         self._stop = asyncio.Event()
@@ -169,7 +172,9 @@
             bounds.retry_window_s,
         )
         host, port = split_address(settings.backend_server.address)
-        self._backend = BackendClient(host, port, MAX_BACKEND_CONNECTIONS)
+        self._backend = BackendClient(
+            host, port, MAX_BACKEND_CONNECTIONS, self._budget
+        )
         observer = TargetObserver(
             adapter, self._gate, self.registration.note_departure
         )
@@ -258,6 +263,7 @@
             self.quarantine,
             self.currency,
             self.quotas,
+            self._budget,
         )
         self._reader = RequestReader(
             adapter,
@@ -272,6 +278,7 @@
                 self.admission.origins,
                 self.currency.check,
             ),
+            self._input_limits,
         )
         self.forwarder = Forwarder(
             domain,
@@ -282,7 +289,7 @@
                 adapter,
                 self.state.members,
                 self.admission,
-                PeerClient(self._pool),
+                PeerClient(self._pool, self._budget),
                 self._rng,
             ),
             self.admission,
@@ -308,6 +315,7 @@
                 self.state.rollouts, self.admission.rollouts, self._local_target
             )
         )
+        self.metrics.add_budget(self._budget)
 
     def stop(self) -> None:
         """Request a planned stop."""
@@ -341,6 +349,7 @@
                 self.settings.limits.pipelined_count,
                 self._reader.may_overlap,
             ),
+            self._input_limits,
         )
         async with anyio.create_task_group() as group:
             self._group = group
@@ -452,6 +461,9 @@
     def _on_state_change(self, kinds: set[SharedKind]) -> None:
         self.currency.note_change()
         self.quotas.note_members()
+        table = self.state.route_table
+        if table is not None:
+            apply_limits(self._input_limits, table.limits)
         target = self._local_target()
         if target is not None:
             self._gate.resize(target.slot_count)
