Bound the frames that wait for a slow peer

Frames that a peer doesn't read were kept without a limit. The budget of the process counts them, and bodies are refused when they exceed it.

--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -108,7 +108,11 @@
             own.address,
             secret,
         )
-        self._pool = PeerPool(self._identity, ignore_streams)
+        self._pool = PeerPool(
+            self._identity,
+            ignore_streams,
+            on_backlog=self.budget.open_account().add,
+        )
         self._messenger = Messenger(self._pool, self.metrics)
         self.quarantine = QuarantineSync(
             own.name,
--- a/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_acceptor.py
@@ -13,7 +13,7 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_daemon.calls import CallServer
-from cornelbeam_daemon.memory_budget import MemoryBudget
+from cornelbeam_daemon.memory_budget import MemoryBudget, unlimited_budget
 from cornelbeam_daemon.peer_server import PeerServer
 
 
@@ -26,6 +26,7 @@
 
     __slots__ = (
         '_accepted_count',
+        '_account',
         '_identity',
         '_on_control',
         '_peer_server',
@@ -41,11 +42,12 @@
         revisions: RevisionExchange | None = None,
         budget: MemoryBudget | None = None,
     ) -> None:
-        """Serve calls with ``call_server``; bodies are counted in ``budget``.
+        """Serve calls with ``call_server``; ``budget`` counts what is buffered.
 
         ``on_control`` is called with every other message that opens a stream.
         All connections exchange store positions by ``revisions``.
         """
+        self._account = (budget or unlimited_budget()).open_account()
         self._revisions = revisions
         self.connections: set[PeerConnection] = set()
         self._identity = identity
@@ -66,6 +68,7 @@
             self.connections.discard,
             is_opener=False,
             revisions=self._revisions,
+            on_backlog=self._account.add,
         )
         self.connections.add(connection)
         self._accepted_count += 1
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -140,7 +140,12 @@
             lambda: self.state.store_revision,
             lambda peer, revision: self.peer_sync.note_revision(peer, revision),
         )
-        self._pool = PeerPool(self._identity, ignore_streams, revisions)
+        self._pool = PeerPool(
+            self._identity,
+            ignore_streams,
+            revisions,
+            self._budget.open_account().add,
+        )
         self._messenger = Messenger(self._pool, self.metrics)
         self.quarantine = QuarantineSync(
             name,
--- a/packages/wire/src/cornelbeam_wire/connection.py
+++ b/packages/wire/src/cornelbeam_wire/connection.py
@@ -6,6 +6,7 @@
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
 
+from cornelbeam_wire.backlog import OnBacklog, WriteBacklog
 from cornelbeam_wire.codec import FrameDecoder, encode_frame, protocol_error
 from cornelbeam_wire.gen.messages import BodyPart, Credit, Frame, Hello
 from cornelbeam_wire.identity import Handshake, Identity
@@ -163,8 +164,13 @@
         *,
         is_opener: bool,
         revisions: RevisionExchange | None = None,
+        on_backlog: OnBacklog | None = None,
     ) -> None:
-        """Create the protocol; the event loop calls ``connection_made``."""
+        """Create the protocol; the event loop calls ``connection_made``.
+
+        ``on_backlog`` is told of the bytes that wait for a slow peer.
+        """
+        self._backlog = WriteBacklog(on_backlog)
         self.ready: asyncio.Future[Hello] = (
             asyncio.get_running_loop().create_future()
         )
@@ -237,6 +243,15 @@
         """Close all streams and notify their receivers."""
         self._finish_close()
 
+    def pause_writing(self) -> None:
+        """Count what waits for the peer from now on."""
+        if self._transport is not None and not self.is_closed:
+            self._backlog.start(self._transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Stop counting what waits for the peer."""
+        self._backlog.clear()
+
     def open_stream(self, receiver: StreamReceiver) -> Stream:
         """Open a stream to the peer.
 
@@ -275,6 +290,8 @@
         if frame.revision is not None:
             self._announced_revision = frame.revision
         self.sent_bytes += len(encoded)
+        # First, as the transport may start the count, which includes the frame.
+        self._backlog.add(len(encoded))
         self._transport.write(encoded)
 
     def note_silent(self) -> None:
@@ -364,6 +381,7 @@
         if self.is_closed:
             return
         self.is_closed = True
+        self._backlog.clear()
         if self._timer is not None:
             self._timer.cancel()
         if not self.ready.done():
--- a/packages/wire/src/cornelbeam_wire/pool.py
+++ b/packages/wire/src/cornelbeam_wire/pool.py
@@ -5,6 +5,7 @@
 
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
 
+from cornelbeam_wire.backlog import OnBacklog
 from cornelbeam_wire.connection import Acceptor, PeerConnection
 from cornelbeam_wire.identity import Identity
 from cornelbeam_wire.revisions import RevisionExchange
@@ -27,6 +28,7 @@
         '_connecting',
         '_connections',
         '_identity',
+        '_on_backlog',
         '_replaced',
         '_revisions',
     )
@@ -36,11 +38,14 @@
         identity: Identity,
         acceptor: Acceptor,
         revisions: RevisionExchange | None = None,
+        on_backlog: OnBacklog | None = None,
     ) -> None:
         """Start without connections; ``acceptor`` gets streams of peers.
 
-        All connections exchange store positions by ``revisions``.
+        All connections exchange store positions by ``revisions`` and tell
+        ``on_backlog`` of the bytes that wait for a slow peer.
         """
+        self._on_backlog = on_backlog
         self._revisions = revisions
         self._identity = identity
         self._acceptor = acceptor
@@ -92,6 +97,7 @@
             self._remove,
             is_opener=True,
             revisions=self._revisions,
+            on_backlog=self._on_backlog,
         )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
