--- a/packages/daemon/src/cornelbeam_daemon/backend_connection.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_connection.py
@@ -14,8 +14,11 @@
     BodyBuffer,
     BodyReader,
 )
+from cornelbeam_daemon.memory_budget import MemoryAccount
 
+_MIN_STATUS: Final = 100
 _MIN_FINAL_STATUS: Final = 200
+_MAX_STATUS: Final = 599
 _CLOSED: Final = 'the backend server closed the connection'
 # The head of an answer and a body part must fit into one frame between daemons.
 HEAD_LIMIT_BYTES: Final = 65_536
@@ -46,8 +49,12 @@
 class BackendConnection(asyncio.Protocol):
     """Connection to the backend server that carries one request at a time."""
 
-    def __init__(self) -> None:
-        """Create an unconnected protocol for ``create_connection``."""
+    def __init__(self, account: MemoryAccount | None = None) -> None:
+        """Create an unconnected protocol for ``create_connection``.
+
+        The bodies of answers are counted in ``account``.
+        """
+        self._account = account
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -161,6 +168,11 @@
     def on_headers_complete(self) -> None:
         """Deliver the head of the final answer; ignore informational ones."""
         status = self._parser.get_status_code()
+        if not _MIN_STATUS <= status <= _MAX_STATUS:
+            # RFC 9110, section 15: it has no defined meaning.
+            self._fail(_failure_code(self._body), f'status {status}')
+            self.close()
+            return
         if status < _MIN_FINAL_STATUS or self._is_answered:
             return
         if self._is_own_answer is not None and not self._is_own_answer(
@@ -169,7 +181,7 @@
             self._skip_answer()
             return
         assert self._head is not None  # noqa: S101
-        self._body = BodyBuffer(self._on_consumed)
+        self._body = BodyBuffer(self._on_consumed, self._account)
         self._has_progress = True
         if not self._head.done():
             self._head.set_result(
@@ -187,7 +199,7 @@
             return
         self._has_progress = True
         self._body.feed(content)
-        if self._body.size_bytes > BUFFER_LIMIT_BYTES and self._transport:
+        if self._body.is_full and self._transport:
             self._is_read_paused = True
             self._transport.pause_reading()
 
--- a/packages/daemon/src/cornelbeam_daemon/daemon.py
+++ b/packages/daemon/src/cornelbeam_daemon/daemon.py
@@ -42,6 +42,8 @@
 )
 from cornelbeam_daemon.listening import LISTEN_BACKLOG, bind_listener
 from cornelbeam_daemon.logs import get_log
+from cornelbeam_daemon.memory_budget import MemoryBudget, budget_bytes
+from cornelbeam_daemon.memory_metrics import MemoryCollector
 from cornelbeam_daemon.metrics import Metrics
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor, ignore_streams
 from cornelbeam_daemon.peer_client import PeerClient
@@ -96,6 +98,8 @@
         self._admin_stop = asyncio.Event()
         self._admin_ended = asyncio.Event()
         self._callers: set[HttpServerConnection] = set()
+        self.budget = MemoryBudget(budget_bytes(settings.limits.memory_mb))
+        MemoryCollector(self.budget, self.metrics.registry)
         self._identity = Identity(
             own.name,
             own.service,
@@ -104,7 +108,11 @@
             own.address,
             secret,
         )
-        self._pool = PeerPool(self._identity, ignore_streams)
+        self._pool = PeerPool(
+            self._identity,
+            ignore_streams,
+            on_backlog=self.budget.open_account().add,
+        )
         self._messenger = Messenger(self._pool, self.metrics)
         self.quarantine = QuarantineSync(
             own.name,
@@ -118,6 +126,7 @@
             settings.backend_server.host,
             settings.backend_server.port,
             settings.backend_server.connection_count,
+            self.budget,
         )
         self.backend_side = BackendSide(
             own.name,
@@ -132,6 +141,7 @@
             self._identity,
             self.backend_side,
             self._on_control,
+            budget=self.budget,
         )
         self.prober = Prober(
             settings,
@@ -148,7 +158,7 @@
         self.caller_side = CallerSide(
             own.name,
             self.table,
-            PeerClient(self._pool),
+            PeerClient(self._pool, self.budget),
             self.backend_side,
             settings.limits,
             settings.policy.selection,
@@ -262,6 +272,7 @@
                     self.settings.limits.pipelined_count,
                     self.caller_side.may_overlap,
                 ),
+                budget=self.budget,
             ),
             sock=self.sockets['caller'],
             backlog=LISTEN_BACKLOG,
--- a/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarded_request.py
@@ -19,6 +19,7 @@
 from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.http_message import HttpRequest, malformed, read_number
 from cornelbeam_daemon.request_fingerprint import compute_fingerprint
+from cornelbeam_daemon.request_head import InputLimits
 
 from cornelbeam_mesh.caller_identity import CallerIdentifier
 from cornelbeam_mesh.fleet_state import FleetState
@@ -180,6 +181,7 @@
         '_caller_wait',
         '_host',
         '_identifier',
+        '_limits',
         '_origins',
         '_state',
         '_stop',
@@ -194,14 +196,17 @@
         origins: CallOrigins,
         stop: StopDeadline,
         identifier: CallerIdentifier,
+        limits: InputLimits,
     ) -> None:
         """Read requests of callers on an instance of ``caller_service``.
 
         ``host`` is the IP address of the backend server, and ``origins`` knows
-        the requests that it runs. No deadline is later than that of ``stop``.
+        the requests that it runs. No deadline is later than that of ``stop``,
+        and no body may be announced as larger than ``limits`` say.
         ``identifier`` knows the tenants of callers.
         """
         self._identifier = identifier
+        self._limits = limits
         self._stop = stop
         self._adapter = adapter
         self._state = state
@@ -233,6 +238,7 @@
                 'routing',
                 detail='no configuration yet',
             )
+        self._limits.check_announced(request.headers)
         route = _find_route(request, table)
         if not route.is_supported:
             raise CornelbeamError(
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -4,6 +4,7 @@
 from typing import Any, final
 
 from cornelbeam_daemon.control_messages import Messenger
+from cornelbeam_daemon.memory_budget import MemoryBudget
 from cornelbeam_daemon.peer_acceptor import PeerAcceptor
 from cornelbeam_daemon.quarantine_sync import QuarantineSync
 from cornelbeam_wire import Identity, RevisionExchange, Stream
@@ -41,11 +42,12 @@
         quarantine: QuarantineSync,
         currency: ConfigurationCurrency,
         quotas: TenantQuotas,
+        budget: MemoryBudget,
     ) -> None:
         """Serve calls through ``admission``.
 
         ``on_control_message`` is called with the name and address of a peer
-        that sends a control message.
+        that sends a control message. Bodies of calls are counted in ``budget``.
         """
         self._identity = identity
         self._peer_sync = peer_sync
@@ -63,7 +65,11 @@
             'rollout_query': self._answer_rollout_query,
         }
         self.acceptor = PeerAcceptor(
-            identity, admission, self._handle_control_message, revisions
+            identity,
+            admission,
+            self._handle_control_message,
+            revisions,
+            budget,
         )
 
     def _handle_control_message(
