Watch the steps of rollouts only once there is an order

Each daemon of a deployment with rollouts watched two more kinds. Nobody writes steps before an order is known, so the second watch starts then.

--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -44,6 +44,7 @@
         'configuration_position',
         'evacuated_domains',
         'is_configured',
+        'is_rollout_ordered',
         'members',
         'on_change',
         'rollouts',
@@ -60,6 +61,8 @@
         self.route_table: RouteTable | None = None
         self.evacuated_domains: frozenset[str] = frozenset()
         self.is_configured = asyncio.Event()
+        # Set when the first order of a rollout is known.
+        self.is_rollout_ordered = asyncio.Event()
         self.on_change: Callable[[set[SharedKind]], None] = _ignore
         # Newest position of the objects written by operators.
         self.store_revision = 0
@@ -216,6 +219,8 @@
     def apply_rollout(self, shared_object: SharedObject, source: str) -> None:
         """Take over an order, and the step that may have come before it."""
         self.rollouts.apply_order(shared_object, source)
+        if not shared_object.is_deleted:
+            self.is_rollout_ordered.set()
         step = self.get(SharedKind.ROLLOUT_STEP, shared_object.name)
         if step is not None:
             self.rollouts.apply_step(step, source)
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -159,12 +159,17 @@
             group.start_soon(self._poll_members)
             group.start_soon(self._write_own)
             for kind in self._watched:
-                group.start_soon(self._watch, kind)
+                if kind is SharedKind.ROLLOUT_STEP:
+                    group.start_soon(self._watch_steps)
+                else:
+                    group.start_soon(self._watch, kind)
 
     async def _list_all_kinds(self) -> None:
         while not self.is_listed.is_set():
             try:
                 for kind in (*self._watched, SharedKind.MEMBER):
+                    if kind is SharedKind.ROLLOUT_STEP:
+                        continue
                     revision = await self._list_readable(kind)
                     self._listed_at_revision[kind] = revision
             except CornelbeamError as error:
@@ -174,6 +179,16 @@
                 self.is_listed.set()
                 self._mark_reachable()
 
+    async def _watch_steps(self) -> None:
+        """Watch the steps of rollouts once there is an order.
+
+        Nobody writes them before, and a watch costs calls on each daemon.
+        """
+        kind = SharedKind.ROLLOUT_STEP
+        await self._state.is_rollout_ordered.wait()
+        self._listed_at_revision[kind] = await self._relist(kind)
+        await self._watch(kind)
+
     async def _list_readable(self, kind: SharedKind) -> int:
         """List a kind; return zero if the answer can't be read.
 
