Send steps of rollouts to daemons instead of ending their watches

Only the daemons that may carry out an order watch the steps now; the owner sends each step that it has written to the others, which read them again whenever their watches restart.

Evidence: test_rollouts.py and test_rollout_failures.py, unchanged, pass with steps that reach other daemons by message.

--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -49,6 +49,7 @@
         'on_change',
         'rollouts',
         'route_table',
+        'step_position',
         'store_revision',
     )
 
@@ -66,6 +67,8 @@
         self.on_change: Callable[[set[SharedKind]], None] = _ignore
         # Newest position of the objects written by operators.
         self.store_revision = 0
+        # Position of the newest step of a rollout.
+        self.step_position = 0
         # Position of the configuration held, zero before the first one.
         self.configuration_position = 0
 
@@ -229,6 +232,7 @@
         self, shared_object: SharedObject, source: str
     ) -> None:
         """Take over the progress of an order."""
+        self.step_position = max(self.step_position, shared_object.version)
         self.rollouts.apply_step(shared_object, source)
 
     def apply_member(self, shared_object: SharedObject, source: str) -> None:
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -271,9 +271,9 @@
         entry = self._state.get(SharedKind.MEMBER, member)
         return [] if entry is None else [entry]
 
-    async def announce(self, own_entry: SharedObject) -> None:
-        """Push this daemon's changed entry to all peers."""
-        push = _push_of(own_entry)
+    async def announce(self, changed: SharedObject) -> None:
+        """Push an object that this daemon has changed to all peers."""
+        push = _push_of(changed)
         async with anyio.create_task_group() as group:
             for peer in self._state.members.others():
                 group.start_soon(self._push, peer, push)
--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -43,6 +43,7 @@
     """Owner of orders: at most one daemon for each, by conditional writes."""
 
     __slots__ = (
+        '_announce',
         '_bound',
         '_drivers',
         '_failed_s',
@@ -66,11 +67,14 @@
         is_store_reachable: Callable[[], bool],
         messenger: Messenger,
         start_task: Callable[[Coroutine[Any, Any, None]], None],
+        announce: Callable[[SharedObject], None],
     ) -> None:
         """Own orders as the daemon ``name``, beside whose target ``gate`` is.
 
-        Nothing is written while the store is unreachable.
+        Nothing is written while the store is unreachable. ``announce`` sends
+        steps that have been written to all daemons.
         """
+        self._announce = announce
         self._name = name
         self._bound = bound
         self._state = state
@@ -147,6 +151,13 @@
         driver = self._make_driver(rollout)
         self._write_step(driver.first_step(self._state.rollouts.now_s()))
 
+    def is_candidate(self) -> bool:
+        """Return whether this daemon may carry out an order that is known."""
+        return any(
+            self._rank(rollout) is not None
+            for rollout in self._state.rollouts.all()
+        )
+
     def _may_take_over(self, rollout: ServiceRollout) -> bool:
         now_s = self._state.rollouts.now_s()
         rank = self._rank(rollout)
@@ -273,6 +284,8 @@
                     status=written.content.decode(),
                 )
             self._state.merge([stored], 'store')
+            if not is_status:
+                self._announce(stored)
         finally:
             self._writing.discard(service)
 
@@ -291,6 +304,7 @@
     is_store_reachable: Callable[[], bool],
     messenger: Messenger,
     start_task: Callable[[Coroutine[Any, Any, None]], None],
+    announce: Callable[[SharedObject], None],
 ) -> RolloutOwner | None:
     """Return an owner, ``None`` where there are no rollouts."""
     if bounds.exposure_share is None:
@@ -304,4 +318,5 @@
         is_store_reachable,
         messenger,
         start_task,
+        announce,
     )
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -241,7 +241,10 @@
             self.store_sync.is_reachable.is_set,
             self._messenger,
             self._start_task,
+            lambda step: self._start_task(self.peer_sync.announce(step)),
         )
+        if self._rollout_owner is not None:
+            self.store_sync.may_own_rollouts = self._rollout_owner.is_candidate
         self.peer_sync = PeerSync(
             domain,
             self.state,
--- a/packages/mesh/src/cornelbeam_mesh/store_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/store_sync.py
@@ -48,7 +48,8 @@
 # Delay before something that the store answers unreadably is listed again.
 UNREADABLE_RETRY_S: Final = 0.8
 _WATCHED: Final = (SharedKind.CONFIGURATION, SharedKind.EVACUATION)
-ROLLOUT_KINDS: Final = (SharedKind.ROLLOUT, SharedKind.ROLLOUT_STEP)
+_STEP: Final = SharedKind.ROLLOUT_STEP
+ROLLOUT_KINDS: Final = (SharedKind.ROLLOUT, _STEP)
 
 
 @final
@@ -69,6 +70,7 @@
         '_rng',
         '_state',
         '_store',
+        '_first_listed',
         '_missing_revision',
         '_watched',
         '_watches',
@@ -76,6 +78,7 @@
         'clock',
         'is_listed',
         'is_reachable',
+        'may_own_rollouts',
         'on_configuration_read',
     )
 
@@ -91,6 +94,13 @@
         ``more_kinds`` are watched besides those of each deployment.
         """
         self._watched = _WATCHED + more_kinds
+        # Nobody writes steps of rollouts before there is an order.
+        self._first_listed = (
+            *(each for each in self._watched if each is not _STEP),
+            SharedKind.MEMBER,
+        )
+        # Whether this daemon may carry out a rollout.
+        self.may_own_rollouts: Callable[[], bool] = _never
         self._store = store
         self._state = state
         self._rng = rng
@@ -159,17 +169,15 @@
             group.start_soon(self._poll_members)
             group.start_soon(self._write_own)
             for kind in self._watched:
-                if kind is SharedKind.ROLLOUT_STEP:
-                    group.start_soon(self._watch_steps)
+                if kind is _STEP:
+                    group.start_soon(self._follow_steps)
                 else:
                     group.start_soon(self._watch, kind)
 
     async def _list_all_kinds(self) -> None:
         while not self.is_listed.is_set():
             try:
-                for kind in (*self._watched, SharedKind.MEMBER):
-                    if kind is SharedKind.ROLLOUT_STEP:
-                        continue
+                for kind in self._first_listed:
                     revision = await self._list_readable(kind)
                     self._listed_at_revision[kind] = revision
             except CornelbeamError as error:
@@ -179,15 +187,25 @@
                 self.is_listed.set()
                 self._mark_reachable()
 
-    async def _watch_steps(self) -> None:
-        """Watch the steps of rollouts once there is an order.
+    async def _follow_steps(self) -> None:
+        """Follow the steps of rollouts once there is an order.
 
-        Nobody writes them before, and a watch costs calls on each daemon.
+        Each step ends the watches of all daemons that have one, and watches
+        are billed, so only daemons that may carry out a rollout watch. The
+        others learn of steps from the daemon that does.
         """
-        kind = SharedKind.ROLLOUT_STEP
         await self._state.is_rollout_ordered.wait()
-        self._listed_at_revision[kind] = await self._relist(kind)
-        await self._watch(kind)
+        self._listed_at_revision[_STEP] = await self._relist(_STEP)
+        if self.may_own_rollouts():
+            await self._watch(_STEP)
+        while True:
+            with anyio.CancelScope() as scope:
+                self._watches.add(scope)
+                try:
+                    await anyio.sleep_forever()
+                finally:
+                    self._watches.discard(scope)
+            await self._relist(_STEP)
 
     async def _list_readable(self, kind: SharedKind) -> int:
         """List a kind; return zero if the answer can't be read.
@@ -287,7 +305,11 @@
         object that is watched. If no watch has reported it by the next poll,
         the watches have missed the change.
         """
-        known = max(self._reported_revision, listing.newest_revision)
+        known = max(
+            self._reported_revision,
+            listing.newest_revision,
+            self._state.step_position,
+        )
         if listing.revision <= known:
             self._missing_revision = 0
         elif self._missing_revision:
@@ -424,3 +446,8 @@
 
 def _ignore(listing: Listing, sent_s: float) -> None:
     """Do nothing."""
+
+
+def _never() -> bool:
+    """Return that this daemon carries out no rollouts."""
+    return False
