--- a/packages/core/src/cornelbeam_core/load_shedding.py
+++ b/packages/core/src/cornelbeam_core/load_shedding.py
@@ -26,7 +26,7 @@
 # Maximum of queued calls per slot; more would wait longer than most callers do.
 QUEUE_PER_SLOT: Final = 4
 # A tenant that is served less often than this share of the mean goes before
-# more urgent calls. Section 7 allows a quarter; more than twice that makes a
+# more urgent calls. A quarter is allowed; more than twice that makes a
 # single recent refusal count, as a gate sees few calls of a small tenant.
 SERVED_SHARE_FLOOR: Final = 0.6
 # The same for a tenant that uses more than its fair share: a higher one would
