Refuse in a loop, and only when memory is added

What callers saw: when the memory budget was exceeded by many small accounts, the daemon raised RecursionError, and neither the refused requests nor the ones after them were handled properly.

Cause: a refusal subtracts what it frees, and a subtraction above the limit refused the next account, a few frames deeper each time. The garbage collector subtracts as well, so refusals could also change the set of accounts while the largest one was searched for.

Change: only an addition refuses, and an addition during a refusal is left to the loop that is already running.

Evidence: test_many_refusals_at_once_do_not_recurse (1500 accounts) and test_subtraction_refuses_nobody failed before and pass now.

--- a/packages/daemon/src/cornelbeam_daemon/memory_budget.py
+++ b/packages/daemon/src/cornelbeam_daemon/memory_budget.py
@@ -34,6 +34,7 @@
     """
 
     __slots__ = (
+        '_is_refusing',
         '_refusable',
         '_short_bytes',
         'limit_bytes',
@@ -51,6 +52,7 @@
         # Connections of callers from which nothing is read.
         self.paused_count = 0
         self._refusable: set[MemoryAccount] = set()
+        self._is_refusing = False
 
     @property
     def is_short(self) -> bool:
@@ -70,9 +72,13 @@
         return MemoryAccount(self, refuse, limit_bytes)
 
     def change(self, size_bytes: int) -> None:
-        """Add what an account has buffered, negative for what it has freed."""
+        """Add what an account has buffered, negative for what it has freed.
+
+        Only an addition refuses: each refusal subtracts, and the garbage
+        collector does so at any time.
+        """
         self.used_bytes += size_bytes
-        if self.used_bytes > self.limit_bytes:
+        if size_bytes > 0 and not self._is_refusing:
             self._refuse_largest()
 
     def note_refusable(
@@ -85,12 +91,18 @@
             self._refusable.discard(account)
 
     def _refuse_largest(self) -> None:
-        while self.used_bytes > self.limit_bytes and self._refusable:
-            account = max(self._refusable, key=_used_bytes)
-            self.refused_count += 1
-            account.forbid_refusal()
-            if account.refuse is not None:
-                account.refuse()
+        # What owners add while they are refused is seen by this loop. Nested
+        # refusals would exceed the recursion limit.
+        self._is_refusing = True
+        try:
+            while self.used_bytes > self.limit_bytes and self._refusable:
+                account = max(self._refusable, key=_used_bytes)
+                self.refused_count += 1
+                account.forbid_refusal()
+                if account.refuse is not None:
+                    account.refuse()
+        finally:
+            self._is_refusing = False
 
 
 @final
--- a/packages/daemon/tests/test_memory_budget.py
+++ b/packages/daemon/tests/test_memory_budget.py
@@ -14,6 +14,8 @@
 pytestmark = pytest.mark.anyio
 SEEDS = range(20)
 ACTIONS = ('add',) * 8 + ('subtract', 'close')
+# More than the frames that the recursion limit allows.
+OWNER_COUNT = 1500
 PART = b'a' * 100_000
 MOST_OF_IT = MIN_BUDGET_BYTES * 4 // 5
 
@@ -70,6 +72,25 @@
         owner.account.add(1)
         assert owner.is_refused
 
+    def test_many_refusals_at_once_do_not_recurse(self):
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        owners = [Owner(budget) for _ in range(OWNER_COUNT)]
+        for owner in owners:
+            owner.account.add(MIN_BUDGET_BYTES // OWNER_COUNT)
+        fixed = budget.open_account()
+        fixed.add(MIN_BUDGET_BYTES)
+        assert all(owner.is_refused for owner in owners)
+        assert budget.used_bytes == MIN_BUDGET_BYTES
+
+    def test_subtraction_refuses_nobody(self):
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        owner = Owner(budget)
+        owner.account.forbid_refusal()
+        owner.account.add(MIN_BUDGET_BYTES + 2)
+        owner.account.allow_refusal()
+        owner.account.subtract(1)
+        assert not owner.is_refused
+
     @pytest.mark.parametrize('seed', SEEDS)
     def test_refusable_owners_never_exceed_it(self, seed):
         rng = random.Random(seed)
