Leave small accounts alone while answers fill the budget

What callers saw: once answers or the backlog of a slow peer filled the budget, every upload was refused with 503, however small.

Cause: accounts that can't be refused held the excess, so each addition refused all others, down to the smallest, without getting below the limit.

Change: accounts below 64 KiB are refused only while those that can be refused hold more than a quarter of the budget together. Many connections with little each are thus still bounded.

--- a/packages/daemon/src/cornelbeam_daemon/memory_budget.py
+++ b/packages/daemon/src/cornelbeam_daemon/memory_budget.py
@@ -20,6 +20,9 @@
 # A single request within the limits takes less: the start that is kept of its
 # body, two full buffers and an answer.
 MIN_BUDGET_BYTES: Final = 4 * 1024 * 1024
+# Refusing an account with less frees little and costs a caller its request, so
+# it helps only if many accounts of that size hold much together.
+MIN_REFUSED_BYTES: Final = 64 * 1024
 _MEMORY_FILE: Final = '/proc/meminfo'
 # Assumed if the machine does not say how much memory it has.
 _ASSUMED_MB: Final = 512
@@ -30,7 +33,8 @@
     """Bytes that all connections of the process may buffer together.
 
     Above the limit, the account that has buffered most is refused, then the
-    next, until the rest fits.
+    next, until the rest fits. Small accounts are left alone while what exceeds
+    the budget is held by accounts that can't be refused.
     """
 
     __slots__ = (
@@ -97,6 +101,8 @@
         try:
             while self.used_bytes > self.limit_bytes and self._refusable:
                 account = max(self._refusable, key=_used_bytes)
+                if self._is_worthless(account):
+                    return
                 self.refused_count += 1
                 account.forbid_refusal()
                 if account.refuse is not None:
@@ -104,6 +110,17 @@
         finally:
             self._is_refusing = False
 
+    def _is_worthless(self, largest: 'MemoryAccount') -> bool:
+        """Return whether refusals free too little to be worth their cost.
+
+        What small accounts hold together stays within the part of the budget
+        that nothing may be read ahead into.
+        """
+        if largest.used_bytes >= MIN_REFUSED_BYTES:
+            return False
+        held_bytes = sum(account.used_bytes for account in self._refusable)
+        return held_bytes <= self.limit_bytes - self._short_bytes
+
 
 @final
 class MemoryAccount:
