Take no part of a body after it was dropped

What callers saw: a target could receive an upload from which a part in the middle was missing, instead of an error.

Cause: a refused call drops its body, but parts that arrived later were buffered again, and a reader got them before the error.

Change: a dropped body takes no further parts.

Evidence: test_dropped_body_takes_no_more failed before and passes now.

--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -113,11 +113,13 @@
         self.kept = bytearray()
 
     def feed(self, content: bytes) -> None:
-        """Append a part.
+        """Append a part; do nothing after ``drop``, as earlier ones are gone.
 
         Raise ``protocol_violation`` after the end of the body, as the consumer
         may have announced its full size already.
         """
+        if self._is_dropped:
+            return
         if content and self.is_complete:
             raise CornelbeamError(
                 ErrorCode.PROTOCOL_VIOLATION,
--- a/packages/daemon/tests/test_memory_budget.py
+++ b/packages/daemon/tests/test_memory_budget.py
@@ -192,3 +192,17 @@
         with pytest.raises(CornelbeamError) as caught:
             await reader.read()
         assert caught.value.code is ErrorCode.PROTOCOL_VIOLATION
+
+    async def test_dropped_body_takes_no_more(self):
+        """A reader would get a later part, without the one before it."""
+        budget, buffer = self.make_body()
+        buffer.feed(b'AAA')
+        assert await buffer.read() == b'AAA'
+        buffer.feed(b'BBB')
+        buffer.drop()
+        buffer.fail(CornelbeamError(ErrorCode.OVERLOADED, 'request body'))
+        buffer.feed(b'CCC')
+        with pytest.raises(CornelbeamError) as caught:
+            await buffer.read()
+        assert caught.value.code is ErrorCode.OVERLOADED
+        assert budget.used_bytes == 0
