Pass on nothing of a request whose body was refused

What callers saw: 502 for an upload that was refused for memory before any of it was passed on, although 503 promises that it has not run and can be sent again.

Cause: the first part of a body that had failed already was taken for empty, so the head went to the target, and the error was raised only by the next read.

Change: taking the first part raises the error of the body, and it is checked before a connection or a stream is used.

Evidence: test_refused_body_has_no_first_part failed before and passes now; test_refused_request_is_not_sent guards the answer 503.

--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -228,6 +228,9 @@
         try:
             # The deadline may have passed in the queue.
             check_deadline(call.deadline_s, self._loop.time(), 'admission')
+            # Once the server has the head, a refusal can't promise that the
+            # request has not run.
+            call.body.raise_error()
             idle = self._client.take_idle(is_fresh=is_recorded(call))
             if idle is not None:
                 return idle
--- a/packages/daemon/src/cornelbeam_daemon/bodies.py
+++ b/packages/daemon/src/cornelbeam_daemon/bodies.py
@@ -153,6 +153,11 @@
             self._error = error
             self._wake()
 
+    def raise_error(self) -> None:
+        """Raise the error that was passed to ``fail``, if any."""
+        if self._error is not None:
+            raise self._error
+
     def take_ready(self) -> bytes:
         """Return everything that has arrived, empty if nothing has."""
         if not self._parts:
@@ -175,8 +180,7 @@
         ``CornelbeamError`` that was passed to ``fail``.
         """
         while not self._parts:
-            if self._error is not None:
-                raise self._error
+            self.raise_error()
             if self._is_dropped:
                 raise CornelbeamError(
                     ErrorCode.PROTOCOL_VIOLATION,
@@ -347,6 +351,10 @@
         """Return up to ``size_bytes`` of the start that has been kept."""
         return bytes(memoryview(self._buffer.kept)[:size_bytes])
 
+    def raise_error(self) -> None:
+        """Raise the error of a body that can't arrive whole."""
+        self._buffer.raise_error()
+
     def take_ready(self) -> bytes:
         """Return what has arrived, and keep it for later readers."""
         return self._keep(self._buffer.take_ready())
@@ -389,8 +397,10 @@
         """Return what is available now and whether it is the whole body.
 
         What would not be kept is left for ``read``. Raise
-        ``protocol_violation`` if a part has been dropped.
+        ``protocol_violation`` if a part has been dropped, and the error of a
+        body that has failed, as a target may act on the head of the request.
         """
+        self._body.raise_error()
         kept = self._body.kept_from(self._offset)
         self._offset += len(kept)
         # Raises if the next part has been dropped.
--- a/packages/daemon/src/cornelbeam_daemon/peer_client.py
+++ b/packages/daemon/src/cornelbeam_daemon/peer_client.py
@@ -58,6 +58,8 @@
         waiting; without it, raise the error as for a lost connection.
         """
         connection = await self._connect(target)
+        # Before a stream is opened, which would have to be closed.
+        call.body.raise_error()
         remote = RemoteCall(call.deadline_s, notify_silent, self._account)
         remote.stream = connection.open_stream(remote)
         reader = call.body.reader()
--- a/packages/daemon/tests/test_memory_budget.py
+++ b/packages/daemon/tests/test_memory_budget.py
@@ -225,3 +225,27 @@
         assert await buffer.read() == PART
         answer.close()
         assert buffer.is_ended
+
+    @pytest.mark.parametrize('limit_bytes', [0, len(PART)])
+    async def test_refused_body_has_no_first_part(self, limit_bytes):
+        """A target would get the head, so a 503 could not be sent any more."""
+        _, buffer = self.make_body()
+        reader = RequestBody(buffer, limit_bytes).reader()
+        buffer.feed(PART)
+        buffer.drop()
+        buffer.fail(CornelbeamError(ErrorCode.OVERLOADED, 'request body'))
+        with pytest.raises(CornelbeamError) as caught:
+            reader.take_first()
+        assert caught.value.code is ErrorCode.OVERLOADED
+
+    async def test_refused_request_is_not_sent(self, bed, make_call):
+        buffer = BodyBuffer()
+        buffer.feed(PART)
+        buffer.drop()
+        buffer.fail(CornelbeamError(ErrorCode.OVERLOADED, 'request body'))
+        call = make_call('edge-1', b'/a')
+        call.body = RequestBody(buffer)
+        with pytest.raises(CornelbeamError) as caught:
+            await bed.backend_side.serve(call)
+        assert caught.value.http_status == 503
+        assert not bed.backend.connection_count
--- a/packages/mesh/src/cornelbeam_mesh/target_exchange.py
+++ b/packages/mesh/src/cornelbeam_mesh/target_exchange.py
@@ -121,6 +121,9 @@
 
     async def _connect(self, call: Call) -> BackendConnection:
         try:
+            # Once a target has the head, a refusal can't promise that the
+            # request has not run.
+            call.body.raise_error()
             idle = self._client.take_idle(is_fresh=is_recorded(call))
             attempt = self._attempt_id(call)
             while idle is not None and attempt in idle.refused_attempts:
