Fail one call for an answer with a status above 599

What callers saw: during an upgrade, one backend server that answered with status 600 or more broke all calls between two daemons.

Cause: daemons of the earlier release pass such statuses on, and the receiver took them for a protocol violation, which closes the connection.

Change: statuses from 600 to 999 fail only their call, with backend_failed at the step 'answer' and run state UNKNOWN. All other invalid statuses still violate the protocol.

--- a/packages/daemon/src/cornelbeam_daemon/remote_call.py
+++ b/packages/daemon/src/cornelbeam_daemon/remote_call.py
@@ -20,6 +20,9 @@
 NotifySilent = Callable[[PeerConnection], None]
 _MIN_STATUS: Final = 200
 _MAX_STATUS: Final = 599
+# Daemons of earlier releases pass on statuses up to this one from backend
+# servers, although HTTP does not define those above ``_MAX_STATUS``.
+_MAX_PASSED_STATUS: Final = 999
 
 
 @final
@@ -186,6 +189,17 @@
         stream = self.stream
         if stream is None or self.head.done():
             return
+        if _MAX_STATUS < start.status <= _MAX_PASSED_STATUS:
+            self.fail(
+                CornelbeamError(
+                    ErrorCode.BACKEND_FAILED,
+                    'answer',
+                    stream.connection.peer_name,
+                    f'status {start.status}',
+                    run_state=RunState.UNKNOWN,
+                ),
+            )
+            return
         is_final = _MIN_STATUS <= start.status <= _MAX_STATUS
         if not (is_final and fields.are_well_formed(start.headers)):
             raise protocol_error('malformed head of an answer')
