--- a/packages/daemon/src/cornelbeam_daemon/memory_budget.py
+++ b/packages/daemon/src/cornelbeam_daemon/memory_budget.py
@@ -20,6 +20,9 @@
 # A single request within the limits takes less: the start that is kept of its
 # body, two full buffers and an answer.
 MIN_BUDGET_BYTES: Final = 4 * 1024 * 1024
+# Refusing an account with less frees little and costs a caller its request, so
+# it helps only if many accounts of that size hold much together.
+MIN_REFUSED_BYTES: Final = 64 * 1024
 _MEMORY_FILE: Final = '/proc/meminfo'
 # Assumed if the machine does not say how much memory it has.
 _ASSUMED_MB: Final = 512
@@ -30,10 +33,12 @@
     """Bytes that all connections of the process may buffer together.
 
     Above the limit, the account that has buffered most is refused, then the
-    next, until the rest fits.
+    next, until the rest fits. Small accounts are left alone while what exceeds
+    the budget is held by accounts that can't be refused.
     """
 
     __slots__ = (
+        '_is_refusing',
         '_refusable',
         '_short_bytes',
         'limit_bytes',
@@ -51,6 +56,7 @@
         # Connections of callers from which nothing is read.
         self.paused_count = 0
         self._refusable: set[MemoryAccount] = set()
+        self._is_refusing = False
 
     @property
     def is_short(self) -> bool:
@@ -70,9 +76,13 @@
         return MemoryAccount(self, refuse, limit_bytes)
 
     def change(self, size_bytes: int) -> None:
-        """Add what an account has buffered, negative for what it has freed."""
+        """Add what an account has buffered, negative for what it has freed.
+
+        Only an addition refuses: each refusal subtracts, and the garbage
+        collector does so at any time.
+        """
         self.used_bytes += size_bytes
-        if self.used_bytes > self.limit_bytes:
+        if size_bytes > 0 and not self._is_refusing:
             self._refuse_largest()
 
     def note_refusable(
@@ -85,12 +95,31 @@
             self._refusable.discard(account)
 
     def _refuse_largest(self) -> None:
-        while self.used_bytes > self.limit_bytes and self._refusable:
-            account = max(self._refusable, key=_used_bytes)
-            self.refused_count += 1
-            account.forbid_refusal()
-            if account.refuse is not None:
-                account.refuse()
+        # What owners add while they are refused is seen by this loop. Nested
+        # refusals would exceed the recursion limit.
+        self._is_refusing = True
+        try:
+            while self.used_bytes > self.limit_bytes and self._refusable:
+                account = max(self._refusable, key=_used_bytes)
+                if self._is_worthless(account):
+                    return
+                self.refused_count += 1
+                account.forbid_refusal()
+                if account.refuse is not None:
+                    account.refuse()
+        finally:
+            self._is_refusing = False
+
+    def _is_worthless(self, largest: 'MemoryAccount') -> bool:
+        """Return whether refusals free too little to be worth their cost.
+
+        What small accounts hold together stays within the part of the budget
+        that nothing may be read ahead into.
+        """
+        if largest.used_bytes >= MIN_REFUSED_BYTES:
+            return False
+        held_bytes = sum(account.used_bytes for account in self._refusable)
+        return held_bytes <= self.limit_bytes - self._short_bytes
 
 
 @final
