--- a/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
+++ b/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
@@ -33,7 +33,7 @@
 OWNER_TIMEOUT_S: Final = 0.15
 # Tenants without requests are forgotten at this interval.
 _SWEEP_INTERVAL_S: Final = 10.0
-# Longest wait that a reply may state.
+# Longest wait that a reply may state. Replies hold milliseconds in 32 bits.
 _MAX_WAIT_S: Final = 3600.0
 
 
@@ -161,7 +161,8 @@
         grant = self._grant_own(query.tenant, query.count)
         wait_ms = None
         if grant.count < query.count:
-            wait_ms = max(1, math.ceil(grant.wait_s * MS_PER_S))
+            wait_s = min(_MAX_WAIT_S, grant.wait_s)
+            wait_ms = max(1, math.ceil(wait_s * MS_PER_S))
         self._messenger.reply(
             stream,
             quota_grant=messages.QuotaGrant(count=grant.count, wait_ms=wait_ms),
--- a/packages/mesh/tests/test_tenant_quotas.py
+++ b/packages/mesh/tests/test_tenant_quotas.py
@@ -183,6 +183,19 @@
         assert sum(counts) >= MANY
 
 
+class TestExtremeRates:
+    """Guards against a wait that doesn't fit into a reply."""
+
+    async def test_a_long_wait_is_answered(self, harness):
+        rule = TenantRule(TENANT, (digest_key(b'secret'),), rate_per_s=1e-7)
+        nodes = await add_nodes(harness, rule, ('north', 'north'))
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        quotas = asking.sidecar.quotas
+        grant = await quotas._send(owners(asking)[0], TENANT, 1)
+        assert grant.count == 0
+        assert grant.wait_s == pytest.approx(tenant_quotas._MAX_WAIT_S)
+
+
 class TestTokensLeft:
     """Guards against a limit used up by requests that run nowhere."""
 
--- a/tests/adapter/test_tenants_configuration.py
+++ b/tests/adapter/test_tenants_configuration.py
@@ -97,6 +97,12 @@
             [{'name': 'a\r\nx-b: c', 'api_keys': [KEY]}],
             [{'name': 'a', 'api_keys': [KEY]}, {'name': 'a', 'api_keys': []}],
             [{'name': 'a', 'api_keys': [KEY], 'rate_per_s': -1}],
+            # These overflow in the daemons, which end.
+            [{'name': 'a', 'api_keys': [KEY], 'rate_per_s': 1e308}],
+            [{'name': 'a', 'api_keys': [KEY], 'rate_per_s': 5e-324}],
+            [{'name': 'a', 'api_keys': [KEY], 'burst': 1e308}],
+            [{'name': 'a', 'api_keys': [KEY], 'priority': 2**40}],
+            [{'name': 'a', 'api_keys': [KEY], 'priority': -1}],
         ],
     )
     def test_refused_without_showing_the_key(self, tenants):
