Advance the configuration's position only with its content

A daemon that got invalid content at a new position from a peer ignored the content but took the position. Reads and answers for that position then counted as proof for the old table, so a key revoked in the new configuration kept running.

The position is now set after the content has been decoded. A listing with a newer configuration of the same era than the one in force, which the store's copy does not replace at the same position, is no proof either.

Evidence: test_position_stays_with_the_configuration and test_configuration_that_is_not_in_force_proves_nothing fail before and pass now.

--- a/packages/core/src/cornelbeam_core/currency_proof.py
+++ b/packages/core/src/cornelbeam_core/currency_proof.py
@@ -178,13 +178,23 @@
 
         A listing without a readable configuration leaves open which of the
         readable ones was the last. It is proof only for a daemon that has one
-        already.
+        already. A listing with a newer configuration than the one held, which
+        could not be put into force, is none.
         """
         if not held_position:
             return False
-        is_readable = any(
-            each.version >= listing.newest_revision for each in listing.objects
-        )
+        newest = [
+            each.version
+            for each in listing.objects
+            if each.version >= listing.newest_revision
+        ]
+        is_readable = bool(newest)
+        if any(
+            position > held_position
+            and era_of(position) == era_of(held_position)
+            for position in newest
+        ):
+            return False
         if not is_readable and self.age_s(sent_s) >= expiry_s:
             return False
         self._note(held_position, sent_s)
--- a/packages/core/tests/test_currency_proof.py
+++ b/packages/core/tests/test_currency_proof.py
@@ -50,6 +50,11 @@
     def test_read_without_any_configuration_held_proves_nothing(self):
         assert not CurrencyProof().note_read(0, listing_of(), 100, 5)
 
+    def test_configuration_that_is_not_in_force_proves_nothing(self):
+        """It may revoke a key that the one in force still has."""
+        proof = CurrencyProof()
+        assert not proof.note_read(HELD, listing_of(HELD + 1), 100, 5)
+
     def test_older_copy_of_a_restored_store_does_not_end_the_proof(self):
         """The configuration held stays in force."""
         proof = CurrencyProof()
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -171,8 +171,8 @@
         self, shared_object: SharedObject, source: str
     ) -> None:
         """Replace the route table by that of a new configuration."""
-        self.configuration_position = shared_object.version
         if shared_object.is_deleted:
+            self.configuration_position = shared_object.version
             _log.warning('configuration deleted, keeping the last one')
             return
         try:
@@ -180,6 +180,9 @@
         except (msgspec.MsgspecError, RecursionError) as error:
             _log.error('invalid configuration ignored', why=str(error))
             return
+        # A position whose content is not in force must prove nothing about the
+        # configuration that is.
+        self.configuration_position = shared_object.version
         if configuration == self._configuration:
             # Operators wrote it again after the store was restored.
             return
