Skip configurations of peers that lack the tenants

A daemon of the earlier release drops the tenants when it decodes a configuration, and passes the rest on at the same position. A daemon of this release that took it from such a peer served every request without a key from then on: the store's own listing at this position didn't replace it.

Configurations of peers without that field, which this release always writes, are now skipped, and so are invalid ones. The store's copy is taken when it arrives.

--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -28,6 +28,11 @@
     version: int
 
 
+class _TenantsField(msgspec.Struct):
+    tenants: msgspec.Raw
+
+
+_tenants_decoder: Final = msgspec.json.Decoder(_TenantsField)
 _version_decoder: Final = msgspec.json.Decoder(_AuthoredVersion)
 
 
@@ -269,6 +274,19 @@
 }
 
 
+def is_complete_configuration(content: bytes) -> bool:
+    """Return whether a configuration has all fields that this release uses.
+
+    Daemons of earlier releases drop the tenants of what they pass on.
+    """
+    try:
+        _tenants_decoder.decode(content)
+        _configuration_decoder.decode(content)
+    except (msgspec.MsgspecError, RecursionError):
+        return False
+    return True
+
+
 def read_authored_version(kind: SharedKind, content: bytes) -> int:
     """Return the number that operators gave a configuration.
 
--- a/packages/mesh/src/cornelbeam_mesh/peer_sync.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_sync.py
@@ -16,7 +16,11 @@
 from cornelbeam_wire import Stream
 from cornelbeam_wire.gen import messages
 
-from cornelbeam_mesh.fleet_state import FleetState, read_authored_version
+from cornelbeam_mesh.fleet_state import (
+    FleetState,
+    is_complete_configuration,
+    read_authored_version,
+)
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.store_sync import StoreSync
 
@@ -232,8 +236,20 @@
         return frame.config_push
 
     def merge_push(self, push: messages.ConfigPush, sender: str) -> None:
-        """Merge the objects that a peer has sent."""
-        self._state.merge(_from_wire(push), sender)
+        """Merge the objects that a peer has sent.
+
+        A configuration that is incomplete or invalid is skipped: the store's
+        own copy at the same position would not replace it.
+        """
+        usable = []
+        for received in _from_wire(push):
+            if _is_usable(received):
+                usable.append(received)
+                continue
+            _log.warning(
+                'incomplete configuration of a peer ignored', peer=sender
+            )
+        self._state.merge(usable, sender)
 
     def answer_pull(self, stream: Stream, pull: messages.ConfigPull) -> None:
         """Send the objects that the requesting peer lacks."""
@@ -345,6 +361,14 @@
     )
 
 
+def _is_usable(received: SharedObject) -> bool:
+    return (
+        received.kind is not SharedKind.CONFIGURATION
+        or received.is_deleted
+        or is_complete_configuration(received.content)
+    )
+
+
 def _from_wire(push: messages.ConfigPush) -> list[SharedObject]:
     objects = []
     for shared_object in push.objects:
