--- a/packages/core/src/cornelbeam_core/shared_objects.py
+++ b/packages/core/src/cornelbeam_core/shared_objects.py
@@ -93,7 +93,8 @@
 class Listing:
     """All objects of a kind at one position of the store.
 
-    ``newest_revision`` is the position of the latest change to any of them.
+    ``newest_revision`` is the position of the latest change to any of them,
+    also to one that can't be read. Objects that daemons never use don't count.
     """
 
     kind: SharedKind
--- a/tests/adapter/test_configuration_reads.py
+++ b/tests/adapter/test_configuration_reads.py
@@ -86,6 +86,16 @@
         assert proof.note_read(position, platform.reads[0][0], 100, 5)
         assert proof.note_read(position, listing, 101, 5)
 
+    async def test_other_object_of_the_kind_does_not_end_proofs(self, platform):
+        """No daemon uses it, so it hides no version of the configuration."""
+        await platform.sync.read_configuration()
+        platform.store.put('config', 'notes', {'text': 'unused'})
+        await platform.sync.read_configuration()
+        listing, _ = platform.reads[1]
+        position = platform.state.configuration_position
+        assert listing.newest_revision == position
+        assert CurrencyProof().note_read(position, listing, 100, 5)
+
     async def test_read_of_a_store_just_restored_is_none(self, platform):
         stored = copy.deepcopy(platform.store.objects)
         platform.write([], version=2)
