Keep the bucket of a share when old departures are forgotten

With more than 256 departures of members in 10 s, the time since which a share is owned moves forward with each of them. Each move replaced the bucket by a new one that had refilled since that time, so a tenant got many times its limit.

A bucket is now replaced only if it was last used before that time. The time of its last refill would not do: queries of other tenants refill all buckets, also those that another daemon owned meanwhile.

--- a/packages/core/src/cornelbeam_core/quota_shares.py
+++ b/packages/core/src/cornelbeam_core/quota_shares.py
@@ -117,11 +117,14 @@
         '_share',
         '_tokens',
         'since_s',
+        'taken_at_s',
     )
 
     def __init__(self, share: QuotaShare, since_s: float) -> None:
         """Hold a share whose owner has been the same since ``since_s``."""
         self.since_s = since_s
+        # Time of the last query, at which this daemon was the owner.
+        self.taken_at_s = float('-inf')
         self._share = share
         self._tokens = float()
         self._filled_at_s = since_s + CHANGE_DELAY_S
@@ -137,6 +140,7 @@
 
     def take(self, count: int, now_s: float) -> QuotaGrant:
         """Take up to ``count`` tokens."""
+        self.taken_at_s = max(self.taken_at_s, now_s)
         self._fill(now_s)
         granted = max(0, min(count, int(self._tokens + _EPSILON)))
         self._tokens -= granted
@@ -199,11 +203,21 @@
         since_s: float,
         now_s: float,
     ) -> QuotaGrant:
-        """Take tokens of a tenant owned here since ``since_s``."""
+        """Take tokens of a tenant owned here since ``since_s``.
+
+        Earlier departures that are forgotten move that time forward although
+        the owner stays. A bucket used since then is kept: a new one would have
+        refilled since that time what this one has granted.
+        """
         self._sweep(now_s)
         share = divide_quota(rule, domain_count, self._bounds)
         bucket = self._buckets.get(rule.name)
-        if bucket is None or bucket.since_s < since_s:
+        is_outdated = (
+            bucket is not None
+            and bucket.since_s < since_s
+            and bucket.taken_at_s <= since_s
+        )
+        if bucket is None or is_outdated:
             bucket = ShareBucket(share, since_s)
             self._buckets[rule.name] = bucket
         bucket.change(share, now_s)
--- a/packages/core/tests/test_quota_shares.py
+++ b/packages/core/tests/test_quota_shares.py
@@ -13,6 +13,7 @@
 from cornelbeam_core.tenants import TenantRule
 
 LONG_AGO_S = float('-inf')
+MANY = 1000
 STRICT = QuotaBounds(overage=0, slack_count=0)
 
 
@@ -95,6 +96,25 @@
         assert table.take(rule, 1, 1, LONG_AGO_S, now_s=0).count == 1
         assert table.take(rule, 1, 1, 5, now_s=5).count == 0
 
+    def test_a_share_that_comes_back_is_emptied_despite_a_sweep(self):
+        """Other tenants' queries refill all buckets, also those not owned."""
+        table, rule = ShareTable(QuotaBounds()), make_rule()
+        assert table.take(rule, 1, 1, LONG_AGO_S, now_s=0).count == 1
+        other = TenantRule('other', (), rate_per_s=1)
+        table.take(other, 1, 1, LONG_AGO_S, now_s=10.5)
+        assert table.take(rule, 1, 1, 10.4, now_s=10.6).count == 0
+
+    def test_moves_of_the_known_time_refill_nothing(self):
+        """Many departures of members move it while the owner stays."""
+        table, rule = ShareTable(QuotaBounds()), make_rule()
+        granted = 0
+        for tick in range(301):
+            now_s = tick / 10
+            grant = table.take(rule, MANY, 1, now_s - 5, now_s)
+            granted += grant.count
+        share = divide_quota(rule, 1, QuotaBounds())
+        assert granted <= 30 * share.rate_per_s + share.capacity + 1
+
     def test_a_share_kept_for_long_is_not_emptied(self):
         table, rule = ShareTable(QuotaBounds()), make_rule()
         assert table.take(rule, 1, 1, 0, now_s=3).count == 1
