Keep tokens of cancelled requests, and renew those too old

A request that was cancelled, or passed its deadline, between the grant of its token and its own next step lost the token, so a tenant could use less than its limit. Its token is now left for the next request.

A request with a long upload used its token when the upload had ended, however long that took, so requests of two windows could run in one. After its body is read, a request whose token is too old is admitted again.

Evidence: test_its_token_is_left_for_the_next and test_a_long_upload_is_refused_without_a_new_one fail before and pass now.

--- a/packages/mesh/src/cornelbeam_mesh/forwarding.py
+++ b/packages/mesh/src/cornelbeam_mesh/forwarding.py
@@ -121,6 +121,8 @@
                 if forwarded.tenant is not None:
                     await self._quotas.admit(forwarded)
                 await forwarded.buffer_body()
+                # A long upload may outlast its token.
+                await self._quotas.renew(forwarded)
                 self._quarantine.check(forwarded.fingerprint)
                 answer = await self._try_targets(forwarded)
             outcome = str(answer.status)
--- a/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
+++ b/packages/mesh/src/cornelbeam_mesh/tenant_quotas.py
@@ -143,6 +143,20 @@
         finally:
             self._metrics.count_quota(outcome)
 
+    async def renew(self, forwarded: ForwardedRequest) -> None:
+        """Admit a request again if its token has become too old to be used.
+
+        The token is lost, as no other request may use it either. Raise the
+        errors of ``admit``.
+        """
+        rule, granted_s = forwarded.tenant, forwarded.quota_granted_s
+        if rule is None or granted_s is None:
+            return
+        if self._loop.time() - granted_s <= self._bounds.token_age_s(rule):
+            return
+        forwarded.quota_granted_s = None
+        await self.admit(forwarded)
+
     def give_back(
         self, forwarded: ForwardedRequest | None, error: CornelbeamError
     ) -> None:
@@ -228,13 +242,26 @@
         try:
             async with asyncio.timeout_at(deadline_s):
                 return await waiting
-        except TimeoutError as error:
+        except BaseException as error:
+            self._keep_granted(rule, waiting)
+            if not isinstance(error, TimeoutError):
+                raise
             raise CornelbeamError(
                 ErrorCode.DEADLINE_PASSED,
                 _STEP,
                 detail='no owner of the quota has answered in time',
             ) from error
 
+    def _keep_granted(
+        self, rule: TenantRule, waiting: asyncio.Future[float]
+    ) -> None:
+        """Keep the token of a request that ended just after its grant."""
+        is_ungranted = not waiting.done() or waiting.cancelled()
+        if is_ungranted or waiting.exception() is not None:
+            return
+        tenant = self._tenants.setdefault(rule.name, _TenantState())
+        tenant.demand.keep(waiting.result())
+
     async def _ask_owners(self, rule: TenantRule, tenant: _TenantState) -> None:
         """Ask owners until no request waits."""
         try:
--- a/packages/mesh/tests/test_tenant_quotas.py
+++ b/packages/mesh/tests/test_tenant_quotas.py
@@ -2,14 +2,17 @@
 
 import asyncio
 from functools import partial
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 from cornelbeam_core import quota_demand
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_core.quota_shares import QuotaGrant
 from cornelbeam_core.shared_objects import SharedKind
 from cornelbeam_core.tenants import TenantRule, digest_key
 from cornelbeam_mesh import tenant_quotas
+from cornelbeam_mesh.forwarded_request import ForwardedRequest
 from cornelbeam_wire.gen import messages
 from mesh_harness import Lifetime, configuration, paused, wait_until
 
@@ -211,6 +214,69 @@
         assert len(node.sidecar.quotas._tenants[TENANT].demand._left) == 1
 
 
+class TestCancelledRequest:
+    """Guards against a token that is lost with the request it was for."""
+
+    async def test_its_token_is_left_for_the_next(self, harness, monkeypatch):
+        nodes = await add_nodes(harness, FAST, ('north', 'north'))
+        asking = next(node for node in nodes if node.name != owners(node)[0])
+        quotas = asking.sidecar.quotas
+        taking = asyncio.create_task(
+            quotas._take(FAST, quotas._loop.time() + LONG_S)
+        )
+
+        async def grant(*arguments):
+            return QuotaGrant(1)
+
+        def cancel(*arguments, **named):
+            # The token is granted, and the request does not know it yet.
+            taking.cancel()
+
+        monkeypatch.setattr(tenant_quotas.TenantQuotas, '_send', grant)
+        monkeypatch.setattr(quota_demand.QuotaDemand, 'note_grant', cancel)
+        await asyncio.wait([taking])
+        assert taking.cancelled()
+        assert len(quotas._tenants[TENANT].demand._left) == 1
+
+
+class TestOldToken:
+    """Guards against tokens used so late that a window exceeds its bound."""
+
+    @pytest.mark.parametrize(('age_s', 'is_renewed'), [(0, False), (2, True)])
+    async def test_a_request_that_outlasts_it_is_admitted_again(
+        self, harness, age_s, is_renewed
+    ):
+        nodes = await add_nodes(harness, FAST, ('north',))
+        fill(nodes)
+        quotas = nodes[0].sidecar.quotas
+        granted_s = quotas._loop.time() - age_s
+        forwarded = SimpleNamespace(
+            tenant=FAST,
+            quota_granted_s=granted_s,
+            deadline_s=quotas._loop.time() + LONG_S,
+        )
+        await quotas.renew(forwarded)
+        assert (forwarded.quota_granted_s > granted_s) is is_renewed
+
+    async def test_a_long_upload_is_refused_without_a_new_one(
+        self, harness, monkeypatch
+    ):
+        nodes = await add_nodes(harness, SLOW, ('north',))
+        fill(nodes)
+        quotas = nodes[0].sidecar.quotas
+        buffer_body = ForwardedRequest.buffer_body
+
+        async def outlast(forwarded):
+            await buffer_body(forwarded)
+            forwarded.quota_granted_s -= LONG_S
+            quotas._joined_at_s = None
+
+        monkeypatch.setattr(ForwardedRequest, 'buffer_body', outlast)
+        status, _, _ = await send(nodes[0])
+        assert status == EXCEEDED
+        assert not nodes[0].target.requests
+
+
 class TestOwnersFail:
     """Guards against refusals that an unreachable owner causes."""
 
