--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -28,6 +28,11 @@
     version: int
 
 
+class _TenantsField(msgspec.Struct):
+    tenants: msgspec.Raw
+
+
+_tenants_decoder: Final = msgspec.json.Decoder(_TenantsField)
 _version_decoder: Final = msgspec.json.Decoder(_AuthoredVersion)
 
 
@@ -174,8 +179,8 @@
         self, shared_object: SharedObject, source: str
     ) -> None:
         """Replace the route table by that of a new configuration."""
-        self.configuration_position = shared_object.version
         if shared_object.is_deleted:
+            self.configuration_position = shared_object.version
             _log.warning('configuration deleted, keeping the last one')
             return
         try:
@@ -183,6 +188,9 @@
         except (msgspec.MsgspecError, RecursionError) as error:
             _log.error('invalid configuration ignored', why=str(error))
             return
+        # A position whose content is not in force must prove nothing about the
+        # configuration that is.
+        self.configuration_position = shared_object.version
         if configuration == self._configuration:
             # Operators wrote it again after the store was restored.
             return
@@ -270,6 +278,19 @@
 }
 
 
+def is_complete_configuration(content: bytes) -> bool:
+    """Return whether a configuration has all fields that this release uses.
+
+    Daemons of earlier releases drop the tenants of what they pass on.
+    """
+    try:
+        _tenants_decoder.decode(content)
+        _configuration_decoder.decode(content)
+    except (msgspec.MsgspecError, RecursionError):
+        return False
+    return True
+
+
 def read_authored_version(kind: SharedKind, content: bytes) -> int:
     """Return the number that operators gave a configuration.
 
