Let other versions serve after a completed order's was withdrawn

Callers got 503 for every request of a service: an order to v2 had been completed and its object stayed, v3 was deployed without an order or v1 put back, and the targets of v2 left.

The gates refused every version but that of the order for good, as the phase stays final after the end. They now refuse after the end only while a target of the new version accepts requests. During the final phase nothing changes.

Evidence: TestCompletedOrder in test_rollout_gate.py; its four cases of a version that left or drains fail without the change.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -223,7 +223,7 @@
             return '' if is_open else _LIMITED
         if target.version in rollout.rejected:
             return _LIMITED
-        if rollout.phase is Phase.FINAL and self._is_closed(rollout):
+        if self._view.is_replaced(rollout) and self._is_closed(rollout):
             return replacement_detail(order)
         is_decided = rollout.phase is Phase.STOPPED or rollout.ended is not None
         if is_decided or not self._is_left_alone(rollout):
--- a/packages/mesh/src/cornelbeam_mesh/rollout_view.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_view.py
@@ -116,12 +116,14 @@
 class _Versions:
     """Daemons beside targets of the new version, and of those it replaces.
 
-    ``has_others`` also holds if only rejected versions are left.
+    ``has_others`` also holds if only rejected versions are left, and
+    ``is_new_serving`` if a target of the new version accepts requests.
     """
 
     new: frozenset[str]
     old: frozenset[str]
     has_others: bool
+    is_new_serving: bool
 
 
 @final
@@ -226,6 +228,17 @@
             return False
         return self._versions_of(rollout).has_others
 
+    def is_replaced(self, rollout: ServiceRollout) -> bool:
+        """Return whether only the new version may get requests.
+
+        After the end of a completed order, other versions serve again once
+        none of the new one accepts requests: it was withdrawn later.
+        """
+        if rollout.phase is not Phase.FINAL:
+            return False
+        is_ended = rollout.ended is not None
+        return not is_ended or self._versions_of(rollout).is_new_serving
+
     def _versions_of(self, rollout: ServiceRollout) -> _Versions:
         service = rollout.order.service
         versions = self._versions.get(service)
@@ -293,6 +306,7 @@
     new: set[str] = set()
     old: set[str] = set()
     has_others = False
+    is_new_serving = False
     for entry in members.entries():
         if entry.target is None or entry.target.service != order.service:
             continue
@@ -300,6 +314,7 @@
         has_others = has_others or version != order.to_version
         if version == order.to_version:
             new.add(entry.name)
+            is_new_serving = is_new_serving or entry.is_serving
         elif version not in rollout.rejected:
             old.add(entry.name)
-    return _Versions(frozenset(new), frozenset(old), has_others)
+    return _Versions(frozenset(new), frozenset(old), has_others, is_new_serving)
--- a/packages/mesh/tests/test_rollout_gate.py
+++ b/packages/mesh/tests/test_rollout_gate.py
@@ -26,17 +26,17 @@
         """Start with one target of each version and no order."""
         self.now_s = 100
         self.is_store_reachable = True
-        members = Members('v1')
+        self.members = Members('v1')
         self.targets = {}
         for name in ('v1', 'v2', 'v3'):
             target = TargetEntry(name, 1, 1, SERVICE, 6, False, name)
             self.targets[name] = target
-            members.update(
+            self.members.update(
                 MemberEntry(
                     name, 'north', f'10.0.0.{name[1]}:1', 1, 1, False, target
                 )
             )
-        self.view = RolloutView(members, lambda: self.now_s)
+        self.view = RolloutView(self.members, lambda: self.now_s)
         self.gate = RolloutGate(
             self.view,
             lambda: self.targets[version],
@@ -77,6 +77,25 @@
             messages.RolloutQuery(SERVICE, '1/v2', number, phase, count)
         )
 
+    def withdraw(self, name) -> None:
+        """Remove the target of a version."""
+        self.members.remove(name)
+        self.view.forget_versions()
+
+    def drain(self, name) -> None:
+        """Let the target of a version accept no more requests."""
+        entry = self.members.get(name)
+        self.members.update(
+            msgspec.structs.replace(
+                entry,
+                sequence=entry.sequence + 1,
+                target=msgspec.structs.replace(
+                    entry.target, sequence=2, is_draining=True
+                ),
+            )
+        )
+        self.view.forget_versions()
+
     @property
     def is_open(self) -> bool:
         """Whether the gate lets a request pass now."""
@@ -178,3 +197,27 @@
         bench = GateBench('v1')
         bench.order(state=OrderState.ROLLED_BACK)
         assert bench.is_open
+
+
+class TestCompletedOrder:
+    """Guards against an ended order that blocks all later versions."""
+
+    @pytest.mark.parametrize('version', ['v1', 'v3'])
+    @pytest.mark.parametrize('leave', [GateBench.withdraw, GateBench.drain])
+    def test_other_version_serves_once_the_new_one_has_left(
+        self, version, leave
+    ):
+        bench = GateBench(version)
+        bench.order(state=OrderState.COMPLETED)
+        assert not bench.is_open
+        leave(bench, 'v2')
+        assert bench.is_open
+
+    def test_old_version_stays_closed_in_the_final_phase(self):
+        bench = GateBench('v1')
+        bench.order()
+        bench.step(Phase.FINAL)
+        bench.withdraw('v2')
+        assert bench.is_open
+        bench.now_s += CLOSING_DELAY_S
+        assert not bench.is_open
