Keep a completed version when the next order is reported with it

Callers got 503 during the trial of an order that was written into the same object right after the completion of the one before.

A watch that reports both changes at once shows the new specification with the status of the old order. The versions of earlier orders that had not been seen to complete were rejected, here the only one that served. A status of completion of the earlier version now counts, and rejected versions are used if no other one is left beside the new version.

Evidence: two cases of test_rollout_gate.py fail without the change: test_next_order_reported_with_the_completion_keeps_the_version and test_last_other_version_serves_during_the_next_order.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -221,7 +221,7 @@
                 rollout.phase is Phase.TRIAL and not is_spent
             )
             return '' if is_open else _LIMITED
-        if target.version in rollout.rejected:
+        if self._view.is_rejected(rollout, target.version):
             return _LIMITED
         if self._view.is_replaced(rollout) and self._is_closed(rollout):
             return replacement_detail(order)
--- a/packages/mesh/src/cornelbeam_mesh/rollout_view.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_view.py
@@ -116,13 +116,14 @@
 class _Versions:
     """Daemons beside targets of the new version, and of those it replaces.
 
-    ``has_others`` also holds if only rejected versions are left, and
-    ``is_new_serving`` if a target of the new version accepts requests.
+    If only rejected versions are left, these count as old ones, and
+    ``are_rejected_used`` holds: a service must not be left without targets.
+    ``is_new_serving`` holds if a target of the new version accepts requests.
     """
 
     new: frozenset[str]
     old: frozenset[str]
-    has_others: bool
+    are_rejected_used: bool
     is_new_serving: bool
 
 
@@ -226,7 +227,13 @@
         """
         if not rollout.order.to_version:
             return False
-        return self._versions_of(rollout).has_others
+        return bool(self._versions_of(rollout).old)
+
+    def is_rejected(self, rollout: ServiceRollout, version: str) -> bool:
+        """Return whether a version must get no requests during this order."""
+        if version not in rollout.rejected:
+            return False
+        return not self._versions_of(rollout).are_rejected_used
 
     def is_replaced(self, rollout: ServiceRollout) -> bool:
         """Return whether only the new version may get requests.
@@ -296,7 +303,12 @@
     if known is None:
         return frozenset()
     rejected = known.rejected
-    if known.ended is not OrderState.COMPLETED:
+    # A watch may report a completion only together with the next order.
+    is_completed = known.ended is OrderState.COMPLETED or (
+        order.state is OrderState.COMPLETED
+        and order.state_version == known.order.to_version
+    )
+    if not is_completed:
         rejected |= {known.order.to_version}
     return rejected - {order.to_version}
 
@@ -305,16 +317,23 @@
     order = rollout.order
     new: set[str] = set()
     old: set[str] = set()
-    has_others = False
+    rejected: set[str] = set()
     is_new_serving = False
     for entry in members.entries():
         if entry.target is None or entry.target.service != order.service:
             continue
         version = entry.target.version
-        has_others = has_others or version != order.to_version
         if version == order.to_version:
             new.add(entry.name)
             is_new_serving = is_new_serving or entry.is_serving
-        elif version not in rollout.rejected:
+        elif version in rollout.rejected:
+            rejected.add(entry.name)
+        else:
             old.add(entry.name)
-    return _Versions(frozenset(new), frozenset(old), has_others, is_new_serving)
+    are_rejected_used = bool(rejected) and not old
+    return _Versions(
+        frozenset(new),
+        frozenset(rejected if are_rejected_used else old),
+        are_rejected_used,
+        is_new_serving,
+    )
--- a/packages/mesh/tests/test_rollout_gate.py
+++ b/packages/mesh/tests/test_rollout_gate.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.placement import Candidate
 from cornelbeam_core.rollout_orders import (
     OrderState,
     Phase,
@@ -55,12 +56,17 @@
         else:
             self.view.apply_step(shared_object, 'store')
 
-    def order(self, to_version='v2', state=None) -> None:
-        """Receive an order."""
+    def order(self, to_version='v2', state=None, state_version='') -> None:
+        """Receive an order; its status is about it or another version."""
         self.apply(
             SharedKind.ROLLOUT,
             RolloutOrder(
-                SERVICE, to_version, DURATION_S, '1', state, to_version
+                SERVICE,
+                to_version,
+                DURATION_S,
+                '1',
+                state,
+                state_version or to_version,
             ),
         )
 
@@ -96,6 +102,14 @@
         )
         self.view.forget_versions()
 
+    def arranged(self) -> list[str]:
+        """Return the versions that a sender may send a request to."""
+        ranked = [
+            Candidate(entry.name, 1, 0, False)
+            for entry in self.members.entries()
+        ]
+        return [each.name for each in self.view.arrange(SERVICE, ranked)]
+
     @property
     def is_open(self) -> bool:
         """Whether the gate lets a request pass now."""
@@ -221,3 +235,31 @@
         assert bench.is_open
         bench.now_s += CLOSING_DELAY_S
         assert not bench.is_open
+
+    def test_next_order_reported_with_the_completion_keeps_the_version(self):
+        bench = GateBench('v2')
+        bench.order()
+        bench.step(Phase.FINAL)
+        bench.order('v3', OrderState.COMPLETED, 'v2')
+        assert bench.is_open
+        assert bench.arranged() == ['v1', 'v2']
+
+    def test_next_order_reported_with_the_rollback_keeps_it_out(self):
+        bench = GateBench('v2')
+        bench.order()
+        bench.order('v3', OrderState.ROLLED_BACK, 'v2')
+        assert not bench.is_open
+        assert bench.arranged() == ['v1']
+
+
+class TestRejectedVersion:
+    """Guards against a service without targets, as all are rejected."""
+
+    def test_last_other_version_serves_during_the_next_order(self):
+        bench = GateBench('v2')
+        bench.order()
+        bench.order('v3')
+        assert not bench.is_open
+        bench.withdraw('v1')
+        assert bench.is_open
+        assert bench.arranged() == ['v2']
