--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -7,7 +7,6 @@
 
 import anyio
 import msgspec
-from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.rollout_orders import OrderState, RolloutStep
 from cornelbeam_core.rollout_plan import ExposureBound
 from cornelbeam_core.shared_objects import SharedKind, SharedObject
@@ -91,10 +90,23 @@
             await anyio.sleep(TICK_S)
             for rollout in self._state.rollouts.all():
                 if rollout.order.ended_state is None:
-                    self._look_after(rollout)
+                    self._try_look_after(rollout)
                 else:
                     self._drivers.pop(rollout.order.service, None)
 
+    def _try_look_after(self, rollout: ServiceRollout) -> None:
+        """Look after an order, whose faults must not end the daemon."""
+        try:
+            self._look_after(rollout)
+        except Exception as error:
+            _log_fault(rollout, error)
+
+    async def _tick(self, driver: RolloutDriver) -> None:
+        try:
+            await driver.tick()
+        except Exception as error:
+            _log_fault(driver.rollout, error)
+
     def _look_after(self, rollout: ServiceRollout) -> None:
         service = rollout.order.service
         driver = self._drivers.get(service)
@@ -118,7 +130,7 @@
         elif not rollout.order.is_running:
             self._write_status(rollout, OrderState.RUNNING)
         if rollout.ended is None and not driver.is_busy:
-            self._start_task(driver.tick())
+            self._start_task(self._tick(driver))
 
     def _make_driver(self, rollout: ServiceRollout) -> RolloutDriver:
         driver = RolloutDriver(
@@ -256,14 +268,15 @@
             stored = await self._store.write_object(
                 written, held, is_status=is_status
             )
-        except CornelbeamError as error:
-            # If it was written all the same, the watch reports it.
+        except Exception as error:
+            # If it was written all the same, the watch reports it. No fault of
+            # one order may end the daemon.
             self._failed_s[service] = self._state.rollouts.now_s()
             _log.info(
                 'progress not written',
                 service=service,
                 kind=written.kind.value,
-                why=str(error),
+                why=str(error) or repr(error),
             )
         else:
             if is_status:
@@ -277,6 +290,14 @@
             self._writing.discard(service)
 
 
+def _log_fault(rollout: ServiceRollout, error: Exception) -> None:
+    _log.error(
+        'order not carried out',
+        service=rollout.order.service,
+        why=repr(error),
+    )
+
+
 def rollout_kinds(bounds: MeshBounds) -> tuple[SharedKind, ...]:
     """Return the kinds to watch; none where there are no rollouts."""
     return () if bounds.exposure_share is None else ROLLOUT_KINDS
--- a/tests/adapter/test_rollout_objects.py
+++ b/tests/adapter/test_rollout_objects.py
@@ -1,5 +1,7 @@
 """Orders of rollouts in the store, and conditional writes."""
 
+from urllib.parse import unquote
+
 import httpx
 import msgspec
 import pytest
@@ -126,3 +128,46 @@
         with pytest.raises(CornelbeamError) as raised:
             await store.write_object(status_of(found), found, is_status=True)
         assert raised.value.run_state is RunState.UNKNOWN
+
+
+class TestOddNames:
+    """Guards against an order whose name ends daemons or leads elsewhere."""
+
+    @pytest.mark.parametrize(
+        'name', ['a\x01b', 'yard?x', 'yard#x', '../rollouts/yard', 'a/status']
+    )
+    async def test_status_reaches_its_object_only(self, store, name):
+        held = SharedObject(SharedKind.ROLLOUT, name, 7, False, b'')
+        requests = []
+
+        def refuse(request):
+            requests.append(request)
+            return httpx.Response(404)
+
+        store._http = httpx.AsyncClient(
+            base_url='http://10.0.0.1:80',
+            transport=httpx.MockTransport(refuse),
+        )
+        with pytest.raises(CornelbeamError) as raised:
+            await store.write_object(status_of(held), held, is_status=True)
+        assert raised.value.code is ErrorCode.STORE_CONFLICT
+        prefix, _, rest = requests[0].url.raw_path.partition(b'/rollouts/')
+        assert prefix == b'/cornelbeam/objects'
+        escaped, _, last = rest.partition(b'/')
+        assert (unquote(escaped.decode()), last) == (name, b'status')
+
+    @pytest.mark.parametrize('name', ['', '.', '..'])
+    async def test_name_that_no_path_can_hold_is_not_written(
+        self, store, fake_store, name
+    ):
+        held = SharedObject(SharedKind.ROLLOUT, name, 7, False, b'')
+        with pytest.raises(CornelbeamError) as raised:
+            await store.write_object(status_of(held), held, is_status=True)
+        assert raised.value.run_state is RunState.NOT_RUN
+        assert fake_store.requests == []
+
+    async def test_address_that_is_too_long_is_a_failed_call(self, store):
+        held = SharedObject(SharedKind.ROLLOUT, 'a' * 70_000, 7, False, b'')
+        with pytest.raises(CornelbeamError) as raised:
+            await store.write_object(status_of(held), held, is_status=True)
+        assert raised.value.code is ErrorCode.STORE_UNAVAILABLE
