Report a request count that never falls within a run

A request that could not be sent to the target is uncounted at the gate. If the owner had been told of it, the lower count looked like a restart of the daemon: all requests of the gate were added to the total again, which raised the allowed exposure, and its grants were taken as spent twice.

Gates report the highest count so far; what they refuse still follows the actual count.

Evidence: TestWithdrawnRequest.test_reported_count_never_falls in test_rollout_gate.py fails without the change.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_gate.py
@@ -72,6 +72,7 @@
         '_order_key',
         '_query_number',
         '_request_count',
+        '_reported_count',
         '_routes',
         '_view',
         'in_flight_count',
@@ -101,6 +102,8 @@
         self._final_at_s: float | None = None
         self._granted_count = 0
         self._request_count = 0
+        # Highest count that an owner may have got.
+        self._reported_count = 0
         self._routes: dict[str, _RouteCount] = {}
 
     @property
@@ -189,12 +192,14 @@
         if rollout is not None and phase is Phase.FINAL:
             is_closed = target is None or self._is_closed(rollout)
             phase = Phase.FINAL if is_closed else Phase.TRIAL
+        # Owners take a lower count for a restart of the daemon.
+        self._reported_count = max(self._reported_count, self._request_count)
         return messages.RolloutCounts(
             order_key=self._order_key,
             version='' if target is None else target.version,
             phase=0 if phase is None else phase.value,
             granted_count=self._granted_count,
-            request_count=self._request_count,
+            request_count=self._reported_count,
             in_flight_count=self.in_flight_count,
             is_open=self._is_open(),
             routes=[
@@ -256,6 +261,7 @@
         self._final_at_s = None
         self._granted_count = 0
         self._request_count = 0
+        self._reported_count = 0
         self._routes = {}
 
     def _start(self, route: str) -> _RouteCount | None:
--- a/packages/mesh/tests/test_rollout_gate.py
+++ b/packages/mesh/tests/test_rollout_gate.py
@@ -13,6 +13,7 @@
 from cornelbeam_core.shared_objects import SharedKind, SharedObject
 from cornelbeam_mesh.members import MemberEntry, Members, TargetEntry
 from cornelbeam_mesh.rollout_gate import CLOSING_DELAY_S, RolloutGate
+from cornelbeam_mesh.rollout_ledger import GateLedger
 from cornelbeam_mesh.rollout_view import RolloutView
 from cornelbeam_wire.gen import messages
 
@@ -263,3 +264,33 @@
         bench.withdraw('v1')
         assert bench.is_open
         assert bench.arranged() == ['v2']
+
+
+class TestWithdrawnRequest:
+    """Guards against counts that fall, as those of a restarted daemon do."""
+
+    def test_reported_count_never_falls(self):
+        bench = GateBench('v2')
+        bench.order()
+        bench.grant(9)
+        ledger = GateLedger('v2', 9)
+        entry = bench.members.get('v2')
+        bench.gate._start('read')
+        counted = bench.gate._start('read')
+        ledger.note(entry, bench.grant(9, 2), 1)
+        bench.gate._withdraw(counted)
+        ledger.note(entry, bench.grant(9, 3), 2)
+        assert (ledger.total_count, ledger.spent_count) == (2, 9)
+        bench.gate._start('read')
+        bench.gate._start('read')
+        ledger.note(entry, bench.grant(9, 4), 3)
+        assert (ledger.total_count, ledger.spent_count) == (3, 9)
+
+    def test_withdrawn_request_uses_no_grant_up(self):
+        bench = GateBench('v2')
+        bench.order()
+        bench.grant(1)
+        counted = bench.gate._start('read')
+        bench.grant(1, 2)
+        bench.gate._withdraw(counted)
+        assert bench.is_open
