Use keys on public routes only with proof that they are valid

A public route took any key of the table for its tenant, also on a daemon whose proof of currency had run out. A request with a revoked key then reached the target with the tenant's name, and used its quota.

Without proof, a request to a public route is now served without a tenant.

Evidence: test_public_route_trusts_no_key_without_proof fails before and passes now; test_public_route_uses_a_known_key passes in both.

--- a/packages/mesh/src/cornelbeam_mesh/caller_identity.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_identity.py
@@ -91,14 +91,15 @@
         """Return the tenant of a request, if it has one.
 
         ``own_deadline_s`` is the deadline that the request itself states.
-        Raise ``unknown_api_key`` if it needs a key that a tenant holds, and
+        A public route needs none, and uses a key only if it is known to be
+        valid. Raise ``unknown_api_key`` if it needs a key that a tenant holds, and
         ``configuration_stale`` if it is not known whether one still does.
         """
         if table.tenants is None:
             return None
         key = read_api_key(request.headers)
         if route.is_public:
-            return _find(table.tenants, key)
+            return self._find_proven(table.tenants, key)
         if key is None:
             self._check_backend_call(request, table, own_deadline_s)
             return None
@@ -108,6 +109,23 @@
             raise _unknown_key(f'no tenant, configuration {table.version}')
         return tenant
 
+    def _find_proven(
+        self, tenants: TenantTable, key: bytes | None
+    ) -> TenantRule | None:
+        """Return the tenant of a key on a public route.
+
+        Without proof that the key is still valid, the request is served like
+        one without a key.
+        """
+        tenant = _find(tenants, key)
+        if tenant is None:
+            return None
+        try:
+            self._check_currency()
+        except CornelbeamError:
+            return None
+        return tenant
+
     def _check_backend_call(
         self, request: HttpRequest, table: RouteTable, own_deadline_s: float
     ) -> None:
--- a/packages/mesh/tests/test_api_keys.py
+++ b/packages/mesh/tests/test_api_keys.py
@@ -4,10 +4,12 @@
 
 import msgspec
 import pytest
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
 from cornelbeam_core.routes import RequestKind, RoutingConfiguration
 from cornelbeam_core.shared_objects import SharedKind
 from cornelbeam_core.tenants import TenantRule, digest_key
 from cornelbeam_mesh.caller_identity import read_api_key
+from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
 from fake_target import TARGET_HOST
 from mesh_harness import configuration, route, wait_until
 
@@ -87,6 +89,32 @@
         assert status == 200
         assert b'x-tenant' not in received[0]
 
+    async def test_public_route_uses_a_known_key(self, harness):
+        node = await start_node(harness)
+        status, _, received = await send(
+            node, '/open/1', authorization=f'Bearer {KEY}'
+        )
+        assert status == 200
+        assert received[0][b'x-tenant'] == b'school'
+
+    async def test_public_route_trusts_no_key_without_proof(
+        self, harness, monkeypatch
+    ):
+        """The key may have been revoked."""
+
+        def refuse(currency):
+            raise CornelbeamError(ErrorCode.CONFIGURATION_STALE, 'test')
+
+        monkeypatch.setattr(ConfigurationCurrency, 'check', refuse)
+        node = await start_node(harness)
+        fields = {'authorization': f'Bearer {KEY}'}
+        status, _, received = await send(node, '/open/1', **fields)
+        assert status == 200
+        assert b'x-tenant' not in received[0]
+        status, _, received = await send(node, **fields)
+        assert status == 503
+        assert not received
+
     async def test_removed_key_is_refused(self, harness):
         node = await start_node(harness)
         harness.store.put(
