--- a/packages/mesh/src/cornelbeam_mesh/caller_identity.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_identity.py
@@ -92,8 +92,9 @@
 
         ``own_deadline_s`` is the deadline that the request itself states.
         A public route needs none, and uses a key only if it is known to be
-        valid. Raise ``unknown_api_key`` if it needs a key that a tenant holds, and
-        ``configuration_stale`` if it is not known whether one still does.
+        valid. Raise ``unknown_api_key`` if another needs a key that a tenant
+        holds, and ``configuration_stale`` if it is not known whether one still
+        does.
         """
         if table.tenants is None:
             return None
