--- a/packages/core/src/cornelbeam_core/currency_proof.py
+++ b/packages/core/src/cornelbeam_core/freshness_proof.py
@@ -141,10 +141,10 @@
 
 
 @final
-class CurrencyProof:
+class FreshnessProof:
     """Youngest proof that this daemon has.
 
-    >>> proof = CurrencyProof()
+    >>> proof = FreshnessProof()
     >>> proof.note_answer(7, 6, 0.5, 100)
     True
     >>> proof.age_s(101), proof.position
--- a/packages/core/src/cornelbeam_core/currency_sources.py
+++ b/packages/core/src/cornelbeam_core/freshness_sources.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Final, final
 
-from cornelbeam_core.currency_proof import Role
+from cornelbeam_core.freshness_proof import Role
 from cornelbeam_core.relays import rank_rendezvous
 
 # Daemons in turn that read the store for a failure domain if the reader
@@ -25,7 +25,7 @@
 # Sources that a daemon asks in one attempt after all of them have failed.
 _TURN_COUNT: Final = 2
 # Distinguishes these ranks from those of other choices among the same names.
-_KEY: Final = 'configuration currency'
+_KEY: Final = 'configuration freshness'
 
 
 @final
--- a/packages/core/tests/test_currency_proof.py
+++ b/packages/core/tests/test_freshness_proof.py
@@ -4,8 +4,8 @@
 import random
 
 import pytest
-from cornelbeam_core.currency_proof import (
-    CurrencyProof,
+from cornelbeam_core.freshness_proof import (
+    FreshnessProof,
     RenewalSchedule,
     Role,
     age_to_ms,
@@ -36,28 +36,28 @@
     """Guards against a read that is taken for younger than it is."""
 
     def test_age_counts_from_the_request(self):
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         assert proof.age_s(100) == math.inf
         assert proof.note_read(HELD, listing_of(HELD), 100, 5)
         assert proof.age_s(103) == 3
 
     def test_older_read_that_ends_later_does_not_replace_a_younger(self):
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         proof.note_read(HELD, listing_of(HELD), 100, 5)
         proof.note_read(HELD, listing_of(HELD), 98, 5)
         assert proof.age_s(100) == 0
 
     def test_read_without_any_configuration_held_proves_nothing(self):
-        assert not CurrencyProof().note_read(0, listing_of(), 100, 5)
+        assert not FreshnessProof().note_read(0, listing_of(), 100, 5)
 
     def test_configuration_that_is_not_in_force_proves_nothing(self):
         """It may revoke a key that the one in force still has."""
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         assert not proof.note_read(HELD, listing_of(HELD + 1), 100, 5)
 
     def test_older_copy_of_a_restored_store_does_not_end_the_proof(self):
         """The configuration held stays in force."""
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         held = store_position(1, HELD)
         assert proof.note_read(held, listing_of(store_position(2, 3)), 100, 5)
         assert proof.position == held
@@ -69,11 +69,11 @@
         self, unreadable
     ):
         """A readable one that revoked a key may have been between."""
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         proof.note_read(HELD, listing_of(HELD), 100, 5)
         assert proof.note_read(HELD, unreadable, 104, 5)
         assert not proof.note_read(HELD, unreadable, 109, 5)
-        assert not CurrencyProof().note_read(HELD, unreadable, 100, 5)
+        assert not FreshnessProof().note_read(HELD, unreadable, 100, 5)
 
 
 class TestAnswer:
@@ -81,12 +81,12 @@
 
     def test_age_of_the_peer_counts_from_the_query(self):
         """An answer that arrives late is as old as its query."""
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         assert proof.note_answer(HELD, HELD, 1.5, 100)
         assert proof.age_s(104) == pytest.approx(5.5)
 
     def test_proof_for_an_older_position_is_passed_on_as_such(self):
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         assert proof.note_answer(HELD, HELD - 1, 0, 100)
         assert proof.position == HELD - 1
 
@@ -101,14 +101,14 @@
         ],
     )
     def test_other_answers_are_no_proof(self, position, age_s):
-        proof = CurrencyProof()
+        proof = FreshnessProof()
         assert not proof.note_answer(HELD, position, age_s, 100)
         assert proof.age_s(100) == math.inf
 
     def test_earlier_era_is_no_proof(self):
         """The copy that is held may be older than what the peer holds."""
         held = store_position(2, 3)
-        assert not CurrencyProof().note_answer(
+        assert not FreshnessProof().note_answer(
             held, store_position(1, 40), 0, 100
         )
 
@@ -169,7 +169,7 @@
         self.published_s = {1: self.now_s}
         self.skews_s = [rng.uniform(-1e6, 1e6) for _ in range(4)]
         self.held = [1 for _ in range(4)]
-        self.proofs = [CurrencyProof() for _ in range(4)]
+        self.proofs = [FreshnessProof() for _ in range(4)]
         self.in_flight: list = []
         self.proven_count = 0
 
--- a/packages/core/tests/test_currency_sources.py
+++ b/packages/core/tests/test_freshness_sources.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 import pytest
-from cornelbeam_core.currency_sources import (
+from cornelbeam_core.freshness_sources import (
     FAN_OUT,
     STANDBY_COUNT,
     order_sources,
--- a/packages/mesh/src/cornelbeam_mesh/caller_identity.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_identity.py
@@ -54,7 +54,7 @@
     """Identifies callers by the tenants of the configuration in force."""
 
     __slots__ = (
-        '_check_currency',
+        '_check_freshness',
         '_host',
         '_loop',
         '_names',
@@ -67,17 +67,17 @@
         names: HeaderNames,
         host: str,
         origins: CallOrigins,
-        check_currency: Callable[[], None],
+        check_freshness: Callable[[], None],
     ) -> None:
         """Know the backend server by its address ``host``.
 
-        ``origins`` knows the requests that it runs. ``check_currency`` raises
+        ``origins`` knows the requests that it runs. ``check_freshness`` raises
         an error if keys of the configuration may have been taken away.
         """
         self._names = names
         self._host = host
         self._origins = origins
-        self._check_currency = check_currency
+        self._check_freshness = check_freshness
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
 
@@ -104,7 +104,7 @@
         if key is None:
             self._check_backend_call(request, table, own_deadline_s)
             return None
-        self._check_currency()
+        self._check_freshness()
         tenant = _find(table.tenants, key)
         if tenant is None:
             raise _unknown_key(f'no tenant, configuration {table.version}')
@@ -122,7 +122,7 @@
         if tenant is None:
             return None
         try:
-            self._check_currency()
+            self._check_freshness()
         except CornelbeamError:
             return None
         return tenant
--- a/packages/mesh/src/cornelbeam_mesh/configuration_currency.py
+++ b/packages/mesh/src/cornelbeam_mesh/configuration_freshness.py
@@ -9,15 +9,15 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from cornelbeam_core.currency_proof import (
-    CurrencyProof,
+from cornelbeam_core.deadlines import MS_PER_S
+from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.freshness_proof import (
+    FreshnessProof,
     RenewalSchedule,
     Role,
     age_to_ms,
 )
-from cornelbeam_core.currency_sources import order_sources, take_turn
-from cornelbeam_core.deadlines import MS_PER_S
-from cornelbeam_core.errors import CornelbeamError, ErrorCode, RunState
+from cornelbeam_core.freshness_sources import order_sources, take_turn
 from cornelbeam_core.shared_objects import Listing, era_of
 from cornelbeam_daemon.control_messages import Messenger
 from cornelbeam_daemon.logs import get_log
@@ -26,8 +26,8 @@
 from prometheus_client import Counter
 
 from cornelbeam_mesh.boot_clock import read_boot_time_s
-from cornelbeam_mesh.currency_plan import CurrencyPlan
 from cornelbeam_mesh.fleet_state import FleetState
+from cornelbeam_mesh.freshness_plan import FreshnessPlan
 from cornelbeam_mesh.members import MemberEntry
 from cornelbeam_mesh.metrics import MeshMetrics
 from cornelbeam_mesh.peer_sync import PeerSync
@@ -45,7 +45,7 @@
 
 
 @final
-class ConfigurationCurrency:
+class ConfigurationFreshness:
     """Holds, renews and shares the proof; ``check`` refuses without one.
 
     It does nothing if no time is allowed, and renews nothing while the
@@ -89,7 +89,7 @@
         self._peer_sync = peer_sync
         self._messenger = messenger
         self._schedule: RenewalSchedule | None = None
-        self._proof = CurrencyProof()
+        self._proof = FreshnessProof()
         self._group: TaskGroup | None = None
         self._wake = asyncio.Event()
         self._is_refusing = False
@@ -103,13 +103,13 @@
         self._early_read: tuple[Listing, float] | None = None
         # Position of a configuration of another era that was pulled last.
         self._pulled_position = 0
-        self._plan = CurrencyPlan(domain, state.members)
+        self._plan = FreshnessPlan(domain, state.members)
         self.clock = read_boot_time_s
         self._refusals: Counter | None = None
         if revocation_ms is not None:
             self._schedule = RenewalSchedule(revocation_ms / MS_PER_S)
             store_sync.on_configuration_read = self._note_read
-            self._refusals = metrics.add_currency(self.age_s)
+            self._refusals = metrics.add_freshness(self.age_s)
 
     def age_s(self) -> float:
         """Return the age of the proof; infinite without one."""
--- a/packages/mesh/src/cornelbeam_mesh/currency_plan.py
+++ b/packages/mesh/src/cornelbeam_mesh/freshness_plan.py
@@ -2,14 +2,14 @@
 
 from typing import final
 
-from cornelbeam_core.currency_proof import Role
-from cornelbeam_core.currency_sources import SourcePlan, plan_sources
+from cornelbeam_core.freshness_proof import Role
+from cornelbeam_core.freshness_sources import SourcePlan, plan_sources
 
 from cornelbeam_mesh.members import Members
 
 
 @final
-class CurrencyPlan:
+class FreshnessPlan:
     """Keeps the plan of sources, and which of them are avoided."""
 
     __slots__ = (
--- a/packages/mesh/src/cornelbeam_mesh/metrics.py
+++ b/packages/mesh/src/cornelbeam_mesh/metrics.py
@@ -161,7 +161,7 @@
             quota_bucket_count,
         )
 
-    def add_currency(self, age_s: Callable[[], float]) -> Counter:
+    def add_freshness(self, age_s: Callable[[], float]) -> Counter:
         """Export the age of the proof that the configuration is current.
 
         Return the counter of requests that are refused without one.
--- a/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
+++ b/packages/mesh/src/cornelbeam_mesh/peer_endpoint.py
@@ -11,7 +11,7 @@
 from cornelbeam_wire.gen import messages
 
 from cornelbeam_mesh.admission import AdmissionController
-from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
+from cornelbeam_mesh.configuration_freshness import ConfigurationFreshness
 from cornelbeam_mesh.peer_sync import PeerSync
 from cornelbeam_mesh.tenant_quotas import TenantQuotas
 
@@ -40,7 +40,7 @@
         on_control_message: Callable[[str, str], None],
         revisions: RevisionExchange,
         quarantine: QuarantineSync,
-        currency: ConfigurationCurrency,
+        freshness: ConfigurationFreshness,
         quotas: TenantQuotas,
         budget: MemoryBudget,
     ) -> None:
@@ -59,7 +59,7 @@
         self._handlers: dict[str, Callable[[Stream, Any], None]] = {
             'config_pull': self._answer_pull,
             'config_push': self._merge_push,
-            'configuration_age_query': currency.answer,
+            'configuration_age_query': freshness.answer,
             'ping': self._acknowledge,
             'quota_request': quotas.answer,
             'rollout_query': self._answer_rollout_query,
--- a/packages/mesh/src/cornelbeam_mesh/sidecar.py
+++ b/packages/mesh/src/cornelbeam_mesh/sidecar.py
@@ -31,7 +31,7 @@
 
 from cornelbeam_mesh.admission import AdmissionController
 from cornelbeam_mesh.caller_identity import CallerIdentifier
-from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
+from cornelbeam_mesh.configuration_freshness import ConfigurationFreshness
 from cornelbeam_mesh.fleet_state import FleetState
 from cornelbeam_mesh.forwarded_request import RequestReader
 from cornelbeam_mesh.forwarding import Forwarder
@@ -252,7 +252,7 @@
             self._messenger,
             self._rng,
         )
-        self.currency = ConfigurationCurrency(
+        self.freshness = ConfigurationFreshness(
             domain,
             bounds.revocation_ms,
             self.state,
@@ -269,7 +269,7 @@
             self._on_control_message,
             revisions,
             self.quarantine,
-            self.currency,
+            self.freshness,
             self.quotas,
             self._budget,
         )
@@ -284,7 +284,7 @@
                 adapter.headers,
                 host,
                 self.admission.origins,
-                self.currency.check,
+                self.freshness.check,
             ),
             self._input_limits,
         )
@@ -365,7 +365,7 @@
             group.start_soon(self.peer_sync.run)
             group.start_soon(self.peer_sync.ping_lost_peers)
             group.start_soon(self.peer_sync.catch_up)
-            group.start_soon(self.currency.run)
+            group.start_soon(self.freshness.run)
             group.start_soon(self._probe.run)
             group.start_soon(self._silence_monitor.run)
             if self._rollout_owner is not None:
@@ -467,7 +467,7 @@
             _log.warning('departure confirmed before a peer has it')
 
     def _on_state_change(self, kinds: set[SharedKind]) -> None:
-        self.currency.note_change()
+        self.freshness.note_change()
         self.quotas.note_members()
         table = self.state.route_table
         if table is not None:
--- a/packages/mesh/tests/revocation_fleet.py
+++ b/packages/mesh/tests/revocation_fleet.py
@@ -97,9 +97,9 @@
     async def add(self, domain='north') -> Node:
         """Start a node."""
         node = await self.harness.add_node(domain)
-        currency = node.sidecar.currency
+        freshness = node.sidecar.freshness
         clock, store = Clock(), PartialStore(self.harness.store)
-        currency.clock = clock
+        freshness.clock = clock
         node.sidecar.store_sync.clock = clock
         node.sidecar.store_sync._store = store
         self.clocks[node.name] = clock
@@ -127,11 +127,11 @@
         """Let time pass on clocks; daemons notice when it is due."""
         for node in nodes or self.nodes:
             self.clocks[node.name].offset_s += seconds
-            node.sidecar.currency._wake.set()
+            node.sidecar.freshness._wake.set()
 
 
 def _rank(node) -> int:
-    return node.sidecar.currency._plan.get().role.standby_rank
+    return node.sidecar.freshness._plan.get().role.standby_rank
 
 
 def has_lost_store(node) -> bool:
@@ -141,13 +141,13 @@
 
 async def until_younger(node, age_s) -> None:
     """Wait until the proof of a node is younger than an age."""
-    await wait_until(lambda: node.sidecar.currency.age_s() < age_s)
+    await wait_until(lambda: node.sidecar.freshness.age_s() < age_s)
 
 
 def serves(node) -> bool:
     """Return whether a node serves requests with keys."""
     try:
-        node.sidecar.currency.check()
+        node.sidecar.freshness.check()
     except CornelbeamError as error:
         assert error.code is ErrorCode.CONFIGURATION_STALE
         return False
@@ -170,4 +170,4 @@
 
 def script_answers(node, make_answer) -> None:
     """Let all peers answer a node's queries by a script."""
-    node.sidecar.currency._messenger = ScriptedMessenger(make_answer)
+    node.sidecar.freshness._messenger = ScriptedMessenger(make_answer)
--- a/packages/mesh/tests/test_api_keys.py
+++ b/packages/mesh/tests/test_api_keys.py
@@ -9,7 +9,7 @@
 from cornelbeam_core.shared_objects import SharedKind
 from cornelbeam_core.tenants import TenantRule, digest_key
 from cornelbeam_mesh.caller_identity import read_api_key
-from cornelbeam_mesh.configuration_currency import ConfigurationCurrency
+from cornelbeam_mesh.configuration_freshness import ConfigurationFreshness
 from fake_target import TARGET_HOST
 from mesh_harness import configuration, route, wait_until
 
@@ -102,10 +102,10 @@
     ):
         """The key may have been revoked."""
 
-        def refuse(currency):
+        def refuse(freshness):
             raise CornelbeamError(ErrorCode.CONFIGURATION_STALE, 'test')
 
-        monkeypatch.setattr(ConfigurationCurrency, 'check', refuse)
+        monkeypatch.setattr(ConfigurationFreshness, 'check', refuse)
         node = await start_node(harness)
         fields = {'authorization': f'Bearer {KEY}'}
         status, _, received = await send(node, '/open/1', **fields)
--- a/packages/mesh/tests/test_revocation.py
+++ b/packages/mesh/tests/test_revocation.py
@@ -9,7 +9,7 @@
     SharedObject,
     store_position,
 )
-from cornelbeam_mesh import configuration_currency, store_sync
+from cornelbeam_mesh import configuration_freshness, store_sync
 from cornelbeam_wire.gen import messages
 from mesh_harness import (
     BOUNDS,
@@ -41,7 +41,7 @@
 @pytest.fixture
 def _frozen_clock(monkeypatch) -> None:
     """Keep proofs from ageing, so that nothing renews them."""
-    for module in (configuration_currency, store_sync):
+    for module in (configuration_freshness, store_sync):
         monkeypatch.setattr(module, 'read_boot_time_s', lambda: 1000)
 
 
@@ -70,7 +70,7 @@
         )
         node = await fleet.add()
         fleet.forward(3600)
-        await wait_until(lambda: not node.sidecar.currency._wake.is_set())
+        await wait_until(lambda: not node.sidecar.freshness._wake.is_set())
         assert not fleet.stores[node.name].read_count
         fleet.publish(3)
         await wait_until(partial(serves, node))
@@ -84,7 +84,7 @@
         node = await fleet.add()
         fleet.clocks[node.name].offset_s += REVOCATION_S
         with pytest.raises(CornelbeamError) as caught:
-            node.sidecar.currency.check()
+            node.sidecar.freshness.check()
         assert caught.value.code is ErrorCode.CONFIGURATION_STALE
         assert caught.value.run_state is RunState.NOT_RUN
         assert caught.value.http_status == 503
@@ -104,10 +104,10 @@
         assert not any(serves(node) for node in nodes)
         for node in nodes:
             await wait_until(partial(has_lost_store, node))
-            currency = node.sidecar.currency
-            currency._next_read_s = float('-inf')
+            freshness = node.sidecar.freshness
+            freshness._next_read_s = float('-inf')
             attempt_count = fleet.stores[node.name].attempt_count
-            await currency._read(currency._schedule)
+            await freshness._read(freshness._schedule)
             assert fleet.stores[node.name].attempt_count == attempt_count
         fleet.cut(*nodes, is_cut=False)
         for node in nodes:
@@ -176,9 +176,9 @@
         script_answers(node, answer_late)
         fleet.cut(node)
         clock.offset_s += 1.25
-        node.sidecar.currency._wake.set()
+        node.sidecar.freshness._wake.set()
         await wait_until(lambda: clock.offset_s > 4)
-        assert node.sidecar.currency.age_s() >= 4
+        assert node.sidecar.freshness.age_s() >= 4
 
     async def test_proof_for_a_newer_position_or_none_is_not_used(self, fleet):
         _, node = await fleet.add_domain(2)
@@ -240,10 +240,10 @@
         sync = node.sidecar.store_sync
         await sync.read_configuration()
         assert not sync.is_settled
-        assert node.sidecar.currency.age_s() > 3
+        assert node.sidecar.freshness.age_s() > 3
         sync._settled_at_s = float('-inf')
         await sync.read_configuration()
-        assert node.sidecar.currency.age_s() < 3
+        assert node.sidecar.freshness.age_s() < 3
         assert node.sidecar.state.configuration_version == 8
 
     async def test_daemon_that_starts_waits_for_what_peers_hold(self, fleet):
--- a/tests/adapter/test_configuration_reads.py
+++ b/tests/adapter/test_configuration_reads.py
@@ -7,8 +7,8 @@
 import httpx
 import pytest
 from cornelbeam_adapter.store import PlatformStore
-from cornelbeam_core.currency_proof import CurrencyProof
 from cornelbeam_core.errors import CornelbeamError
+from cornelbeam_core.freshness_proof import FreshnessProof
 from cornelbeam_mesh import store_sync
 from cornelbeam_mesh.fleet_state import FleetState
 from fake_store import FakeStore
@@ -81,8 +81,8 @@
         await platform.sync.read_configuration()
         listing, _ = platform.reads[1]
         assert platform.state.configuration_position == position
-        assert not CurrencyProof().note_read(position, listing, 100, 5)
-        proof = CurrencyProof()
+        assert not FreshnessProof().note_read(position, listing, 100, 5)
+        proof = FreshnessProof()
         assert proof.note_read(position, platform.reads[0][0], 100, 5)
         assert proof.note_read(position, listing, 101, 5)
 
@@ -94,7 +94,7 @@
         listing, _ = platform.reads[1]
         position = platform.state.configuration_position
         assert listing.newest_revision == position
-        assert CurrencyProof().note_read(position, listing, 100, 5)
+        assert FreshnessProof().note_read(position, listing, 100, 5)
 
     async def test_read_of_a_store_just_restored_is_none(self, platform):
         stored = copy.deepcopy(platform.store.objects)
