Compute the Poisson tail of large means in logarithms

At means above 745, exp(-mean) underflows and the probability was 1 for any count: a version was never found bad once that many bad answers were expected, as at high rates with failures of both versions.

Evidence: TestPoissonTail in test_rollout_verdict.py fails for means of 800 and 5000 without the change.

--- a/packages/core/src/cornelbeam_core/rollout_verdict.py
+++ b/packages/core/src/cornelbeam_core/rollout_verdict.py
@@ -119,11 +119,14 @@
     >>> round(poisson_tail(1, 0.5), 4)
     0.3935
     """
-    term = math.exp(-mean)
-    terms = []
-    for number in range(count):
-        terms.append(term)
-        term *= mean / (number + 1)
+    if mean <= 0:
+        return int(count <= 0)
+    # exp(-mean) alone underflows for means above 745.
+    log_mean = math.log(mean)
+    terms = (
+        math.exp(number * log_mean - mean - math.lgamma(number + 1))
+        for number in range(count)
+    )
     return max(0, 1 - math.fsum(terms))
 
 
--- a/packages/core/tests/test_rollout_verdict.py
+++ b/packages/core/tests/test_rollout_verdict.py
@@ -1,5 +1,6 @@
 """Judgement of versions by simulated answers."""
 
+import math
 import random
 
 import pytest
@@ -8,6 +9,7 @@
     RouteCounts,
     VersionJudge,
     duration_bucket,
+    poisson_tail,
 )
 
 SEEDS = range(20)
@@ -153,3 +155,20 @@
                 worse = RouteCounts(10, 10, (0,) * DURATION_BUCKET_COUNT)
                 many.note({'read': worse}, old)
             assert not few.is_bad() or many.is_bad(), seed
+
+
+class TestPoissonTail:
+    """Guards against large counts that never look bad, or always do."""
+
+    @pytest.mark.parametrize('mean', [10, 700, 800, 5000])
+    @pytest.mark.parametrize(
+        ('deviations', 'least', 'most'),
+        [(0, 0.4, 0.6), (6, 0, 1e-4), (-6, 0.999, 1)],
+    )
+    def test_large_means(self, mean, deviations, least, most):
+        count = int(mean + deviations * math.sqrt(mean))
+        assert least <= poisson_tail(count, mean) <= most
+
+    @pytest.mark.parametrize(('count', 'tail'), [(0, 1), (1, 0), (3, 0)])
+    def test_nothing_is_expected(self, count, tail):
+        assert poisson_tail(count, 0) == tail
