--- a/packages/daemon/src/cornelbeam_daemon/backend_side.py
+++ b/packages/daemon/src/cornelbeam_daemon/backend_side.py
@@ -228,6 +228,9 @@
         try:
             # The deadline may have passed in the queue.
             check_deadline(call.deadline_s, self._loop.time(), 'admission')
+            # Once the server has the head, a refusal can't promise that the
+            # request has not run.
+            call.body.raise_error()
             idle = self._client.take_idle(is_fresh=is_recorded(call))
             if idle is not None:
                 return idle
@@ -296,6 +299,7 @@
         outcome: CallOutcome,
     ) -> None:
         connection.close()
+        connection.drop_answer()
         self._client.release(connection)
         self._note_run_state(call, RunState.UNKNOWN)
         self._queue.finish(0, outcome)
--- a/packages/daemon/tests/test_memory_budget.py
+++ b/packages/daemon/tests/test_memory_budget.py
@@ -5,8 +5,10 @@
 import pytest
 from cornelbeam_core.errors import CornelbeamError, ErrorCode
 from cornelbeam_daemon.bodies import BodyBuffer, RequestBody
+from cornelbeam_daemon.calls import Answer
 from cornelbeam_daemon.memory_budget import (
     MIN_BUDGET_BYTES,
+    MIN_REFUSED_BYTES,
     MemoryBudget,
     budget_bytes,
 )
@@ -14,6 +16,9 @@
 pytestmark = pytest.mark.anyio
 SEEDS = range(20)
 ACTIONS = ('add',) * 8 + ('subtract', 'close')
+# More than the frames that the recursion limit allows.
+OWNER_COUNT = 1500
+REFUSED_COUNT = 1000
 PART = b'a' * 100_000
 MOST_OF_IT = MIN_BUDGET_BYTES * 4 // 5
 
@@ -70,6 +75,47 @@
         owner.account.add(1)
         assert owner.is_refused
 
+    def test_many_refusals_at_once_do_not_recurse(self):
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        owners = [Owner(budget) for _ in range(OWNER_COUNT)]
+        for owner in owners:
+            owner.account.add(MIN_BUDGET_BYTES // OWNER_COUNT)
+        fixed = budget.open_account()
+        fixed.add(MIN_BUDGET_BYTES)
+        assert budget.refused_count > REFUSED_COUNT
+        refused = [each for each in owners if each.is_refused]
+        assert len(refused) == budget.refused_count
+        assert budget.used_bytes <= MIN_BUDGET_BYTES * 5 // 4
+
+    def test_subtraction_refuses_nobody(self):
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        owner = Owner(budget)
+        owner.account.forbid_refusal()
+        owner.account.add(MIN_BUDGET_BYTES + 2)
+        owner.account.allow_refusal()
+        owner.account.subtract(1)
+        assert not owner.is_refused
+
+    def test_small_ones_do_not_pay_for_what_cannot_be_refused(self):
+        """Every upload would be refused while answers fill the budget."""
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        small, large = Owner(budget), Owner(budget)
+        small.account.add(MIN_REFUSED_BYTES - 1)
+        large.account.add(MIN_REFUSED_BYTES)
+        budget.open_account().add(MIN_BUDGET_BYTES)
+        assert large.is_refused
+        assert not small.is_refused
+        small.account.add(1)
+        assert small.is_refused
+
+    def test_many_small_ones_are_refused(self):
+        """Many connections with little each would exceed the memory."""
+        budget = MemoryBudget(MIN_BUDGET_BYTES)
+        budget.open_account().add(MIN_BUDGET_BYTES)
+        for _ in range(OWNER_COUNT):
+            Owner(budget).account.add(MIN_REFUSED_BYTES - 1)
+        assert budget.used_bytes <= MIN_BUDGET_BYTES * 5 // 4
+
     @pytest.mark.parametrize('seed', SEEDS)
     def test_refusable_owners_never_exceed_it(self, seed):
         rng = random.Random(seed)
@@ -148,3 +194,59 @@
         with pytest.raises(CornelbeamError) as caught:
             await reader.read()
         assert caught.value.code is ErrorCode.PROTOCOL_VIOLATION
+
+    async def test_dropped_body_takes_no_more(self):
+        """A reader would get a later part, without the one before it."""
+        budget, buffer = self.make_body()
+        buffer.feed(b'AAA')
+        assert await buffer.read() == b'AAA'
+        buffer.feed(b'BBB')
+        buffer.drop()
+        buffer.fail(CornelbeamError(ErrorCode.OVERLOADED, 'request body'))
+        buffer.feed(b'CCC')
+        with pytest.raises(CornelbeamError) as caught:
+            await buffer.read()
+        assert caught.value.code is ErrorCode.OVERLOADED
+        assert budget.used_bytes == 0
+
+    async def test_closed_answer_is_not_counted(self):
+        """Its connection refers to it until the next garbage collection."""
+        budget, buffer = self.make_body()
+        buffer.feed(PART)
+        Answer(200, [], buffer, None, int).close()
+        assert budget.used_bytes == 0
+        with pytest.raises(CornelbeamError):
+            await buffer.read()
+
+    async def test_answer_that_was_read_stays_ended(self):
+        _, buffer = self.make_body()
+        buffer.feed(PART)
+        buffer.finish()
+        answer = Answer(200, [], buffer, None, int)
+        assert await buffer.read() == PART
+        answer.close()
+        assert buffer.is_ended
+
+    @pytest.mark.parametrize('limit_bytes', [0, len(PART)])
+    async def test_refused_body_has_no_first_part(self, limit_bytes):
+        """A target would get the head, so a 503 could not be sent any more."""
+        _, buffer = self.make_body()
+        reader = RequestBody(buffer, limit_bytes).reader()
+        buffer.feed(PART)
+        buffer.drop()
+        buffer.fail(CornelbeamError(ErrorCode.OVERLOADED, 'request body'))
+        with pytest.raises(CornelbeamError) as caught:
+            reader.take_first()
+        assert caught.value.code is ErrorCode.OVERLOADED
+
+    async def test_refused_request_is_not_sent(self, bed, make_call):
+        buffer = BodyBuffer()
+        buffer.feed(PART)
+        buffer.drop()
+        buffer.fail(CornelbeamError(ErrorCode.OVERLOADED, 'request body'))
+        call = make_call('edge-1', b'/a')
+        call.body = RequestBody(buffer)
+        with pytest.raises(CornelbeamError) as caught:
+            await bed.backend_side.serve(call)
+        assert caught.value.http_status == 503
+        assert not bed.backend.connection_count
--- a/packages/mesh/src/cornelbeam_mesh/caller_identity.py
+++ b/packages/mesh/src/cornelbeam_mesh/caller_identity.py
@@ -54,7 +54,7 @@
     """Identifies callers by the tenants of the configuration in force."""
 
     __slots__ = (
-        '_check_currency',
+        '_check_freshness',
         '_host',
         '_loop',
         '_names',
@@ -67,17 +67,17 @@
         names: HeaderNames,
         host: str,
         origins: CallOrigins,
-        check_currency: Callable[[], None],
+        check_freshness: Callable[[], None],
     ) -> None:
         """Know the backend server by its address ``host``.
 
-        ``origins`` knows the requests that it runs. ``check_currency`` raises
+        ``origins`` knows the requests that it runs. ``check_freshness`` raises
         an error if keys of the configuration may have been taken away.
         """
         self._names = names
         self._host = host
         self._origins = origins
-        self._check_currency = check_currency
+        self._check_freshness = check_freshness
         self._loop = asyncio.get_running_loop()
         self._started_s = self._loop.time()
 
@@ -91,23 +91,42 @@
         """Return the tenant of a request, if it has one.
 
         ``own_deadline_s`` is the deadline that the request itself states.
-        Raise ``unknown_api_key`` if it needs a key that a tenant holds, and
-        ``configuration_stale`` if it is not known whether one still does.
+        A public route needs none, and uses a key only if it is known to be
+        valid. Raise ``unknown_api_key`` if another needs a key that a tenant
+        holds, and ``configuration_stale`` if it is not known whether one still
+        does.
         """
         if table.tenants is None:
             return None
         key = read_api_key(request.headers)
         if route.is_public:
-            return _find(table.tenants, key)
+            return self._find_proven(table.tenants, key)
         if key is None:
             self._check_backend_call(request, table, own_deadline_s)
             return None
-        self._check_currency()
+        self._check_freshness()
         tenant = _find(table.tenants, key)
         if tenant is None:
             raise _unknown_key(f'no tenant, configuration {table.version}')
         return tenant
 
+    def _find_proven(
+        self, tenants: TenantTable, key: bytes | None
+    ) -> TenantRule | None:
+        """Return the tenant of a key on a public route.
+
+        Without proof that the key is still valid, the request is served like
+        one without a key.
+        """
+        tenant = _find(tenants, key)
+        if tenant is None:
+            return None
+        try:
+            self._check_freshness()
+        except CornelbeamError:
+            return None
+        return tenant
+
     def _check_backend_call(
         self, request: HttpRequest, table: RouteTable, own_deadline_s: float
     ) -> None:
--- a/packages/mesh/src/cornelbeam_mesh/fleet_state.py
+++ b/packages/mesh/src/cornelbeam_mesh/fleet_state.py
@@ -28,6 +28,11 @@
     version: int
 
 
+class _TenantsField(msgspec.Struct):
+    tenants: msgspec.Raw
+
+
+_tenants_decoder: Final = msgspec.json.Decoder(_TenantsField)
 _version_decoder: Final = msgspec.json.Decoder(_AuthoredVersion)
 
 
@@ -44,10 +49,12 @@
         'configuration_position',
         'evacuated_domains',
         'is_configured',
+        'is_rollout_ordered',
         'members',
         'on_change',
         'rollouts',
         'route_table',
+        'step_position',
         'store_revision',
     )
 
@@ -60,9 +67,13 @@
         self.route_table: RouteTable | None = None
         self.evacuated_domains: frozenset[str] = frozenset()
         self.is_configured = asyncio.Event()
+        # Set when the first order of a rollout is known.
+        self.is_rollout_ordered = asyncio.Event()
         self.on_change: Callable[[set[SharedKind]], None] = _ignore
         # Newest position of the objects written by operators.
         self.store_revision = 0
+        # Position of the newest step of a rollout.
+        self.step_position = 0
         # Position of the configuration held, zero before the first one.
         self.configuration_position = 0
 
@@ -168,8 +179,8 @@
         self, shared_object: SharedObject, source: str
     ) -> None:
         """Replace the route table by that of a new configuration."""
-        self.configuration_position = shared_object.version
         if shared_object.is_deleted:
+            self.configuration_position = shared_object.version
             _log.warning('configuration deleted, keeping the last one')
             return
         try:
@@ -177,6 +188,9 @@
         except (msgspec.MsgspecError, RecursionError) as error:
             _log.error('invalid configuration ignored', why=str(error))
             return
+        # A position whose content is not in force must prove nothing about the
+        # configuration that is.
+        self.configuration_position = shared_object.version
         if configuration == self._configuration:
             # Operators wrote it again after the store was restored.
             return
@@ -216,6 +230,8 @@
     def apply_rollout(self, shared_object: SharedObject, source: str) -> None:
         """Take over an order, and the step that may have come before it."""
         self.rollouts.apply_order(shared_object, source)
+        if not shared_object.is_deleted:
+            self.is_rollout_ordered.set()
         step = self.get(SharedKind.ROLLOUT_STEP, shared_object.name)
         if step is not None:
             self.rollouts.apply_step(step, source)
@@ -224,6 +240,7 @@
         self, shared_object: SharedObject, source: str
     ) -> None:
         """Take over the progress of an order."""
+        self.step_position = max(self.step_position, shared_object.version)
         self.rollouts.apply_step(shared_object, source)
 
     def apply_member(self, shared_object: SharedObject, source: str) -> None:
@@ -261,6 +278,19 @@
 }
 
 
+def is_complete_configuration(content: bytes) -> bool:
+    """Return whether a configuration has all fields that this release uses.
+
+    Daemons of earlier releases drop the tenants of what they pass on.
+    """
+    try:
+        _tenants_decoder.decode(content)
+        _configuration_decoder.decode(content)
+    except (msgspec.MsgspecError, RecursionError):
+        return False
+    return True
+
+
 def read_authored_version(kind: SharedKind, content: bytes) -> int:
     """Return the number that operators gave a configuration.
 
--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -7,7 +7,6 @@
 
 import anyio
 import msgspec
-from cornelbeam_core.errors import CornelbeamError
 from cornelbeam_core.rollout_orders import OrderState, RolloutStep
 from cornelbeam_core.rollout_plan import ExposureBound
 from cornelbeam_core.shared_objects import SharedKind, SharedObject
@@ -43,6 +42,7 @@
     """Owner of orders: at most one daemon for each, by conditional writes."""
 
     __slots__ = (
+        '_announce',
         '_bound',
         '_drivers',
         '_failed_s',
@@ -66,11 +66,14 @@
         is_store_reachable: Callable[[], bool],
         messenger: Messenger,
         start_task: Callable[[Coroutine[Any, Any, None]], None],
+        announce: Callable[[SharedObject], None],
     ) -> None:
         """Own orders as the daemon ``name``, beside whose target ``gate`` is.
 
-        Nothing is written while the store is unreachable.
+        Nothing is written while the store is unreachable. ``announce`` sends
+        steps that have been written to all daemons.
         """
+        self._announce = announce
         self._name = name
         self._bound = bound
         self._state = state
@@ -91,10 +94,23 @@
             await anyio.sleep(TICK_S)
             for rollout in self._state.rollouts.all():
                 if rollout.order.ended_state is None:
-                    self._look_after(rollout)
+                    self._try_look_after(rollout)
                 else:
                     self._drivers.pop(rollout.order.service, None)
 
+    def _try_look_after(self, rollout: ServiceRollout) -> None:
+        """Look after an order, whose faults must not end the daemon."""
+        try:
+            self._look_after(rollout)
+        except Exception as error:
+            _log_fault(rollout, error)
+
+    async def _tick(self, driver: RolloutDriver) -> None:
+        try:
+            await driver.tick()
+        except Exception as error:
+            _log_fault(driver.rollout, error)
+
     def _look_after(self, rollout: ServiceRollout) -> None:
         service = rollout.order.service
         driver = self._drivers.get(service)
@@ -118,7 +134,7 @@
         elif not rollout.order.is_running:
             self._write_status(rollout, OrderState.RUNNING)
         if rollout.ended is None and not driver.is_busy:
-            self._start_task(driver.tick())
+            self._start_task(self._tick(driver))
 
     def _make_driver(self, rollout: ServiceRollout) -> RolloutDriver:
         driver = RolloutDriver(
@@ -147,6 +163,13 @@
         driver = self._make_driver(rollout)
         self._write_step(driver.first_step(self._state.rollouts.now_s()))
 
+    def is_candidate(self) -> bool:
+        """Return whether this daemon may carry out an order that is known."""
+        return any(
+            self._rank(rollout) is not None
+            for rollout in self._state.rollouts.all()
+        )
+
     def _may_take_over(self, rollout: ServiceRollout) -> bool:
         now_s = self._state.rollouts.now_s()
         rank = self._rank(rollout)
@@ -256,14 +279,15 @@
             stored = await self._store.write_object(
                 written, held, is_status=is_status
             )
-        except CornelbeamError as error:
-            # If it was written all the same, the watch reports it.
+        except Exception as error:
+            # If it was written all the same, the watch reports it. No fault of
+            # one order may end the daemon.
             self._failed_s[service] = self._state.rollouts.now_s()
             _log.info(
                 'progress not written',
                 service=service,
                 kind=written.kind.value,
-                why=str(error),
+                why=str(error) or repr(error),
             )
         else:
             if is_status:
@@ -273,10 +297,20 @@
                     status=written.content.decode(),
                 )
             self._state.merge([stored], 'store')
+            if not is_status:
+                self._announce(stored)
         finally:
             self._writing.discard(service)
 
 
+def _log_fault(rollout: ServiceRollout, error: Exception) -> None:
+    _log.error(
+        'order not carried out',
+        service=rollout.order.service,
+        why=repr(error),
+    )
+
+
 def rollout_kinds(bounds: MeshBounds) -> tuple[SharedKind, ...]:
     """Return the kinds to watch; none where there are no rollouts."""
     return () if bounds.exposure_share is None else ROLLOUT_KINDS
@@ -291,6 +325,7 @@
     is_store_reachable: Callable[[], bool],
     messenger: Messenger,
     start_task: Callable[[Coroutine[Any, Any, None]], None],
+    announce: Callable[[SharedObject], None],
 ) -> RolloutOwner | None:
     """Return an owner, ``None`` where there are no rollouts."""
     if bounds.exposure_share is None:
@@ -304,4 +339,5 @@
         is_store_reachable,
         messenger,
         start_task,
+        announce,
     )
