--- a/packages/core/src/cornelbeam_core/freshness_proof.py
+++ b/packages/core/src/cornelbeam_core/freshness_proof.py
@@ -22,12 +22,20 @@
 # A daemon renews this much later than those that it asks, which then have just
 # renewed theirs.
 _LEVEL_PART: Final = 0.04
+# A reader without the store comes after the standbys, which then have proofs.
 _UNABLE_LEVELS: Final = 2
+# Each standby reads the store this much later than the one before it.
 _STANDBY_PART: Final = 0.06
+# Traffic between failure domains is expensive, so other domains are asked only
+# when the own one has no fresh proof.
 _FAR_PART: Final = 0.4
+# Any daemon reads the store itself from this age on, as half of the time allowed
+# is left then.
 _LAST_READ_PART: Final = 0.5
 _RETRY_PART: Final = 0.1
+# A source may renew this much later than planned: stores are slow at times.
 _OVERDUE_PART: Final = 0.02
+# Requests are refused already, so that many daemons needn't ask more often.
 _EXPIRED_RETRY_PART: Final = 0.2
 # Reads that fail, or prove nothing, are repeated after twice the delay of the
 # one before. Daemons that depend on others may wait longer.
@@ -95,7 +103,7 @@
     def far_age_s(self, role: Role) -> float:
         """Return the age from which other failure domains are asked.
 
-        Bytes between them are dear, so daemons that read the store do that
+        Traffic between them is expensive, so daemons that read the store do that
         first, and the others wait until one of these has asked.
         """
         if role.standby_rank is None:
