--- a/packages/core/src/cornelbeam_core/freshness_proof.py
+++ b/packages/core/src/cornelbeam_core/freshness_proof.py
@@ -103,8 +103,8 @@
     def far_age_s(self, role: Role) -> float:
         """Return the age from which other failure domains are asked.
 
-        Traffic between them is expensive, so daemons that read the store do that
-        first, and the others wait until one of these has asked.
+        Traffic between them is expensive, so daemons that read the store do
+        that first, and the others wait until one of these has asked.
         """
         if role.standby_rank is None:
             return self.revocation_s * _FAR_PART
