Log a refused order once and retry its status less often

An order that is refused and whose status the store doesn't take was logged every 0.5 s, and its write was repeated each second, as long as it existed.

Each reason is logged once per order. The delay doubles up to a minute for orders that are refused or were due a minute ago. The status of other orders is still tried each second, as it must be written within seconds once the store takes it.

Evidence: TestRefusedOrder in test_rollout_owner.py: two of its cases fail without the change, the third guards the status of a valid order.

--- a/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
+++ b/packages/mesh/src/cornelbeam_mesh/rollout_owner.py
@@ -1,6 +1,7 @@
 """Takes over orders that no other daemon carries out, and writes progress."""
 
 import heapq
+import math
 import zlib
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, final
@@ -33,8 +34,48 @@
 TAKEOVER_S: Final = 6.0
 ASKED_TAKEOVER_S: Final = 1.6
 TAKEOVER_STEP_S: Final = 0.7
-# A write that failed is repeated after this time.
+# A write that failed is repeated after this time. It doubles with each failure
+# up to the maximum for orders that are refused or were due long ago: the status
+# of the others must be written in time once the store takes it.
 RETRY_S: Final = 1.0
+MAX_RETRY_S: Final = 60.0
+URGENT_AFTER_S: Final = 60.0
+
+
+@final
+class _Failures:
+    """Failed writes of an order since the last one that succeeded."""
+
+    __slots__ = ('count', 'failed_s', 'logged', 'order_key')
+
+    def __init__(self, order_key: str) -> None:
+        """Start without failures."""
+        self.order_key = order_key
+        self.count = 0
+        self.failed_s = float('-inf')
+        # Sentences already logged about the order.
+        self.logged: set[str] = set()
+
+    def note(self, now_s: float) -> None:
+        """Record a failure."""
+        self.count += 1
+        self.failed_s = now_s
+
+    def retry_s(self, rollout: ServiceRollout, now_s: float) -> float:
+        """Return the time from the last failure to the next write."""
+        due_s = rollout.order.duration_s + URGENT_AFTER_S
+        is_urgent = rollout.age_s(now_s) <= due_s
+        if is_urgent and not rollout.order.find_problem():
+            return RETRY_S
+        # The exponent is bounded, as large ones overflow.
+        exponent = min(10, max(0, self.count - 1))
+        return min(MAX_RETRY_S, math.ldexp(RETRY_S, exponent))
+
+    def is_new(self, sentence: str) -> bool:
+        """Return whether a sentence is to be logged, once for the order."""
+        is_new = sentence not in self.logged
+        self.logged.add(sentence)
+        return is_new
 
 
 @final
@@ -44,7 +85,7 @@
     __slots__ = (
         '_bound',
         '_drivers',
-        '_failed_s',
+        '_failures',
         '_gate',
         '_is_store_reachable',
         '_messenger',
@@ -80,7 +121,7 @@
         self._start_task = start_task
         # By service.
         self._drivers: dict[str, RolloutDriver] = {}
-        self._failed_s: dict[str, float] = {}
+        self._failures: dict[str, _Failures] = {}
         # Services for which a write is on its way.
         self._writing: set[str] = set()
 
@@ -99,13 +140,21 @@
         try:
             self._look_after(rollout)
         except Exception as error:
-            _log_fault(rollout, error)
+            self._log_fault(rollout, error)
 
     async def _tick(self, driver: RolloutDriver) -> None:
         try:
             await driver.tick()
         except Exception as error:
-            _log_fault(driver.rollout, error)
+            self._log_fault(driver.rollout, error)
+
+    def _log_fault(self, rollout: ServiceRollout, error: Exception) -> None:
+        if self._failures_of(rollout).is_new(repr(error)):
+            _log.error(
+                'order not carried out',
+                service=rollout.order.service,
+                why=repr(error),
+            )
 
     def _look_after(self, rollout: ServiceRollout) -> None:
         service = rollout.order.service
@@ -149,11 +198,12 @@
 
     def _take_over(self, rollout: ServiceRollout) -> None:
         if rollout.order.find_problem():
-            _log.warning(
-                'order refused',
-                service=rollout.order.service,
-                why=rollout.order.find_problem(),
-            )
+            if self._failures_of(rollout).is_new('order refused'):
+                _log.warning(
+                    'order refused',
+                    service=rollout.order.service,
+                    why=rollout.order.find_problem(),
+                )
             self._write_status(rollout, OrderState.ROLLED_BACK)
             return
         driver = self._make_driver(rollout)
@@ -250,18 +300,33 @@
 
         What is not written now is decided again at the next tick.
         """
-        failed_s = self._failed_s.get(service, float('-inf'))
-        is_late = self._state.rollouts.now_s() - failed_s >= RETRY_S
-        if service in self._writing or not is_late:
+        rollout = self._state.rollouts.get(service)
+        if rollout is None or service in self._writing:
+            return False
+        now_s = self._state.rollouts.now_s()
+        failures = self._failures_of(rollout)
+        if now_s - failures.failed_s < failures.retry_s(rollout, now_s):
             return False
         if not self._is_store_reachable():
             return False
         self._writing.add(service)
-        self._start_task(self._write(service, written, held))
+        self._start_task(self._write(service, written, held, failures))
         return True
 
+    def _failures_of(self, rollout: ServiceRollout) -> _Failures:
+        service = rollout.order.service
+        failures = self._failures.get(service)
+        if failures is None or failures.order_key != rollout.order.key:
+            failures = _Failures(rollout.order.key)
+            self._failures[service] = failures
+        return failures
+
     async def _write(
-        self, service: str, written: SharedObject, held: SharedObject | None
+        self,
+        service: str,
+        written: SharedObject,
+        held: SharedObject | None,
+        failures: _Failures,
     ) -> None:
         is_status = written.kind is SharedKind.ROLLOUT
         try:
@@ -271,14 +336,17 @@
         except Exception as error:
             # If it was written all the same, the watch reports it. No fault of
             # one order may end the daemon.
-            self._failed_s[service] = self._state.rollouts.now_s()
-            _log.info(
-                'progress not written',
-                service=service,
-                kind=written.kind.value,
-                why=str(error) or repr(error),
-            )
+            failures.note(self._state.rollouts.now_s())
+            why = str(error) or repr(error)
+            if failures.is_new(why):
+                _log.info(
+                    'progress not written',
+                    service=service,
+                    kind=written.kind.value,
+                    why=why,
+                )
         else:
+            failures.count = 0
             if is_status:
                 _log.info(
                     'status written',
@@ -290,14 +358,6 @@
             self._writing.discard(service)
 
 
-def _log_fault(rollout: ServiceRollout, error: Exception) -> None:
-    _log.error(
-        'order not carried out',
-        service=rollout.order.service,
-        why=repr(error),
-    )
-
-
 def rollout_kinds(bounds: MeshBounds) -> tuple[SharedKind, ...]:
     """Return the kinds to watch; none where there are no rollouts."""
     return () if bounds.exposure_share is None else ROLLOUT_KINDS
--- a/packages/mesh/tests/test_rollout_owner.py
+++ b/packages/mesh/tests/test_rollout_owner.py
@@ -3,7 +3,8 @@
 import asyncio
 
 import pytest
-from cornelbeam_core.rollout_orders import RolloutOrder
+from cornelbeam_core.errors import CornelbeamError, ErrorCode
+from cornelbeam_core.rollout_orders import OrderState, RolloutOrder
 from cornelbeam_core.rollout_plan import ExposureBound
 from cornelbeam_mesh import rollout_owner as owners
 from cornelbeam_mesh.members import MemberEntry, Members
@@ -61,10 +62,12 @@
         )
         self.order()
 
-    def order(self, to_version='v2') -> None:
-        """Replace the order by another one that can't be carried out."""
+    def order(self, to_version='v2', duration_s=0) -> None:
+        """Replace the order; one without a duration can't be carried out."""
         self.rollouts._rollouts[SERVICE] = ServiceRollout(
-            RolloutOrder(SERVICE, to_version, 0), frozenset(), self.now_s
+            RolloutOrder(SERVICE, to_version, duration_s),
+            frozenset(),
+            self.now_s,
         )
 
     def get(self, kind, name) -> str:
@@ -84,6 +87,12 @@
         if self.now_s > self.end_s:
             raise StopError
 
+    async def write_status(self, rollout) -> None:
+        """Let the owner write a status."""
+        self.owner._write_status(rollout, OrderState.ROLLED_BACK)
+        await asyncio.gather(*self.tasks)
+        self.tasks.clear()
+
     def run(self, duration_s) -> None:
         """Let the owner run for some time."""
         self.end_s = self.now_s + duration_s
@@ -105,3 +114,41 @@
         bench.members = None
         bench.run(1)
         assert 'order not carried out' in bench.log.sentences
+
+
+class TestRefusedOrder:
+    """Guards against an order that makes store calls and logs without end."""
+
+    def test_logs_and_calls_get_fewer(self, monkeypatch):
+        bench = OwnerBench(
+            monkeypatch, CornelbeamError(ErrorCode.STORE_CONFLICT, 'write')
+        )
+        bench.run(600)
+        assert len(bench.log.sentences) == 2
+        assert 10 <= len(bench.write_times) <= 20
+        first, second, third = bench.write_times[:3]
+        assert second - first <= 1
+        assert third - second <= 2
+
+    def test_next_order_is_written_at_once(self, monkeypatch):
+        bench = OwnerBench(
+            monkeypatch, CornelbeamError(ErrorCode.STORE_CONFLICT, 'write')
+        )
+        bench.run(600)
+        count = len(bench.write_times)
+        bench.order('v3')
+        bench.run(1)
+        assert len(bench.write_times) > count
+        assert bench.log.sentences.count('order refused') == 2
+
+    def test_status_of_a_running_order_is_tried_each_second(self, monkeypatch):
+        bench = OwnerBench(
+            monkeypatch, CornelbeamError(ErrorCode.STORE_UNAVAILABLE, 'write')
+        )
+        bench.order(duration_s=30)
+        rollout = bench.rollouts.get(SERVICE)
+        for _ in range(30):
+            bench.now_s += 1
+            count = len(bench.write_times)
+            asyncio.run(bench.write_status(rollout))
+            assert len(bench.write_times) == count + 1
