--- a/packages/core/src/cornelbeam_core/freshness_proof.py
+++ b/packages/core/src/cornelbeam_core/freshness_proof.py
@@ -29,7 +29,7 @@
 # Traffic between failure domains is expensive, so other domains are asked only
 # when the own one has no fresh proof.
 _FAR_PART: Final = 0.4
-# Any daemon reads the store itself from this age on, as half of the time allowed
+# Any daemon reads the store itself from this age on: half of the time allowed
 # is left then.
 _LAST_READ_PART: Final = 0.5
 _RETRY_PART: Final = 0.1
