--- a/packages/mesh/tests/test_revocation.py
+++ b/packages/mesh/tests/test_revocation.py
@@ -149,11 +149,9 @@
         """The reader gets no queries, so the next daemon reads."""
         reader, standby, other = await fleet.add_domain(3)
         fleet.cut(other)
-        await wait_until(
-            lambda: other.sidecar._pool.ready_connection(
-                reader.addresses['peers']
-            )
-        )
+        # A connection that is opened later would not be paused.
+        for node in (standby, other):
+            await wait_until(partial(is_connected, node, reader))
         with paused(reader.sidecar._peer_endpoint.acceptor.connections):
             fleet.forward(REVOCATION_S)
             assert not serves(other)
@@ -276,3 +274,9 @@
         state = node.sidecar.state
         await wait_until(lambda: state.configuration_version == 8)
         await until_younger(node, 1)
+
+
+def is_connected(node, other) -> bool:
+    """Return whether a sidecar has a connection to another node's."""
+    pool = node.sidecar._pool
+    return bool(pool.ready_connection(other.addresses['peers']))
